--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,2 @@
+// heathercross: the operators' tool.
+int main() { return 0; }
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,2 @@
+// heathercrossd: one entry instance.
+int main() { return 0; }
