--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,42 @@
+// The daemon's metrics, as Prometheus reads them.
+#pragma once
+
+#include "heathercross/outcome.h"
+#include "heathercross/units.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace heathercross::daemon {
+
+/// Holds every metric of the process. Names carry their units.
+class Metrics {
+public:
+  Metrics();
+
+  /// Counts an answer to a caller.
+  void answered(Outcome O, Reason R, Micros Took);
+  /// Adds to a counter, which is made with its help text at first use.
+  void add(const std::string &Name, const std::string &Help, double By = 1);
+  /// Sets a gauge, which is made with its help text at first use.
+  void set(const std::string &Name, const std::string &Help, double Value);
+  /// The text that a scrape gets.
+  std::string text() const;
+
+private:
+  prometheus::Registry Registry_;
+  prometheus::Family<prometheus::Counter> &Answers_;
+  prometheus::Histogram &Latency_;
+  std::map<std::pair<Outcome, Reason>, prometheus::Counter *> AnswerCounters_;
+  std::map<std::string, prometheus::Counter *> Counters_;
+  std::map<std::string, prometheus::Gauge *> Gauges_;
+};
+
+} // namespace heathercross::daemon
