--- /dev/null
+++ b/src/core/json-place.cc
@@ -0,0 +1,152 @@
+// Reading of JSON places.
+#include "core/json-place.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include <algorithm>
+
+namespace heathercross {
+
+namespace {
+
+QString keyOf(std::string_view Name) {
+  return QString::fromUtf8(Name.data(), static_cast<qsizetype>(Name.size()));
+}
+
+bool isNameCharacter(char C) {
+  const bool Letter = (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z');
+  const bool Digit = C >= '0' && C <= '9';
+  return Letter || Digit || C == '.' || C == '-' || C == '_';
+}
+
+} // namespace
+
+bool isName(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         std::ranges::all_of(Text, isNameCharacter);
+}
+
+std::string jsonText(const QJsonObject &Object) {
+  return QJsonDocument(Object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+QJsonValue jsonValue(std::string_view Text) { return {keyOf(Text)}; }
+
+QJsonValue jsonValue(std::uint64_t Number) {
+  return {static_cast<qint64>(Number)};
+}
+
+JsonPlace JsonPlace::parse(std::string_view Text, Bytes Limit) {
+  const JsonPlace Whole(QJsonValue(), "");
+  if (Text.size() > Limit.Count_)
+    Whole.fail("longer than " + std::to_string(Limit.Count_) + " bytes");
+  QJsonParseError Problem;
+  const auto Document = QJsonDocument::fromJson(
+      QByteArray(Text.data(), static_cast<qsizetype>(Text.size())), &Problem);
+  if (Problem.error != QJsonParseError::NoError)
+    Whole.fail(Problem.errorString().toStdString() + " at byte " +
+               std::to_string(Problem.offset));
+  if (!Document.isObject())
+    Whole.fail("not an object");
+  return {Document.object(), ""};
+}
+
+void JsonPlace::fail(const std::string &Problem) const {
+  raise(FormatError(Path_.empty() ? "text" : Path_, Problem));
+}
+
+std::string JsonPlace::pathOf(std::string_view Name) const {
+  return Path_.empty() ? std::string(Name) : Path_ + "." + std::string(Name);
+}
+
+QJsonObject JsonPlace::object() const {
+  if (!Value_.isObject())
+    fail("not an object");
+  return Value_.toObject();
+}
+
+std::optional<JsonPlace> JsonPlace::find(std::string_view Name) const {
+  const QJsonValue Found = object().value(keyOf(Name));
+  if (Found.isUndefined())
+    return std::nullopt;
+  return JsonPlace(Found, pathOf(Name));
+}
+
+JsonPlace JsonPlace::field(std::string_view Name) const {
+  auto Found = find(Name);
+  if (!Found)
+    JsonPlace(QJsonValue(), pathOf(Name)).fail("missing");
+  return *std::move(Found);
+}
+
+std::vector<std::pair<std::string, JsonPlace>>
+JsonPlace::fields(std::size_t MaxCount) const {
+  const QJsonObject Object = object();
+  if (static_cast<std::size_t>(Object.size()) > MaxCount)
+    fail("more than " + std::to_string(MaxCount) + " fields");
+  std::vector<std::pair<std::string, JsonPlace>> Result;
+  for (auto I = Object.begin(); I != Object.end(); ++I) {
+    const std::string Name = I.key().toStdString();
+    Result.emplace_back(Name, JsonPlace(I.value(), pathOf(Name)));
+  }
+  return Result;
+}
+
+void JsonPlace::allowOnly(std::initializer_list<std::string_view> Names) const {
+  for (const QString &Key : object().keys()) {
+    const std::string Name = Key.toStdString();
+    if (std::ranges::find(Names, Name) == Names.end())
+      JsonPlace(QJsonValue(), pathOf(Name)).fail("unknown field");
+  }
+}
+
+std::vector<JsonPlace> JsonPlace::items(std::size_t MaxCount) const {
+  if (!Value_.isArray())
+    fail("not an array");
+  const QJsonArray Array = Value_.toArray();
+  if (static_cast<std::size_t>(Array.size()) > MaxCount)
+    fail("more than " + std::to_string(MaxCount) + " elements");
+  std::vector<JsonPlace> Result;
+  for (const QJsonValue &Item : Array)
+    Result.emplace_back(Item,
+                        Path_ + "[" + std::to_string(Result.size()) + "]");
+  return Result;
+}
+
+std::string JsonPlace::text(std::size_t MaxLength) const {
+  if (!Value_.isString())
+    fail("not a text");
+  std::string Text = Value_.toString().toStdString();
+  if (Text.size() > MaxLength)
+    fail("longer than " + std::to_string(MaxLength) + " bytes");
+  return Text;
+}
+
+std::string JsonPlace::name() const {
+  std::string Text = text(MaxNameLength);
+  if (!isName(Text))
+    fail("not a name of letters, digits, '.', '-' and '_'");
+  return Text;
+}
+
+std::string JsonPlace::nameOrEmpty() const {
+  return text(MaxNameLength).empty() ? std::string() : name();
+}
+
+std::uint64_t JsonPlace::number(std::uint64_t Min, std::uint64_t Max) const {
+  const qint64 Number = Value_.isDouble() ? Value_.toInteger(-1) : -1;
+  if (Number < 0 || static_cast<std::uint64_t>(Number) < Min ||
+      static_cast<std::uint64_t>(Number) > Max)
+    fail("not a whole number from " + std::to_string(Min) + " to " +
+         std::to_string(Max));
+  return static_cast<std::uint64_t>(Number);
+}
+
+bool JsonPlace::boolean() const {
+  if (!Value_.isBool())
+    fail("not true or false");
+  return Value_.toBool();
+}
+
+} // namespace heathercross
