Stand-ins for the platform and for workers

QHttpServer was ruled out: a handler that answers after its caller has left crashes it. A small keep-alive server on QTcpServer serves both, and a worker's attempts survive its reboots, so that its history is the ground truth of what ran.

--- /dev/null
+++ b/test/standin/platform/instance-list.cc
@@ -0,0 +1,37 @@
+// The instance list, which shows each change only after a lag.
+#include "instance-list.h"
+
+#include <QJsonDocument>
+#include <QTimer>
+
+namespace heathercross::standin {
+
+void InstanceList::change(const QJsonObject &Instance) {
+  if (LagMs_ == 0)
+    return show(Instance);
+  QTimer::singleShot(LagMs_, this, [this, Instance] { show(Instance); });
+}
+
+void InstanceList::show(const QJsonObject &Instance) {
+  const QString Id = Instance["id"].toString();
+  if (Instance["state"].toString() == "gone") {
+    Visible_.erase(Id);
+  } else {
+    QJsonObject &Known = Visible_[Id];
+    for (auto At = Instance.begin(); At != Instance.end(); ++At)
+      Known[At.key()] = At.value();
+    if (!Known.contains("state"))
+      Known["state"] = "live";
+  }
+  Shown_(Instance);
+}
+
+QByteArray InstanceList::body() const {
+  QJsonArray All;
+  for (const auto &[Id, Instance] : Visible_)
+    All.append(Instance);
+  return QJsonDocument(QJsonObject{{"instances", All}})
+      .toJson(QJsonDocument::Compact);
+}
+
+} // namespace heathercross::standin
--- /dev/null
+++ b/test/standin/platform/platform.h
@@ -0,0 +1,58 @@
+// The platform as its callers see it: table, objects, instance list, faults.
+#pragma once
+
+#include "faults.h"
+#include "instance-list.h"
+#include "rate-meter.h"
+#include "standin/common/history.h"
+#include "standin/common/http-server.h"
+#include "table.h"
+
+#include <QObject>
+
+#include <map>
+
+namespace heathercross::standin {
+
+/// How a platform is set up.
+struct PlatformOptions {
+  quint16 Port_ = 0;
+  int LagMs_ = 0;
+  unsigned Seed_ = 1;
+  std::string History_;
+};
+
+/// Serves the platform's interface on one port.
+class Platform : public QObject {
+public:
+  explicit Platform(const PlatformOptions &Options);
+
+  /// Returns false when the port or the history can't be had.
+  bool start();
+  quint16 port() const { return Server_.port(); }
+
+private:
+  void handle(const HttpRequest &Request, const Responder &Answer);
+  HttpResponse serve(const HttpRequest &Request);
+  HttpResponse commit(const HttpRequest &Request);
+  HttpResponse row(const HttpRequest &Request);
+  HttpResponse scan(const HttpRequest &Request);
+  HttpResponse object(const HttpRequest &Request);
+  HttpResponse changeInstance(const HttpRequest &Request);
+  HttpResponse setFault(const HttpRequest &Request);
+  HttpResponse stats() const;
+  void record(const HttpRequest &Request, const Transaction &T,
+              RowVersion Version);
+
+  PlatformOptions Options_;
+  HistoryFile History_;
+  Table Table_;
+  Faults Faults_;
+  InstanceList Instances_;
+  std::map<QByteArray, QByteArray> Objects_;
+  RateMeter Reads_;
+  RateMeter Writes_;
+  HttpServer Server_;
+};
+
+} // namespace heathercross::standin
