Checked settings: schema, strict reader, all problems at once

Cause: the daemon needs typed settings, and a mistyped key must not leave a default silently in force. Ruled out: QSettings by itself, since it splits values at commas, accepts unknown keys and keeps no line numbers. Change: a table of keys fills a plain struct; a strict INI reader, value forms, rules between settings, and the tables of docs/SETTINGS.md made from the schema. Conclusion: settings::load gives typed settings or every problem at once.

--- /dev/null
+++ b/src/settings/help.cc
@@ -0,0 +1,48 @@
+// The documentation of the settings, made from the schema.
+#include "settings/schema.h"
+
+namespace heathercross::settings {
+
+namespace {
+
+/// A table cell: a bar would end it, so it is escaped.
+std::string cell(const std::string &Text) {
+  std::string Result;
+  for (const char C : Text)
+    Result += C == '|' ? std::string("\\|") : std::string(1, C);
+  return Result;
+}
+
+std::string defaultOf(const KeySpec &Spec) {
+  if (Spec.Required_)
+    return "required";
+  return Spec.Default_.empty() ? "empty"
+                               : "`" + std::string(Spec.Default_) + "`";
+}
+
+std::string rowOf(const KeySpec &Spec) {
+  const std::string Unit = Spec.Unit_.empty() ? "-" : std::string(Spec.Unit_);
+  return "| `" + std::string(Spec.Key_) + "` | " + Unit + " | " +
+         defaultOf(Spec) + " | " + cell(allowedValues(Spec)) + " | " +
+         std::string(Spec.Text_) + " |\n";
+}
+
+} // namespace
+
+std::string settingsHelp() {
+  std::string Text;
+  std::string_view Section;
+  for (const KeySpec &Spec : schema()) {
+    if (Spec.Section_ != Section) {
+      Section = Spec.Section_;
+      Text += (Text.empty() ? "" : "\n") + std::string("## [") +
+              std::string(Section) + "]\n\n" +
+              "| key | unit | default | allowed | meaning |\n" +
+              "| --- | --- | --- | --- | --- |\n";
+    }
+    Text += rowOf(Spec);
+  }
+  return Text;
+}
+
+} // namespace heathercross::settings
