--- a/include/heathercross/fleet-model.h
+++ b/include/heathercross/fleet-model.h
@@ -92,6 +92,8 @@
   InstanceState State_ = InstanceState::Active;
   /// The last wave that finished on this instance.
   WaveId DoneWave_;
+  /// While rebooting: the boot id of the run that the reboot is to end.
+  std::string Boot_;
   auto operator<=>(const InstanceRow &) const = default;
 };
 
--- /dev/null
+++ b/test/fleet/model-fleet.h
@@ -0,0 +1,314 @@
+// A small model of table, workers and duty holders that carries out actions.
+#pragma once
+
+#include "fleet/fleet-duty.h"
+#include "fleet/rows.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace heathercross::fleet::test {
+
+/// The platform's table, in memory.
+class ModelTable {
+public:
+  CommitResult commit(const Transaction &T) {
+    for (const auto &E : T.Expect_)
+      if (version(E.Key_) != E.Version_)
+        return {CommitStatus::Conflict, {}, {}};
+    Counter_ = Counter_.next();
+    for (const auto &P : T.Put_)
+      Rows_[P.Key_] = {P.Key_, Counter_, T.Attempt_, P.Value_};
+    for (const auto &Key : T.Erase_)
+      Rows_.erase(Key);
+    return {CommitStatus::Committed, Counter_, {}};
+  }
+
+  RowVersion version(const std::string &Key) const {
+    const auto Found = Rows_.find(Key);
+    return Found == Rows_.end() ? RowVersion() : Found->second.Version_;
+  }
+
+  const std::map<std::string, Row> &rows() const { return Rows_; }
+
+private:
+  RowVersion Counter_;
+  std::map<std::string, Row> Rows_;
+};
+
+/// One worker as it really is.
+struct ModelWorker {
+  ListedInstance Listed_;
+  bool Up_ = true;
+  /// The end of a reboot that is going on.
+  std::optional<Instant> BackAt_;
+  std::uint32_t Boot_ = 1;
+  std::uint32_t Busy_ = 0;
+  bool Draining_ = false;
+  bool Leaving_ = false;
+  std::vector<BatchTask> Tasks_;
+  std::uint32_t Reboots_ = 0;
+};
+
+/// What a run of the model must never show.
+struct ModelFaults {
+  std::uint32_t RebootsOfBusy_ = 0;
+  std::uint32_t BudgetBroken_ = 0;
+  std::uint32_t StaleWrites_ = 0;
+};
+
+/// Workers, table and view, with the checks that look at every effect.
+class ModelFleet {
+public:
+  static constexpr Millis RebootTime{30'000};
+
+  Instant Now_{Seconds(1'000)};
+  ModelTable Table_;
+  View View_;
+  std::map<InstanceId, ModelWorker> Workers_;
+  ModelFaults Faults_;
+  bool PlatformUp_ = true;
+
+  void addPool(const std::string &Name, std::uint32_t Size,
+               std::uint32_t MinAvailable, bool Spare = false) {
+    const PoolId Id(Name);
+    View_.Pools_[Id] = {Id, Size, Spare, true, false};
+    View_.Budgets_[Id] = {Id, MinAvailable};
+  }
+
+  /// Adds Count workers, RackSize to a rack, the racks over the zones in turn.
+  void addWorkers(unsigned Count, unsigned RackSize = 4, unsigned Zones = 3) {
+    for (unsigned I = 0; I < Count; ++I) {
+      const auto Number = std::to_string(Workers_.size() + 101);
+      const auto Rack = static_cast<unsigned>(Workers_.size()) / RackSize;
+      ModelWorker W;
+      W.Listed_.Name_ = InstanceId("i" + Number);
+      W.Listed_.Rack_ = RackId("r" + std::to_string(Rack));
+      W.Listed_.Zone_ = ZoneId("z" + std::to_string(Rack % Zones));
+      W.Listed_.Address_ = "127.0.0.1:" + Number;
+      Workers_[W.Listed_.Name_] = W;
+    }
+  }
+
+  void setWave(const std::string &Name, const std::string &Pool,
+               WaveMode Mode = WaveMode::Running) {
+    View_.Waves_[WaveId(Name)] = {WaveId(Name), PoolId(Pool), Mode,
+                                  Millis(10'000)};
+  }
+
+  /// Takes the duty of a pool with the next epoch.
+  LeaseHold takeLease(const PoolId &Pool) {
+    const Epoch E(++LastEpoch_[Pool]);
+    Transaction T;
+    T.Put_ = {{leaseKey(Pool), std::to_string(E.value())}};
+    return {E, Table_.commit(T).Version_};
+  }
+
+  Snapshot snapshot(const std::map<PoolId, LeaseHold> &Leases) const {
+    Snapshot S;
+    S.Now_ = Now_;
+    S.PlatformAnswers_ = PlatformUp_;
+    S.View_ = View_;
+    S.Leases_ = Leases;
+    for (const auto &[Key, R] : Table_.rows()) {
+      if (Key.starts_with("instance/"))
+        S.Instances_[InstanceId(Key.substr(9))] = decodeInstance(R);
+      if (Key.starts_with("permit/"))
+        S.Permits_[PoolId(Key.substr(7))] = decodePermit(R);
+    }
+    S.Listed_.emplace();
+    for (const auto &[Name, W] : Workers_) {
+      S.Listed_->push_back(W.Listed_);
+      S.Workers_[Name] = statusOf(W);
+    }
+    return S;
+  }
+
+  /// Commits a write, and checks the rows that it disrupts against the budget
+  /// as the snapshot that it was decided on has the workers.
+  CommitStatus commit(const Write &W, const Snapshot &DecidedOn) {
+    if (!PlatformUp_)
+      return CommitStatus::Refused;
+    const auto Before = snapshot({});
+    const auto Status = Table_.commit(W.Transaction_).Status_;
+    if (Status == CommitStatus::Committed) {
+      const auto Held = DecidedOn.Leases_.at(W.Pool_).Epoch_.value();
+      Faults_.StaleWrites_ += Held != LastEpoch_[W.Pool_] ? 1 : 0;
+      checkBudget(W.Pool_, Before, DecidedOn);
+    }
+    return Status;
+  }
+
+  void command(const WorkerCommand &C) {
+    auto &W = Workers_.at(C.Instance_);
+    if (!W.Up_)
+      return;
+    switch (C.Kind_) {
+    case CommandKind::Drain:
+      W.Draining_ = true;
+      return;
+    case CommandKind::Undrain:
+      W.Draining_ = false;
+      return;
+    case CommandKind::CheckpointTasks:
+      W.Tasks_.clear();
+      return;
+    case CommandKind::Reboot:
+      reboot(W, C.Boot_);
+      return;
+    }
+  }
+
+  /// Lets time pass: reboots end, and running requests finish.
+  void pass(Micros D) {
+    Now_ += D;
+    for (auto &[Name, W] : Workers_) {
+      if (!W.BackAt_ || *W.BackAt_ > Now_)
+        continue;
+      W.BackAt_.reset();
+      W.Up_ = true;
+      ++W.Boot_;
+    }
+  }
+
+  /// The members of a pool by their rows.
+  std::vector<InstanceRow> members(const std::string &Pool) const {
+    std::vector<InstanceRow> Result;
+    for (const auto &[Name, Record] : snapshot({}).Instances_)
+      if (Record.Row_.Pool_ == PoolId(Pool))
+        Result.push_back(Record.Row_);
+    return Result;
+  }
+
+  unsigned doneWith(const std::string &Wave) const {
+    const auto All = snapshot({}).Instances_;
+    return static_cast<unsigned>(
+        std::ranges::count_if(All, [&](const auto &Entry) {
+          const auto &Row = Entry.second.Row_;
+          return Row.DoneWave_ == WaveId(Wave) &&
+                 Row.State_ == InstanceState::Active;
+        }));
+  }
+
+  PoolPicture picture(const Snapshot &S, const std::string &Pool) const {
+    return pictureOf(S, PoolId(Pool));
+  }
+
+private:
+  WorkerStatus statusOf(const ModelWorker &W) const {
+    WorkerStatus Status;
+    Status.Reachable_ = W.Up_;
+    Status.SeenAt_ = Now_;
+    Status.Boot_ = std::to_string(W.Boot_);
+    Status.Slots_ = 8;
+    Status.Busy_ = W.Busy_;
+    Status.Draining_ = W.Draining_;
+    Status.Leaving_ = W.Leaving_;
+    Status.Tasks_ = W.Tasks_;
+    return Status;
+  }
+
+  void reboot(ModelWorker &W, const std::string &Boot) {
+    if (Boot != std::to_string(W.Boot_))
+      return;
+    Faults_.RebootsOfBusy_ += W.Busy_ > 0 || !W.Tasks_.empty() ? 1 : 0;
+    W.Up_ = false;
+    W.Draining_ = false;
+    W.Busy_ = 0;
+    W.BackAt_ = Now_ + RebootTime;
+    ++W.Reboots_;
+  }
+
+  /// A write that takes an available member out must leave the budget whole.
+  void checkBudget(const PoolId &Pool, const Snapshot &Before,
+                   const Snapshot &DecidedOn) {
+    auto Was = DecidedOn;
+    Was.Instances_ = Before.Instances_;
+    Was.Permits_ = Before.Permits_;
+    auto Is = Was;
+    const auto After = snapshot({});
+    Is.Instances_ = After.Instances_;
+    Is.Permits_ = After.Permits_;
+    const auto PictureBefore = pictureOf(Was, Pool);
+    const auto Picture = pictureOf(Is, Pool);
+    const bool Took =
+        std::ranges::any_of(PictureBefore.Members_, [&](const Member &M) {
+          const auto *Now = Picture.find(M.id());
+          return M.available() && (!Now || !Now->available());
+        });
+    const bool Broken = Picture.available() < Picture.MinAvailable_;
+    Faults_.BudgetBroken_ += Took && Broken ? 1 : 0;
+  }
+
+  std::map<PoolId, std::uint64_t> LastEpoch_;
+};
+
+/// One entry that holds duties, with its memory.
+template <class Duty = FleetDuty> class ModelHolder {
+public:
+  ModelHolder(ModelFleet &Fleet, const std::vector<std::string> &Pools)
+      : Fleet_(Fleet) {
+    for (const auto &Pool : Pools)
+      Leases_[PoolId(Pool)] = Fleet.takeLease(PoolId(Pool));
+  }
+
+  /// Takes a snapshot and decides; the actions are carried out by act().
+  void think() {
+    Seen_ = Fleet_.snapshot(Leases_);
+    Pending_ = Duty_.step(Seen_);
+  }
+
+  /// Carries out what the last think() decided.
+  void act() {
+    for (const auto &A : Pending_) {
+      if (const auto *W = std::get_if<Write>(&A))
+        Last_ = Fleet_.commit(*W, Seen_);
+      else
+        Fleet_.command(std::get<WorkerCommand>(A));
+    }
+    Pending_.clear();
+  }
+
+  void step() {
+    think();
+    act();
+  }
+
+  /// Forgets everything soft, as a restarted entry with the same lease would.
+  void forget() { Duty_ = Duty(); }
+
+  CommitStatus last() const { return Last_; }
+  const std::vector<Action> &pending() const { return Pending_; }
+  const Duty &duty() const { return Duty_; }
+
+private:
+  ModelFleet &Fleet_;
+  Duty Duty_;
+  std::map<PoolId, LeaseHold> Leases_;
+  Snapshot Seen_;
+  std::vector<Action> Pending_;
+  CommitStatus Last_ = CommitStatus::Committed;
+};
+
+constexpr Millis StepInterval{500};
+
+/// Steps until the condition holds or the time is up. Returns the time that
+/// it took, or nothing when it didn't come to hold.
+template <class Holder, class Condition>
+std::optional<Micros> runUntil(ModelFleet &Fleet, Holder &H, Micros Limit,
+                               Condition &&C) {
+  const auto Start = Fleet.Now_;
+  while (Fleet.Now_ - Start < Limit) {
+    if (C())
+      return Fleet.Now_ - Start;
+    H.step();
+    Fleet.pass(StepInterval);
+  }
+  return std::nullopt;
+}
+
+} // namespace heathercross::fleet::test
