Daemon shell: requests, feed, control and interface

Cause: the decisions need a process that turns effects into calls. Change: services for requests, the fleet feed, control duties and the HTTP interface, put together by the kernel.

--- /dev/null
+++ b/src/daemon/control-service.cc
@@ -0,0 +1,312 @@
+// Runs the fleet duty for the pools whose lease this entry holds.
+#include "daemon/control-service.h"
+
+#include "fleet/rows.h"
+
+#include <glog/logging.h>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+#include <ranges>
+
+namespace heathercross::daemon {
+
+namespace {
+
+constexpr int LeaseTickMs = 200;
+/// A step that found nothing to do makes the next one wait this much longer.
+constexpr int IdleFactor = 4;
+constexpr Millis WorkerAge{4000};
+
+std::string dutyName(const PoolId &Pool) { return "fleet-" + Pool.str(); }
+
+DutyLeaseSettings leaseSettings(Millis Length) {
+  DutyLeaseSettings S;
+  S.Length_ = Length;
+  S.Interval_ = Micros(Length) / 3;
+  S.Margin_ = Micros(Length) / 6;
+  return S;
+}
+
+const char *pathOf(fleet::CommandKind Kind) {
+  switch (Kind) {
+  case fleet::CommandKind::Drain:
+    return "/drain";
+  case fleet::CommandKind::Undrain:
+    return "/undrain";
+  case fleet::CommandKind::CheckpointTasks:
+    return "/tasks/checkpoint";
+  case fleet::CommandKind::Reboot:
+    return "/reboot";
+  }
+  return "/";
+}
+
+bool disrupted(const InstanceRow &Row) {
+  return Row.State_ != InstanceState::Active;
+}
+
+} // namespace
+
+ControlService::ControlService(ControlConfig Config, Clock &C, History &H,
+                               Metrics &M, platform::Client &Platform,
+                               WorkerClient &Workers, FleetFeed &Feed)
+    : Config_(std::move(Config)), Clock_(C), History_(H), Metrics_(M),
+      Platform_(Platform), Workers_(Workers),
+      Feed_(Feed), Entries_{Config_.Entry_} {
+  if (Config_.OneAtATime_)
+    Duty_.emplace<1>();
+  connect(&LeaseTimer_, &QTimer::timeout, this, [this] { keepLeases(); });
+  StepTimer_.setSingleShot(true);
+  connect(&StepTimer_, &QTimer::timeout, this, [this] { step(); });
+}
+
+void ControlService::start() {
+  LeaseTimer_.start(LeaseTickMs);
+  StepTimer_.start(Config_.Step_);
+}
+
+void ControlService::stop() {
+  Stopped_ = true;
+  LeaseTimer_.stop();
+  StepTimer_.stop();
+  for (auto &[Pool, Lease] : Leases_)
+    carryOut(Pool, Lease->release());
+}
+
+void ControlService::setEntries(std::vector<EntryId> Entries) {
+  Entries_ = std::move(Entries);
+}
+
+std::set<PoolId> ControlService::held() const {
+  std::set<PoolId> Held;
+  for (const auto &[Pool, Lease] : Leases_)
+    if (Lease->held(Clock_.now()))
+      Held.insert(Pool);
+  return Held;
+}
+
+// Leases.
+
+bool ControlService::standsBy(const PoolId &Pool) const {
+  const auto Weight = [&](const EntryId &E) {
+    return std::hash<std::string>()(E.str() + "\n" + dutyName(Pool));
+  };
+  const std::size_t Own = Weight(Config_.Entry_);
+  const auto Ahead = std::ranges::count_if(
+      Entries_, [&](const EntryId &E) { return Weight(E) > Own; });
+  return Ahead < static_cast<long>(Config_.StandBy_);
+}
+
+void ControlService::chooseDuties() {
+  for (const auto &[Name, P] : Feed_.view().Pools_) {
+    const bool Wanted = standsBy(Name);
+    const auto It = Leases_.find(Name);
+    if (Wanted && It == Leases_.end())
+      Leases_.emplace(
+          Name, std::make_unique<DutyLease>(dutyName(Name), Config_.Entry_,
+                                            Config_.Incarnation_,
+                                            leaseSettings(Config_.Lease_)));
+    const bool Idle = It != Leases_.end() && !It->second->held(Clock_.now());
+    if (!Wanted && Idle)
+      Leases_.erase(It);
+  }
+}
+
+void ControlService::keepLeases() {
+  if (!Feed_.ready())
+    return;
+  chooseDuties();
+  for (auto &[Pool, Lease] : Leases_)
+    carryOut(Pool, Lease->tick(Clock_.now()));
+}
+
+void ControlService::carryOut(const PoolId &Pool, const LeaseEffects &Effects) {
+  for (const LeaseEffect &E : Effects)
+    std::visit([&](const auto &What) { carryOut(Pool, What); }, E);
+}
+
+void ControlService::carryOut(const PoolId &Pool, const WriteLease &E) {
+  Platform_.commit(E.Write_, [this, Pool, Attempt = E.Write_.Attempt_](
+                                 const CommitResult &R) {
+    const auto It = Leases_.find(Pool);
+    if (It != Leases_.end())
+      carryOut(Pool, It->second->onWritten(Clock_.now(), Attempt, R));
+  });
+}
+
+void ControlService::carryOut(const PoolId &Pool, const ReadLease &E) {
+  Platform_.readRow(E.Key_, [this, Pool](const platform::RowResult &R) {
+    const auto It = Leases_.find(Pool);
+    if (It == Leases_.end())
+      return;
+    DutyLease &Lease = *It->second;
+    carryOut(Pool, R.Answered_ ? Lease.onRead(Clock_.now(), R.Row_)
+                               : Lease.onReadFailed(Clock_.now()));
+  });
+}
+
+void ControlService::carryOut(const PoolId &Pool, const DutyBegan &E) {
+  LOG(INFO) << "event=duty-began pool=" << Pool.str()
+            << " epoch=" << E.Epoch_.value();
+  History_.write("duty-began", Pool.str(),
+                 {{"epoch", static_cast<qint64>(E.Epoch_.value())}});
+  Metrics_.add("heathercross_duties_begun_total",
+               "Control duties that this entry took over.");
+}
+
+void ControlService::carryOut(const PoolId &Pool, const DutyEnded &) {
+  LOG(INFO) << "event=duty-ended pool=" << Pool.str();
+  History_.write("duty-ended", Pool.str());
+}
+
+// Steps.
+
+void ControlService::step() {
+  if (Stepping_ || Stopped_)
+    return;
+  fleet::Snapshot S;
+  std::vector<PoolId> Held;
+  for (const auto &[Pool, Lease] : Leases_) {
+    const Instant Now = Clock_.now();
+    if (!Lease->held(Now))
+      continue;
+    S.Leases_[Pool] = {Lease->epoch(Now), Lease->guard(Now).Version_};
+    Held.push_back(Pool);
+  }
+  if (Held.empty())
+    return afterStep(false);
+  Stepping_ = true;
+  askWorkers();
+  readPermits(std::move(Held), std::move(S));
+}
+
+void ControlService::askWorkers() {
+  const Instant Now = Clock_.now();
+  for (const auto &[Name, Record] : Feed_.instances()) {
+    const auto Lease = Leases_.find(Record.Row_.Pool_);
+    if (Lease == Leases_.end() || !Lease->second->held(Now))
+      continue;
+    Instant &Asked = AskedAt_[Name];
+    const bool Due = disrupted(Record.Row_) || Now - Asked >= WorkerAge;
+    if (!Due)
+      continue;
+    Asked = Now;
+    Feed_.ask(Name);
+  }
+}
+
+void ControlService::readPermits(std::vector<PoolId> Left, fleet::Snapshot S) {
+  if (Left.empty())
+    return Feed_.readInstancesNow([this, S = std::move(S)](bool Answered) {
+      fleet::Snapshot Next = S;
+      Next.PlatformAnswers_ = Answered;
+      readList(std::move(Next));
+    });
+  const PoolId Pool = Left.back();
+  Left.pop_back();
+  Platform_.readRow(
+      fleet::permitKey(Pool), [this, Pool, Left = std::move(Left),
+                               S = std::move(S)](const platform::RowResult &R) {
+        fleet::Snapshot Next = S;
+        // A pool whose permits can't be read isn't worked on in this step.
+        if (!R.Answered_)
+          Next.Leases_.erase(Pool);
+        if (R.Row_) {
+          try {
+            Next.Permits_[Pool] = fleet::decodePermit(*R.Row_);
+          } catch (const FormatError &E) {
+            LOG(ERROR) << "event=bad-row problem=\"" << E.what() << "\"";
+            Next.Leases_.erase(Pool);
+          }
+        }
+        readPermits(Left, std::move(Next));
+      });
+}
+
+void ControlService::readList(fleet::Snapshot S) {
+  Platform_.listInstances(
+      [this, S = std::move(S)](const platform::ListResult &R) {
+        fleet::Snapshot Next = S;
+        if (R.Answered_)
+          Next.Listed_ = R.Instances_;
+        decide(std::move(Next));
+      });
+}
+
+void ControlService::decide(fleet::Snapshot S) {
+  Stepping_ = false;
+  if (Stopped_)
+    return;
+  S.Now_ = Clock_.now();
+  S.View_ = Feed_.view();
+  S.Instances_ = Feed_.instances();
+  S.Workers_ = Feed_.statuses();
+  S.Demand_ = Demand_;
+  S.Evidence_ = Evidence_;
+  const auto Actions = std::visit([&](auto &D) { return D.step(S); }, Duty_);
+  Waves_ = std::visit([](auto &D) { return D.report().Waves_; }, Duty_);
+  for (const fleet::Action &A : Actions)
+    std::visit([this](const auto &What) { act(What); }, A);
+  const bool Waiting = std::ranges::any_of(
+      S.Instances_, [](const auto &I) { return disrupted(I.second.Row_); });
+  afterStep(!Actions.empty() || Waiting);
+}
+
+void ControlService::afterStep(bool Busy) {
+  const int Factor = Busy || Leases_.empty() ? 1 : IdleFactor;
+  if (!Stopped_)
+    StepTimer_.start(Config_.Step_ * Factor);
+}
+
+void ControlService::act(const fleet::Write &W) {
+  Platform_.commit(W.Transaction_, [this, W](const CommitResult &R) {
+    const bool Done = R.Status_ == CommitStatus::Committed;
+    LOG(INFO) << "event=fleet-write pool=" << W.Pool_.str()
+              << " attempt=" << W.Transaction_.Attempt_.str()
+              << " committed=" << Done;
+    Metrics_.add(Done ? "heathercross_fleet_writes_total"
+                      : "heathercross_fleet_writes_refused_total",
+                 Done ? "Writes of the fleet duty that took effect."
+                      : "Writes of the fleet duty that conflicted or failed.");
+    if (Done)
+      Feed_.pollSoon();
+  });
+}
+
+void ControlService::act(const fleet::WorkerCommand &C) {
+  LOG(INFO) << "event=command instance=" << C.Instance_.str()
+            << " path=" << pathOf(C.Kind_);
+  History_.write("command", C.Instance_.str(), {{"path", pathOf(C.Kind_)}});
+  const auto Ignore = [](const http::Reply &) {};
+  if (C.Kind_ != fleet::CommandKind::CheckpointTasks) {
+    QJsonObject Body;
+    if (!C.Boot_.empty())
+      Body["boot"] = QString::fromStdString(C.Boot_);
+    Workers_.post(C.Instance_, pathOf(C.Kind_), Body, Ignore);
+    return;
+  }
+  for (const fleet::BatchTask &T : C.Tasks_)
+    Workers_.post(C.Instance_, pathOf(C.Kind_),
+                  {{"job", QString::fromStdString(T.Job_.str())},
+                   {"epoch", static_cast<qint64>(T.Epoch_.value())}},
+                  Ignore);
+}
+
+std::string ControlService::dump() const {
+  QJsonArray Duties;
+  for (const auto &[Pool, Lease] : Leases_)
+    Duties.append(QJsonObject{
+        {"pool", QString::fromStdString(Pool.str())},
+        {"held", Lease->held(Clock_.now())},
+        {"holder", QString::fromStdString(Lease->seen().Holder_.str())},
+        {"epoch", static_cast<qint64>(Lease->seen().Epoch_.value())}});
+  return QJsonDocument(QJsonObject{{"duties", Duties}})
+      .toJson(QJsonDocument::Compact)
+      .toStdString();
+}
+
+} // namespace heathercross::daemon
--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,252 @@
+// One entry instance: its services, put together.
+#include "daemon/daemon.h"
+
+#include "access/access.h"
+#include "daemon/api.h"
+#include "daemon/clock.h"
+#include "daemon/control-service.h"
+#include "daemon/error-response.h"
+#include "daemon/fleet-feed.h"
+#include "daemon/history.h"
+#include "daemon/metrics.h"
+#include "daemon/request-service.h"
+#include "daemon/worker-client.h"
+#include "http/http-client.h"
+#include "http/http-server.h"
+#include "platform/platform-client.h"
+#include "view/codec.h"
+
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QTimer>
+
+#include <glog/logging.h>
+
+#include <chrono>
+#include <random>
+
+namespace heathercross::daemon {
+
+namespace {
+
+constexpr Millis MetricsInterval{1000};
+constexpr int DrainCheckMs = 50;
+
+/// Tells two starts of one entry apart.
+std::uint64_t newIncarnation() {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Micros>(Now).count());
+}
+
+std::uint64_t seedOf(const settings::Settings &S) {
+  return S.Entry_.Seed_ ? S.Entry_.Seed_ : std::random_device()();
+}
+
+request::Config requestConfig(const settings::Settings &S,
+                              std::uint64_t Incarnation) {
+  request::Config C;
+  C.Entry_ = S.Entry_.Id_;
+  C.Zone_ = S.Entry_.Zone_;
+  C.Seed_ = Incarnation;
+  C.Policy_ = static_cast<request::PickerPolicy>(S.Request_.Picker_);
+  C.Overflow_ = S.Request_.Overflow_;
+  C.QueueLimit_ = S.Request_.QueueLimit_;
+  C.RetryShare_ = S.Request_.RetryPercent_ / 100.0;
+  return C;
+}
+
+http::ServerLimits serverLimits(const settings::Settings &S) {
+  http::ServerLimits L;
+  L.MaxBody_ = S.Request_.MaxBody_;
+  L.MaxConnections_ = S.Request_.MaxConnections_;
+  L.ArrivalTimeout_ = S.Request_.HeaderTimeout_;
+  return L;
+}
+
+platform::ClientConfig platformConfig(const settings::Settings &S) {
+  return {S.Platform_.Address_.str(), S.Entry_.Zone_.str(), S.Entry_.Id_.str(),
+          S.Platform_.Timeout_};
+}
+
+FeedConfig feedConfig(const settings::Settings &S) {
+  FeedConfig C;
+  C.Entry_ = S.Entry_.Id_;
+  C.Zone_ = S.Entry_.Zone_;
+  C.Poll_ = S.Platform_.Poll_;
+  C.Seed_ = seedOf(S);
+  return C;
+}
+
+ControlConfig controlConfig(const settings::Settings &S,
+                            std::uint64_t Incarnation) {
+  ControlConfig C;
+  C.Entry_ = S.Entry_.Id_;
+  C.Incarnation_ = Incarnation;
+  C.Lease_ = S.Control_.Lease_;
+  C.Step_ = S.Control_.Step_;
+  C.OneAtATime_ = S.Control_.Wave_ == settings::WaveStep::OneAtATime;
+  return C;
+}
+
+} // namespace
+
+Daemon::Daemon(const settings::Settings &S) : Settings_(S) {
+  const std::uint64_t Incarnation = newIncarnation();
+  const std::string Name = S.Entry_.Id_.str();
+  auto &C = Kernel_.add<Clock>("clock");
+  auto &H = Kernel_.add<History>("history", S.History_.File_, Name);
+  auto &M = Kernel_.add<Metrics>("metrics");
+  auto &A = Kernel_.add<access::Access>(
+      "access", access::loadTokens(S.Access_.TokensFile_));
+  auto &Http = Kernel_.add<http::Client>("http-client");
+  auto &Platform =
+      Kernel_.add<platform::Client>("platform", Http, platformConfig(S));
+  auto &Workers = Kernel_.add<WorkerClient>("workers", Http);
+  Kernel_.add<FleetFeed>("fleet", feedConfig(S), C, H, Platform, Workers);
+  RequestLimits Limits;
+  Limits.DefaultWindow_ = S.Request_.DefaultWindow_;
+  Kernel_.add<RequestService>("requests",
+                              RequestParts{C, H, M, Platform, Workers},
+                              requestConfig(S, Incarnation), Limits,
+                              Name + "-" + std::to_string(Incarnation));
+  auto &Feed = Kernel_.find<FleetFeed>("fleet");
+  Kernel_.add<ControlService>("control", controlConfig(S, Incarnation), C, H, M,
+                              Platform, Workers, Feed);
+  Kernel_.add<Api>("api", A, M);
+  connectServices();
+  addRoutes();
+  auto &Api_ = Kernel_.find<Api>("api");
+  auto &Server = Kernel_.add<http::Server>(
+      "http-server", serverLimits(S),
+      [&Api_](http::Request &&R, http::Responder &&To) {
+        Api_.serve(std::move(R), std::move(To));
+      });
+  Server.listen(QHostAddress(QString::fromStdString(S.Entry_.Listen_.Host_)),
+                S.Entry_.Listen_.Port_);
+  H.write("start", Name, {{"zone", S.Entry_.Zone_.str().c_str()}});
+  LOG(INFO) << "event=start entry=" << Name << " zone=" << S.Entry_.Zone_.str()
+            << " listen=" << S.Entry_.Listen_.str();
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::connectServices() {
+  auto &Feed = Kernel_.find<FleetFeed>("fleet");
+  auto &Requests = Kernel_.find<RequestService>("requests");
+  Feed.onFleet(
+      [&Requests](request::Fleet F) { Requests.setFleet(std::move(F)); });
+  Feed.onReport(
+      [&Requests](const request::WorkerReport &R) { Requests.report(R); });
+  Requests.onReport([&Feed](const request::WorkerReport &R) { Feed.heard(R); });
+  Feed.start();
+  Kernel_.find<ControlService>("control").start();
+}
+
+bool Daemon::ready() const {
+  return !Stopping_ && Kernel_.find<FleetFeed>("fleet").ready();
+}
+
+http::Response Daemon::dump() const {
+  QJsonObject All;
+  for (const auto &[Name, Text] : Kernel_.dump())
+    All[QString::fromStdString(Name)] =
+        QJsonDocument::fromJson(QByteArray::fromStdString(Text)).object();
+  All["entry"] = QString::fromStdString(Settings_.Entry_.Id_.str());
+  All["zone"] = QString::fromStdString(Settings_.Entry_.Zone_.str());
+  All["stopping"] = Stopping_;
+  return jsonResponse(200, All);
+}
+
+void Daemon::addRoutes() {
+  auto &A = Kernel_.find<Api>("api");
+  auto &Requests = Kernel_.find<RequestService>("requests");
+  auto &Feed = Kernel_.find<FleetFeed>("fleet");
+  auto &M = Kernel_.find<Metrics>("metrics");
+  A.addOpen("GET", "/livez", [](ApiCall C) {
+    C.Responder_.respond(jsonResponse(200, {{"live", true}}));
+  });
+  A.addOpen("GET", "/readyz", [this](ApiCall C) {
+    const bool Ready = ready();
+    C.Responder_.respond(
+        jsonResponse(Ready ? 200 : Unavailable, {{"ready", Ready}}));
+  });
+  A.add("GET", "/metrics", access::Right::Metrics, [this, &M](ApiCall C) {
+    sampleMetrics();
+    http::Response R;
+    R.Type_ = "text/plain; version=0.0.4";
+    R.Body_ = QByteArray::fromStdString(M.text());
+    C.Responder_.respond(R);
+  });
+  A.add("GET", "/dump", access::Right::Dump,
+        [this](ApiCall C) { C.Responder_.respond(dump()); });
+  A.add("POST", "/v1/requests/*", access::Right::Call, [&Requests](ApiCall C) {
+    Requests.accept(std::move(C.Request_), C.Responder_,
+                    TeamId(C.Caller_.Name_), PoolId(C.Parts_[0]));
+  });
+  A.add("GET", "/v1/view", access::Right::ReadView, [&Feed](ApiCall C) {
+    C.Responder_.respond(jsonResponse(200, view::toJson(Feed.view())));
+  });
+}
+
+void Daemon::sampleMetrics() {
+  auto &M = Kernel_.find<Metrics>("metrics");
+  const auto &Requests = Kernel_.find<RequestService>("requests");
+  const auto &Feed = Kernel_.find<FleetFeed>("fleet");
+  const auto &Platform = Kernel_.find<platform::Client>("platform");
+  M.set("heathercross_requests_open", "Requests without an answer.",
+        static_cast<double>(Requests.pending()));
+  M.set("heathercross_requests_queued", "Requests that wait for a worker.",
+        static_cast<double>(Requests.dispatcher().queued()));
+  M.set("heathercross_view_head", "The ticket that is in force here.",
+        static_cast<double>(Feed.view().Head_.value()));
+  M.set("heathercross_platform_reads", "Reads sent to the platform.",
+        static_cast<double>(Platform.counters().Reads_));
+  M.set("heathercross_platform_writes", "Writes sent to the platform.",
+        static_cast<double>(Platform.counters().Writes_));
+  M.set("heathercross_platform_failures",
+        "Calls to the platform without an answer.",
+        static_cast<double>(Platform.counters().Failures_));
+}
+
+// The planned stop.
+
+void Daemon::stop() {
+  auto &Requests = Kernel_.find<RequestService>("requests");
+  if (Stopping_)
+    return exitNow("second-signal", Requests.pending());
+  Stopping_ = true;
+  LOG(INFO) << "event=stop-began open=" << Requests.pending();
+  Kernel_.find<History>("history").write("stop-began",
+                                         Settings_.Entry_.Id_.str());
+  Kernel_.find<ControlService>("control").stop();
+  // Keep serving until the balancer has had time to see "not ready".
+  QTimer::singleShot(Settings_.Entry_.StopGrace_, this,
+                     [this] { watchDrain(); });
+  QTimer::singleShot(Settings_.Entry_.DrainDeadline_, this, [this] {
+    exitNow("drain-deadline",
+            Kernel_.find<RequestService>("requests").pending());
+  });
+}
+
+void Daemon::watchDrain() {
+  auto &Requests = Kernel_.find<RequestService>("requests");
+  Requests.beginStop();
+  Kernel_.find<http::Server>("http-server").stopAccepting();
+  auto *Check = new QTimer(this);
+  connect(Check, &QTimer::timeout, this, [this, &Requests] {
+    if (Requests.pending() == 0)
+      exitNow("drained", 0);
+  });
+  Check->start(DrainCheckMs);
+}
+
+void Daemon::exitNow(const char *How, std::size_t Cut) {
+  LOG(INFO) << "event=exit how=" << How << " cut=" << Cut;
+  Kernel_.find<History>("history").write(
+      "exit", Settings_.Entry_.Id_.str(),
+      {{"how", How}, {"cut", static_cast<qint64>(Cut)}});
+  QCoreApplication::exit(Cut == 0 ? 0 : 1);
+}
+
+} // namespace heathercross::daemon
--- /dev/null
+++ b/src/daemon/fleet-feed.cc
@@ -0,0 +1,296 @@
+// Follows the agreed view, the instances' rows and the workers of the zone.
+#include "daemon/fleet-feed.h"
+
+#include "fleet/rows.h"
+#include "view/codec.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <ranges>
+
+namespace heathercross::daemon {
+
+namespace {
+
+constexpr unsigned ScanLimit = 500;
+constexpr int SoonMs = 30;
+constexpr Millis MaxBackoff{8000};
+constexpr unsigned DefaultSlots = 8;
+
+std::uint64_t weightOf(const std::string &Entry, const std::string &Worker) {
+  return std::hash<std::string>()(Entry + "\n" + Worker);
+}
+
+std::vector<fleet::BatchTask> tasksIn(const QJsonObject &Status) {
+  std::vector<fleet::BatchTask> Tasks;
+  for (const QJsonValue &V : Status["tasks"].toArray()) {
+    const QJsonObject O = V.toObject();
+    Tasks.push_back({JobId(O["job"].toString().toStdString()),
+                     Epoch(static_cast<std::uint64_t>(O["epoch"].toDouble()))});
+  }
+  return Tasks;
+}
+
+} // namespace
+
+FleetFeed::FleetFeed(FeedConfig Config, Clock &C, History &H,
+                     platform::Client &Platform, WorkerClient &Workers)
+    : Config_(std::move(Config)), Clock_(C), History_(H), Platform_(Platform),
+      Workers_(Workers), ZoneEntries_{Config_.Entry_},
+      Random_(static_cast<unsigned>(Config_.Seed_)) {
+  PollTimer_.setSingleShot(true);
+  connect(&PollTimer_, &QTimer::timeout, this, [this] { poll(); });
+  connect(&WorkerTimer_, &QTimer::timeout, this, [this] { pollWorkers(); });
+}
+
+void FleetFeed::start() {
+  PollTimer_.start(0);
+  WorkerTimer_.start(Config_.WorkerPoll_ / 4);
+}
+
+void FleetFeed::pollSoon() {
+  if (!Polling_ && PollTimer_.remainingTime() > SoonMs)
+    PollTimer_.start(SoonMs);
+}
+
+void FleetFeed::onFleet(std::function<void(request::Fleet)> Done) {
+  FleetListeners_.push_back(std::move(Done));
+}
+
+void FleetFeed::onReport(
+    std::function<void(const request::WorkerReport &)> Done) {
+  ReportListeners_.push_back(std::move(Done));
+}
+
+void FleetFeed::poll() {
+  Polling_ = true;
+  Platform_.readRow(
+      std::string(view::HeadKey), [this](const platform::RowResult &R) {
+        Polling_ = false;
+        Failures_ = R.Answered_ ? 0 : Failures_ + 1;
+        // Half to one and a half intervals, longer after failures.
+        const unsigned Doublings = std::min(Failures_, 3U);
+        const Millis Base =
+            std::min(Config_.Poll_ * (1U << Doublings), MaxBackoff);
+        const auto Half = static_cast<unsigned>(Base.count() / 2);
+        PollTimer_.start(static_cast<int>(Half + Random_() % (2 * Half)));
+        if (!R.Answered_)
+          return;
+        TicketNumber Head;
+        if (R.Row_)
+          Head = view::decodeHead(R.Row_->Value_);
+        readView(Head);
+        readInstances();
+      });
+}
+
+void FleetFeed::readView(TicketNumber Head) {
+  if (Store_.ready() && Head <= Store_.head())
+    return;
+  Platform_.scan(std::string(view::ViewPrefix), ViewVersion_, ScanLimit,
+                 [this, Head](const platform::ScanResult &R) {
+                   if (!R.Answered_)
+                     return;
+                   const TicketNumber Before = Store_.head();
+                   const bool Fresh = !Store_.ready();
+                   if (!Store_.apply(R.Rows_, R.More_ ? Before : Head))
+                     return;
+                   if (!R.Rows_.empty())
+                     ViewVersion_ = R.Rows_.back().Version_;
+                   if (R.More_)
+                     return readView(Head);
+                   if (Fresh || Store_.head() != Before)
+                     viewChanged();
+                 });
+}
+
+void FleetFeed::viewChanged() {
+  const auto Head = static_cast<qint64>(Store_.head().value());
+  LOG(INFO) << "event=in-force ticket=" << Head;
+  History_.write("in-force", std::to_string(Head), {{"head", Head}});
+  publish();
+}
+
+void FleetFeed::mergeFromPeer(
+    const std::function<bool(view::ViewStore &)> &Merge) {
+  const TicketNumber Before = Store_.head();
+  if (Merge(Store_) && Store_.head() != Before)
+    viewChanged();
+}
+
+void FleetFeed::readInstancesNow(std::function<void(bool)> OnDone) {
+  Platform_.scan(
+      "instance/", InstanceVersion_, ScanLimit,
+      [this, OnDone = std::move(OnDone)](const platform::ScanResult &R) {
+        if (R.Answered_)
+          takeInstances(R);
+        if (R.Answered_ && R.More_)
+          return readInstancesNow(OnDone);
+        OnDone(R.Answered_);
+      });
+}
+
+void FleetFeed::takeInstances(const platform::ScanResult &R) {
+  for (const Row &One : R.Rows_) {
+    try {
+      fleet::InstanceRecord Record = fleet::decodeInstance(One);
+      if (Record.Row_.State_ == InstanceState::Leaving)
+        markLeaving(Record.Row_.Name_, "row");
+      Instances_[Record.Row_.Name_] = std::move(Record);
+    } catch (const FormatError &E) {
+      LOG(ERROR) << "event=bad-row problem=\"" << E.what() << "\"";
+    }
+    InstanceVersion_ = std::max(InstanceVersion_, One.Version_);
+  }
+  if (R.More_)
+    return;
+  const bool First = !InstancesRead_;
+  InstancesRead_ = true;
+  if (First || !R.Rows_.empty())
+    publish();
+}
+
+void FleetFeed::markLeaving(const InstanceId &Worker, const char *Source) {
+  if (!Leaving_.insert(Worker).second)
+    return;
+  LOG(INFO) << "event=leaving instance=" << Worker.str()
+            << " source=" << Source;
+  History_.write("leaving", Worker.str(), {{"source", Source}});
+  publishSoon();
+}
+
+void FleetFeed::publishSoon() {
+  if (PublishDue_)
+    return;
+  PublishDue_ = true;
+  QTimer::singleShot(0, this, [this] { publish(); });
+}
+
+void FleetFeed::setZoneEntries(std::vector<EntryId> Entries) {
+  if (Entries == ZoneEntries_)
+    return;
+  ZoneEntries_ = std::move(Entries);
+  publishSoon();
+}
+
+void FleetFeed::publish() {
+  PublishDue_ = false;
+  if (!ready())
+    return;
+  request::Fleet F;
+  F.Head_ = Store_.head();
+  F.Pools_ = view().Pools_;
+  F.Quotas_ = view().Quotas_;
+  F.ZoneEntries_ = ZoneEntries_;
+  std::map<InstanceId, std::string> Addresses;
+  for (const auto &[Name, Record] : Instances_) {
+    const InstanceRow &Row = Record.Row_;
+    Addresses[Name] = Row.Address_;
+    const auto Status = Statuses_.find(Name);
+    const bool Known = Status != Statuses_.end() && Status->second.Slots_ > 0;
+    const bool Takes =
+        Row.State_ == InstanceState::Active && !Leaving_.contains(Name);
+    F.Candidates_.push_back({Name,
+                             Row.Pool_,
+                             Row.Zone_,
+                             Row.Rack_,
+                             {Known ? Status->second.Slots_ : DefaultSlots},
+                             Takes});
+  }
+  Workers_.setAddresses(std::move(Addresses));
+  for (const auto &Listener : FleetListeners_)
+    Listener(F);
+}
+
+bool FleetFeed::watches(const InstanceId &Worker) const {
+  const std::uint64_t Own = weightOf(Config_.Entry_.str(), Worker.str());
+  const auto Ahead = std::ranges::count_if(ZoneEntries_, [&](const EntryId &E) {
+    return weightOf(E.str(), Worker.str()) > Own;
+  });
+  return Ahead < static_cast<long>(Config_.Watchers_);
+}
+
+void FleetFeed::pollWorkers() {
+  const Instant Due = Clock_.now() - Config_.WorkerPoll_;
+  for (const auto &[Name, Record] : Instances_) {
+    const bool Mine = Record.Row_.Zone_ == Config_.Zone_ && watches(Name);
+    const auto It = HeardAt_.find(Name);
+    if (!Mine || (It != HeardAt_.end() && It->second > Due))
+      continue;
+    HeardAt_[Name] = Clock_.now();
+    ask(Name);
+  }
+}
+
+void FleetFeed::ask(const InstanceId &Worker, std::function<void()> OnDone) {
+  Workers_.status(
+      Worker, [this, Worker, OnDone = std::move(OnDone)](const StatusReply &R) {
+        takeStatus(Worker, R);
+        if (OnDone)
+          OnDone();
+      });
+}
+
+void FleetFeed::takeStatus(const InstanceId &Worker, const StatusReply &R) {
+  fleet::WorkerStatus &S = Statuses_[Worker];
+  S.Reachable_ = R.Answered_;
+  if (!R.Answered_)
+    return;
+  const QJsonObject &O = R.Status_;
+  const bool NewSlots = S.Slots_ != static_cast<unsigned>(O["slots"].toInt());
+  S.SeenAt_ = Clock_.now();
+  S.Boot_ = O["boot"].toVariant().toString().toStdString();
+  S.Slots_ = static_cast<std::uint32_t>(O["slots"].toInt());
+  S.Busy_ = static_cast<std::uint32_t>(O["busy"].toInt());
+  S.Leaving_ = O["leaving"].toBool();
+  S.Draining_ = O["draining"].toBool();
+  S.Tasks_ = tasksIn(O);
+  request::WorkerReport Report{
+      Worker,
+      {S.Busy_},
+      S.Leaving_,
+      S.Draining_,
+      static_cast<std::int64_t>(O["clock"].toDouble())};
+  heard(Report);
+  for (const auto &Listener : ReportListeners_)
+    Listener(Report);
+  if (NewSlots)
+    publishSoon();
+}
+
+void FleetFeed::heard(const request::WorkerReport &Report) {
+  HeardAt_[Report.Worker_] = Clock_.now();
+  if (Report.Leaving_)
+    markLeaving(Report.Worker_, "worker");
+}
+
+std::string FleetFeed::dump() const {
+  constexpr std::size_t MaxListed = 2000;
+  QJsonArray Instances;
+  for (const auto &[Name, Record] : Instances_ | std::views::take(MaxListed)) {
+    const auto S = Statuses_.find(Name);
+    QJsonObject O = view::toJson(Record.Row_);
+    O["version"] = static_cast<qint64>(Record.Version_.value());
+    if (S != Statuses_.end()) {
+      O["reachable"] = S->second.Reachable_;
+      O["busy"] = static_cast<int>(S->second.Busy_);
+      O["boot"] = QString::fromStdString(S->second.Boot_);
+    }
+    Instances.append(O);
+  }
+  const QJsonObject All{
+      {"ready", ready()},
+      {"head", static_cast<qint64>(Store_.head().value())},
+      {"view_version", static_cast<qint64>(ViewVersion_.value())},
+      {"instance_version", static_cast<qint64>(InstanceVersion_.value())},
+      {"poll_failures", static_cast<int>(Failures_)},
+      {"instances", Instances}};
+  return QJsonDocument(All).toJson(QJsonDocument::Compact).toStdString();
+}
+
+} // namespace heathercross::daemon
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,2 +1,58 @@
 // heathercrossd: one entry instance.
-int main() { return 0; }
+#include "daemon/daemon.h"
+#include "daemon/signals.h"
+
+#include <QCoreApplication>
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <iostream>
+
+DEFINE_string(settings, "", "The settings file (INI).");
+DEFINE_bool(check, false, "Check the settings file and exit.");
+DEFINE_bool(settings_help, false, "Print every settings key and exit.");
+
+namespace {
+
+constexpr int ExitBadSettings = 2;
+constexpr int ExitCantStart = 1;
+
+void startLogs(const char *Program, heathercross::settings::LogLevel Level) {
+  FLAGS_logtostderr = true;
+  FLAGS_minloglevel = static_cast<int>(Level);
+  google::InitGoogleLogging(Program);
+}
+
+int run(const heathercross::settings::Settings &S, QCoreApplication &App) {
+  heathercross::daemon::Daemon Entry(S);
+  const heathercross::daemon::Signals Signals([&Entry] { Entry.stop(); });
+  return App.exec();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::SetUsageMessage("One entry instance of heathercross.\n"
+                          "heathercrossd --settings FILE [--check]");
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  if (FLAGS_settings_help) {
+    std::cout << heathercross::settings::settingsHelp();
+    return 0;
+  }
+  try {
+    const auto S = heathercross::settings::load(FLAGS_settings);
+    if (FLAGS_check)
+      return 0;
+    startLogs(Argv[0], S.Log_.Level_);
+    QCoreApplication App(Argc, Argv);
+    return run(S, App);
+  } catch (const heathercross::settings::SettingsError &E) {
+    for (const auto &P : E.problems())
+      std::cerr << heathercross::settings::describe(P) << "\n";
+    return ExitBadSettings;
+  } catch (const heathercross::Error &E) {
+    std::cerr << "heathercrossd: " << E.code() << ": " << E.what() << "\n";
+    return ExitCantStart;
+  }
+}
--- a/src/request/claim-row.h
+++ b/src/request/claim-row.h
@@ -17,6 +17,9 @@
   QByteArray Body_;
 };
 
+/// The name in ClaimRow::Answer_ of an answer that is kept in the row itself.
+inline constexpr const char *InlineAnswer = "row";
+
 /// The key of the row: "claim/TEAM/KEY", each part percent-encoded.
 std::string claimKey(const TeamId &Team, const IdempotencyKey &Key);
 
