Request decisions: a first whole way from arrival to answer

The dispatcher takes events with a time and gives effects: admission, a fair queue by deadline, placement under three policies, a retry budget, learned run times, avoided workers, and the claim protocol for requests with a key.

--- /dev/null
+++ b/src/request/dispatcher-tries.cc
@@ -0,0 +1,154 @@
+// The request decisions of one entry: how tries and claims end.
+#include "request/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathercross::request {
+
+// Bookkeeping for every try that ends, whether its request is still open.
+
+bool Dispatcher::noteTryEnd(const TryEnded &E) {
+  auto Node = Tries_.extract({E.Attempt_, E.Worker_});
+  if (Node.empty())
+    return false;
+  const TryInfo &Info = Node.mapped();
+  Board_.release(E.Worker_);
+  PoolState &P = Pools_[Info.Pool_];
+  P.InFlight_ -= P.InFlight_ != 0;
+  if (E.Result_ == TryResult::Refused) {
+    noteRefusal(E);
+    return true;
+  }
+  if (E.Result_ == TryResult::Answered)
+    P.RunTime_.observe(Info.Declared_,
+                       E.Took_.count() > 0 ? E.Took_ : Now_ - Info.SentAt_);
+  const OpenRequest *R = find(E.Request_);
+  const bool CallersDoing = R && R->CallerLeft_;
+  if (!CallersDoing)
+    noteHealth(E, Info);
+  return true;
+}
+
+void Dispatcher::noteRefusal(const TryEnded &E) {
+  ++Counters_.Refusals_;
+  if (E.Refusal_ == Refusal::Full)
+    Board_.markFull(E.Worker_, Now_);
+  if (E.Refusal_ == Refusal::Leaving)
+    Board_.markLeaving(E.Worker_);
+}
+
+void Dispatcher::noteHealth(const TryEnded &E, const TryInfo &Info) {
+  WorkerState *W = Board_.find(E.Worker_);
+  if (!W)
+    return;
+  if (E.Result_ == TryResult::Answered)
+    return Health_.succeeded(*W, Info.Cause_);
+  Counters_.WorkersAvoided_ += Health_.failed(
+      *W, Info.Cause_, Now_, Board_.size(W->Pool_), Board_.avoided(W->Pool_));
+}
+
+void Dispatcher::handle(const TryEnded &E) {
+  const bool Tracked = noteTryEnd(E);
+  OpenRequest *R = find(E.Request_);
+  if (R && R->Claim_)
+    stepClaim(*R, [&](Claim &C, ClaimStep &Step) { C.onTryEnded(E, Step); });
+  else if (R && Tracked && R->Stage_ == Stage::Trying &&
+           R->Attempt_ == E.Attempt_)
+    repeatableEnded(*R, E);
+  if (!Tracked)
+    return;
+  const WorkerState *W = Board_.find(E.Worker_);
+  const auto P = W ? Pools_.find(W->Pool_) : Pools_.end();
+  if (P != Pools_.end() && !P->second.Pool_.Spare_)
+    return pump(P->first);
+  pumpAll();
+}
+
+// Repeatable requests.
+
+void Dispatcher::repeatableEnded(OpenRequest &R, const TryEnded &E) {
+  if (E.Result_ == TryResult::Answered)
+    return finish(R,
+                  {R.Spec_.Request_, Outcome::Done, Reason::None, E.Attempt_});
+  if (E.Result_ == TryResult::WorkFailed)
+    return finish(
+        R, {R.Spec_.Request_, Outcome::Failed, Reason::None, E.Attempt_});
+  const bool Lost =
+      E.Result_ == TryResult::Lost ||
+      (E.Result_ == TryResult::Refused && E.Refusal_ == Refusal::Duplicate);
+  R.MayHaveRun_ |= Lost;
+  if (E.Result_ != TryResult::Refused)
+    R.LostOn_.push_back(E.Worker_);
+  placeAgain(R);
+}
+
+void Dispatcher::placeAgain(OpenRequest &R) {
+  if (R.CallerLeft_)
+    return finishUnserved(R, Reason::None);
+  if (tooLate(R))
+    return finishUnserved(R, Reason::WindowTooShort);
+  if (Budget_.take()) {
+    enqueue(R);
+    return pump(R.Spec_.Pool_);
+  }
+  if (R.MayHaveRun_)
+    return finish(
+        R, {R.Spec_.Request_, Outcome::Unknown, Reason::RetryBudgetSpent});
+  park(R);
+}
+
+// Requests with a key.
+
+void Dispatcher::takeEffects(OpenRequest &R, Effects Out) {
+  for (Effect &E : Out) {
+    if (auto *S = std::get_if<Send>(&E))
+      emitSend(R, std::move(*S));
+    else if (auto *A = std::get_if<Answer>(&E))
+      finish(R, std::move(*A));
+    else {
+      Counters_.Fences_ += std::holds_alternative<Fence>(E);
+      Out_.push_back(std::move(E));
+    }
+  }
+}
+
+void Dispatcher::afterClaimStep(OpenRequest &R) {
+  if (R.Over_) {
+    Counters_.ClaimsSettled_ += R.Claim_->settledForeign();
+    return;
+  }
+  if (!R.Claim_->holdsSlot())
+    releaseReservation(R);
+  if (R.Stage_ != Stage::Claiming)
+    return;
+  if (R.Claim_->needsPlace())
+    return placeAgain(R);
+  setTimer(R, R.Claim_->wakeAt());
+}
+
+void Dispatcher::releaseReservation(OpenRequest &R) {
+  if (R.Reserved_)
+    Board_.release(*R.Reserved_);
+  R.Reserved_.reset();
+}
+
+void Dispatcher::handle(const ClaimWritten &E) {
+  OpenRequest *R = find(E.Request_);
+  if (R && R->Claim_)
+    stepClaim(*R, [&](Claim &C, ClaimStep &Step) { C.onWritten(E, Step); });
+}
+
+void Dispatcher::handle(const ClaimRead &E) {
+  OpenRequest *R = find(E.Request_);
+  if (R && R->Claim_)
+    stepClaim(*R, [&](Claim &C, ClaimStep &Step) { C.onRead(E, Step); });
+}
+
+void Dispatcher::handle(const FenceEnded &E) {
+  OpenRequest *R = find(E.Request_);
+  if (R && R->Claim_)
+    stepClaim(*R, [&](Claim &C, ClaimStep &Step) { C.onFenceEnded(E, Step); });
+}
+
+} // namespace heathercross::request
--- /dev/null
+++ b/src/request/dispatcher.cc
@@ -0,0 +1,466 @@
+// The request decisions of one entry: admission, the queue and placement.
+#include "request/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathercross::request {
+
+namespace {
+/// Workers that a claim names at most.
+constexpr std::size_t MostNamed = 3;
+/// The pause before a waiting urgent request asks for a slot again.
+constexpr Micros PreemptPause = Millis(500);
+/// The least pause before a timer of a waiting request is looked at again.
+constexpr Micros LeastPause = Millis(1);
+} // namespace
+
+Dispatcher::Dispatcher(Config C)
+    : Config_(std::move(C)), Board_(Config_), Placement_(Config_, Board_),
+      Health_(Config_.Health_),
+      Budget_(Config_.RetryShare_, Config_.RetryBurst_) {}
+
+Effects Dispatcher::on(const Event &E, Instant Now) {
+  Now_ = std::max(Now_, Now);
+  Out_.clear();
+  runTimers();
+  std::visit([this](const auto &What) { handle(What); }, E);
+  removeFinished();
+  return std::exchange(Out_, {});
+}
+
+// Accessors.
+
+std::optional<Instant> Dispatcher::nextWake() const {
+  if (Timers_.empty())
+    return std::nullopt;
+  return Timers_.begin()->first;
+}
+
+std::size_t Dispatcher::queued() const {
+  std::size_t Count = 0;
+  for (const auto &[Name, P] : Pools_)
+    Count += P.Queue_.size();
+  return Count;
+}
+
+std::size_t Dispatcher::queued(const PoolId &Pool) const {
+  const auto I = Pools_.find(Pool);
+  return I == Pools_.end() ? 0 : I->second.Queue_.size();
+}
+
+Micros Dispatcher::runTime(const PoolId &Pool) const {
+  const auto I = Pools_.find(Pool);
+  return I == Pools_.end() ? Micros(0) : I->second.RunTime_.expected(Millis(0));
+}
+
+Dispatcher::OpenRequest *Dispatcher::find(const RequestId &Id) {
+  const auto I = ById_.find(Id);
+  return I == ById_.end() ? nullptr : &Open_.at(I->second);
+}
+
+Dispatcher::PoolState &Dispatcher::poolOf(const OpenRequest &R) {
+  return Pools_[R.Spec_.Pool_];
+}
+
+Cause Dispatcher::causeOf(const Spec &S) {
+  const std::string &Body = S.Digest_.empty() ? S.Request_.str() : S.Digest_;
+  return {stableHash("team/" + S.Team_.str()), stableHash("body/" + Body)};
+}
+
+AttemptId Dispatcher::newAttempt() {
+  return AttemptId(Config_.Entry_.str() + "-" + std::to_string(Config_.Seed_) +
+                   "-" + std::to_string(++LastAttempt_));
+}
+
+// Arrival and admission.
+
+std::optional<Reason> Dispatcher::refusal(const Spec &S) {
+  if (Stopping_)
+    return Reason::Stopping;
+  if (!HasFleet_)
+    return Reason::NotReady;
+  const auto P = Pools_.find(S.Pool_);
+  if (P == Pools_.end() || P->second.Pool_.Removed_)
+    return Reason::NoSuchPool;
+  if (Open_.size() >= Config_.OpenLimit_)
+    return Reason::QueueFull;
+  return std::nullopt;
+}
+
+void Dispatcher::handle(const Arrived &E) {
+  if (find(E.Spec_.Request_))
+    return;
+  ++Counters_.Arrived_;
+  const auto Refused = refusal(E.Spec_);
+  const Sequence S = ++LastSequence_;
+  OpenRequest &R = Open_[S];
+  R.Spec_ = E.Spec_;
+  R.Sequence_ = S;
+  ById_.emplace(E.Spec_.Request_, S);
+  if (Refused)
+    return finish(R, {R.Spec_.Request_, Outcome::NotRun, *Refused});
+  if (!joinsLeader(R))
+    admit(R);
+}
+
+bool Dispatcher::joinsLeader(OpenRequest &R) {
+  if (!R.Spec_.Key_)
+    return false;
+  const ClaimKey Key(R.Spec_.Team_, *R.Spec_.Key_);
+  if (Leaders_.emplace(Key, R.Sequence_).second)
+    return false;
+  R.Stage_ = Stage::Joined;
+  Followers_[Key].push_back(R.Sequence_);
+  setTimer(R, R.Spec_.Deadline_);
+  return true;
+}
+
+Waiting Dispatcher::waiting(const OpenRequest &R) const {
+  return {R.Sequence_, R.Spec_.Team_, R.Spec_.Urgency_, R.Spec_.Deadline_,
+          R.Work_};
+}
+
+bool Dispatcher::tooLate(OpenRequest &R) {
+  RunTimeEstimate &RunTime = poolOf(R).RunTime_;
+  R.Work_ = RunTime.expected(R.Spec_.DeclaredWork_);
+  if (Now_ + R.Work_ < R.Spec_.Deadline_)
+    return false;
+  RunTime.refused();
+  return true;
+}
+
+std::optional<Reason> Dispatcher::queueRefusal(const OpenRequest &R,
+                                               PoolState &P) {
+  if (P.Queue_.empty() || R.Work_.count() <= 0)
+    return std::nullopt;
+  const Micros Left = R.Spec_.Deadline_ - Now_ - R.Work_;
+  const auto Rounds = static_cast<std::size_t>(Left / R.Work_);
+  const std::size_t Served =
+      std::min(Config_.QueueLimit_,
+               (Rounds + 1) * std::max<std::size_t>(1, P.InFlight_));
+  if (P.Queue_.ahead(waiting(R), Served + 1) > Served)
+    return Reason::WindowTooShort;
+  return std::nullopt;
+}
+
+bool Dispatcher::makeRoom(const Waiting &W, PoolState &P) {
+  if (P.Queue_.size() < Config_.QueueLimit_)
+    return true;
+  const auto Victim = P.Queue_.victimFor(W);
+  if (!Victim)
+    return false;
+  const Reason Why =
+      P.Queue_.overShare(Victim->Team_) ? Reason::OverQuota : Reason::QueueFull;
+  finishUnserved(Open_.at(Victim->Sequence_), Why);
+  return true;
+}
+
+void Dispatcher::admit(OpenRequest &R) {
+  PoolState &P = poolOf(R);
+  if (!Placement_.anyTakesWork(R.Spec_.Pool_))
+    return finishUnserved(R, Reason::NoWorkers);
+  if (tooLate(R))
+    return finishUnserved(R, Reason::WindowTooShort);
+  if (const auto Why = queueRefusal(R, P))
+    return finishUnserved(R, *Why);
+  if (!makeRoom(waiting(R), P))
+    return finishUnserved(R, P.Queue_.overShare(R.Spec_.Team_)
+                                 ? Reason::OverQuota
+                                 : Reason::QueueFull);
+  enqueue(R);
+  pump(R.Spec_.Pool_);
+}
+
+void Dispatcher::enqueue(OpenRequest &R) {
+  R.Stage_ = Stage::Queued;
+  poolOf(R).Queue_.push(waiting(R));
+  setTimer(R, std::max(Now_ + LeastPause, R.Spec_.Deadline_ - R.Work_));
+}
+
+void Dispatcher::park(OpenRequest &R) {
+  R.Stage_ = Stage::Parked;
+  setTimer(R, std::min(R.Spec_.Deadline_, Now_ + Config_.RetryPause_));
+}
+
+// Placement.
+
+void Dispatcher::pump(const PoolId &Pool) {
+  const auto I = Pools_.find(Pool);
+  if (I == Pools_.end())
+    return;
+  while (!I->second.Queue_.empty())
+    if (!serveFront(I->second))
+      return;
+}
+
+void Dispatcher::pumpAll() {
+  for (const PoolId &Spare : SparePools_)
+    pump(Spare);
+  for (auto &[Name, P] : Pools_)
+    if (!P.Queue_.empty())
+      pump(Name);
+}
+
+bool Dispatcher::serveFront(PoolState &P) {
+  OpenRequest &R = Open_.at(P.Queue_.front()->Sequence_);
+  if (tooLate(R)) {
+    finishUnserved(R, Reason::WindowTooShort);
+    return true;
+  }
+  const auto At = placeFor(R, P);
+  if (!At) {
+    preemptFor(R, P);
+    return false;
+  }
+  P.Queue_.serve(R.Sequence_);
+  Counters_.Overflowed_ += At->Kind_ == PlaceKind::Overflow;
+  Counters_.OtherZone_ += At->Kind_ == PlaceKind::OtherZone;
+  start(R, P, *At);
+  return true;
+}
+
+PlaceRules Dispatcher::rulesFor(const OpenRequest &R,
+                                const PoolState &P) const {
+  PlaceRules Rules;
+  Rules.Pool_ = R.Spec_.Pool_;
+  Rules.Exclude_ = R.LostOn_;
+  Rules.Retry_ = R.Tries_ != 0;
+  if (!Config_.Overflow_ || !P.Pool_.MayOverflow_ || P.Pool_.Spare_)
+    return Rules;
+  std::ranges::copy_if(
+      SparePools_, std::back_inserter(Rules.Overflow_),
+      [this](const PoolId &Spare) { return Pools_.at(Spare).Queue_.empty(); });
+  return Rules;
+}
+
+std::optional<Place> Dispatcher::placeFor(const OpenRequest &R,
+                                          const PoolState &P) {
+  PlaceRules Rules = rulesFor(R, P);
+  auto At = Placement_.find(Rules, Now_);
+  if (At || Rules.Exclude_.empty())
+    return At;
+  Rules.Exclude_ = {};
+  return Placement_.find(Rules, Now_);
+}
+
+void Dispatcher::preemptFor(OpenRequest &R, const PoolState &P) {
+  const bool Due =
+      R.PreemptedAt_ == Instant() || Now_ - R.PreemptedAt_ >= PreemptPause;
+  if (R.Spec_.Urgency_ != Urgency::Urgent || !Due)
+    return;
+  const auto Worker = Placement_.preemptible(P.Pool_.Name_);
+  if (!Worker)
+    return;
+  R.PreemptedAt_ = Now_;
+  --Board_.find(*Worker)->BatchTasks_;
+  ++Counters_.Preempts_;
+  Out_.push_back(Preempt{*Worker});
+}
+
+void Dispatcher::start(OpenRequest &R, PoolState &P, const Place &At) {
+  if (R.Tries_ == 0)
+    Budget_.earn();
+  if (R.Spec_.Key_)
+    return startClaim(R, P, At);
+  R.Stage_ = Stage::Trying;
+  R.Attempt_ = newAttempt();
+  emitSend(R, Send{R.Spec_.Request_, R.Attempt_, At.Worker_});
+  setTimer(R, R.Spec_.Deadline_);
+}
+
+void Dispatcher::startClaim(OpenRequest &R, const PoolState &P,
+                            const Place &At) {
+  R.Stage_ = Stage::Claiming;
+  if (!R.Claim_)
+    R.Claim_.emplace(R.Spec_, Config_.Entry_, Config_.Claim_);
+  std::vector<InstanceId> Workers =
+      Placement_.alternatives(rulesFor(R, P), At, MostNamed - 1, Now_);
+  Workers.insert(Workers.begin(), At.Worker_);
+  R.Reserved_ = At.Worker_;
+  Board_.occupy(At.Worker_);
+  stepClaim(R, [&](Claim &C, ClaimStep &Step) {
+    C.place(newAttempt(), std::move(Workers), Step);
+  });
+}
+
+void Dispatcher::emitSend(OpenRequest &R, Send S) {
+  releaseReservation(R);
+  Board_.occupy(S.Worker_);
+  const Spec &Sp = R.Spec_;
+  const Micros Left = Sp.Deadline_ - Now_;
+  const Micros Kept =
+      Sp.Key_ ? std::min(Config_.Claim_.FenceReserve_, Left / 4) : Micros(0);
+  S.Timeout_ = std::max(Micros(1), Left - Kept);
+  const WorkerState *W = Board_.find(S.Worker_);
+  if (W && W->ClockMs_ != 0)
+    S.StartByMs_ = W->ClockMs_ + toMillis(Sp.Deadline_ - W->ClockAt_).count();
+  ++(R.Tries_++ == 0 ? Counters_.FirstTries_ : Counters_.Retries_);
+  ++poolOf(R).InFlight_;
+  Tries_[{S.Attempt_, S.Worker_}] = {Sp.Pool_, Sp.DeclaredWork_, causeOf(Sp),
+                                     Now_};
+  Out_.push_back(std::move(S));
+}
+
+// Answers and the end of a request.
+
+void Dispatcher::finish(OpenRequest &R, Answer A) {
+  if (R.Over_)
+    return;
+  R.Over_ = true;
+  ++Counters_.Outcomes_.at(static_cast<std::size_t>(A.Outcome_));
+  ++Counters_.Reasons_.at(static_cast<std::size_t>(A.Reason_));
+  Out_.push_back(std::move(A));
+  releaseReservation(R);
+  Timers_.erase({R.TimerAt_, R.Sequence_});
+  if (const auto P = Pools_.find(R.Spec_.Pool_); P != Pools_.end())
+    P->second.Queue_.erase(R.Sequence_);
+  ById_.erase(R.Spec_.Request_);
+  Finished_.push_back(R.Sequence_);
+}
+
+void Dispatcher::finishUnserved(OpenRequest &R, Reason Why) {
+  if (R.Claim_)
+    return stepClaim(R,
+                     [&](Claim &C, ClaimStep &Step) { C.giveUp(Why, Step); });
+  if (R.MayHaveRun_)
+    return finish(R, {R.Spec_.Request_, Outcome::Unknown, Reason::AnswerLost});
+  finish(R, {R.Spec_.Request_, Outcome::NotRun, Why});
+}
+
+void Dispatcher::removeFinished() {
+  for (std::size_t I = 0; I != Finished_.size(); ++I) {
+    const OpenRequest &R = Open_.at(Finished_[I]);
+    if (!R.Spec_.Key_)
+      continue;
+    const ClaimKey Key(R.Spec_.Team_, *R.Spec_.Key_);
+    const auto Leader = Leaders_.find(Key);
+    if (Leader == Leaders_.end() || Leader->second != R.Sequence_)
+      continue;
+    Leaders_.erase(Leader);
+    wakeFollowers(Key, R.Claim_ ? R.Claim_->settled() : std::nullopt);
+  }
+  for (const Sequence S : Finished_)
+    Open_.erase(S);
+  Finished_.clear();
+}
+
+void Dispatcher::wakeFollowers(const ClaimKey &Key,
+                               const std::optional<ClaimRow> &Row) {
+  auto Node = Followers_.extract(Key);
+  if (Node.empty())
+    return;
+  for (const Sequence S : Node.mapped()) {
+    OpenRequest &R = Open_.at(S);
+    const bool Recorded = Row && (Row->State_ == ClaimState::Done ||
+                                  Row->State_ == ClaimState::Failed);
+    if (R.Over_)
+      continue;
+    if (Recorded && Row->Digest_ != R.Spec_.Digest_)
+      finish(R, {R.Spec_.Request_, Outcome::NotRun, Reason::KeyReused});
+    else if (Recorded)
+      finish(R,
+             {R.Spec_.Request_,
+              Row->State_ == ClaimState::Done ? Outcome::Done : Outcome::Failed,
+              Reason::None, AttemptId(), Row->Answer_});
+    else if (!joinsLeader(R))
+      admit(R);
+  }
+}
+
+void Dispatcher::handle(const CallerLeft &E) {
+  OpenRequest *R = find(E.Request_);
+  if (!R)
+    return;
+  R->CallerLeft_ = true;
+  if (R->Stage_ == Stage::Joined)
+    return finish(*R, {E.Request_, Outcome::Unknown, Reason::ClaimPending});
+  if (R->Stage_ == Stage::Queued || R->Stage_ == Stage::Parked)
+    finishUnserved(*R, Reason::None);
+}
+
+// Timers.
+
+void Dispatcher::setTimer(OpenRequest &R, Instant At) {
+  if (R.Over_)
+    return;
+  Timers_.erase({R.TimerAt_, R.Sequence_});
+  R.TimerAt_ = At;
+  Timers_.emplace(At, R.Sequence_);
+}
+
+void Dispatcher::runTimers() {
+  while (!Timers_.empty() && Timers_.begin()->first <= Now_) {
+    const Sequence S = Timers_.begin()->second;
+    Timers_.erase(Timers_.begin());
+    OpenRequest &R = Open_.at(S);
+    if (!R.Over_)
+      onTimer(R);
+  }
+}
+
+void Dispatcher::onTimer(OpenRequest &R) {
+  const bool Passed = Now_ >= R.Spec_.Deadline_;
+  switch (R.Stage_) {
+  case Stage::Queued:
+    if (Passed || tooLate(R))
+      return finishUnserved(R, Reason::WindowTooShort);
+    return setTimer(R,
+                    std::max(Now_ + LeastPause, R.Spec_.Deadline_ - R.Work_));
+  case Stage::Parked:
+    return placeAgain(R);
+  case Stage::Trying:
+    return finish(R,
+                  {R.Spec_.Request_, Outcome::Unknown, Reason::WindowPassed});
+  case Stage::Claiming:
+    return stepClaim(R, [](Claim &C, ClaimStep &Step) { C.onTime(Step); });
+  case Stage::Joined:
+    return finish(R,
+                  {R.Spec_.Request_, Outcome::Unknown, Reason::ClaimPending});
+  }
+}
+
+void Dispatcher::handle(const Tick &) { pumpAll(); }
+
+// The fleet.
+
+void Dispatcher::handle(const Reported &E) {
+  Board_.report(E.Report_, Now_);
+  const WorkerState *W = Board_.find(E.Report_.Worker_);
+  if (!W)
+    return;
+  const auto P = Pools_.find(W->Pool_);
+  if (P != Pools_.end() && P->second.Pool_.Spare_)
+    return pumpAll();
+  pump(W->Pool_);
+}
+
+void Dispatcher::handle(const FleetChanged &E) {
+  HasFleet_ = true;
+  Board_.apply(E.Fleet_);
+  for (auto &[Name, P] : Pools_)
+    P.Pool_.Removed_ = true;
+  for (const auto &[Name, P] : E.Fleet_.Pools_)
+    Pools_[Name].Pool_ = P;
+  Weights_.clear();
+  for (const auto &[Team, Q] : E.Fleet_.Quotas_)
+    Weights_.emplace(Team, Q.Weight_);
+  SparePools_.clear();
+  for (auto &[Name, P] : Pools_) {
+    P.Queue_.setWeights(Weights_);
+    if (P.Pool_.Removed_)
+      drainRemovedPool(P);
+    else if (P.Pool_.Spare_)
+      SparePools_.push_back(Name);
+  }
+  pumpAll();
+}
+
+void Dispatcher::drainRemovedPool(PoolState &P) {
+  while (const auto W = P.Queue_.front())
+    finishUnserved(Open_.at(W->Sequence_), Reason::NoSuchPool);
+}
+
+void Dispatcher::handle(const StopBegan &) { Stopping_ = true; }
+
+} // namespace heathercross::request
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -65,6 +65,8 @@
   bool Draining_ = false;
   /// The worker's own clock at that moment, in milliseconds.
   std::int64_t ClockMs_ = 0;
+  /// Batch tasks among them that could be checkpointed or stopped.
+  Slots BatchTasks_{};
 };
 
 /// A worker that may serve a pool, as the fleet view has it now.
@@ -182,9 +184,9 @@
   Outcome Outcome_;
   Reason Reason_ = Reason::None;
   /// The try whose answer is handed on; empty for a stored answer.
-  AttemptId Attempt_;
+  AttemptId Attempt_{};
   /// When not empty, the stored answer to fetch and hand on.
-  std::string Stored_;
+  std::string Stored_{};
 };
 /// Insert (Version_ zero) or replace the claim's row.
 struct WriteClaim {
--- /dev/null
+++ b/src/request/slot-share.cc
@@ -0,0 +1,89 @@
+// Which worker a request goes to: hashing and the policies' ranks.
+#include "request/slot-share.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+
+namespace heathercross::request {
+
+namespace {
+/// What separates the ranks of borrowed slots from those of own slots.
+constexpr Rank Borrowed = 1000;
+/// The rank of a worker that nothing is known of and of which no slot falls to
+/// this entry: one request at a time finds out.
+constexpr Rank LastResort = 1'000'000;
+
+std::uint32_t usable(const WorkerState &W, const Ask &A) {
+  return partOf(W.Total_, std::min(A.Most_, 1 - A.Reserve_));
+}
+} // namespace
+
+std::uint64_t stableHash(std::string_view Text) {
+  std::uint64_t H = 0xCBF29CE484222325ULL;
+  for (const char C : Text)
+    H = (H ^ static_cast<unsigned char>(C)) * 0x100000001B3ULL;
+  return H;
+}
+
+std::uint32_t partOf(std::uint32_t Slots, double Part) {
+  if (Part <= 0)
+    return 0;
+  const auto Whole = static_cast<std::uint32_t>(std::floor(Slots * Part));
+  return std::clamp<std::uint32_t>(Whole, 1, std::max(1U, Slots));
+}
+
+std::uint32_t slotShare(const InstanceId &Worker, std::uint32_t Slots,
+                        const EntryId &Entry,
+                        std::span<const EntryId> LiveEntries) {
+  const std::uint64_t Base = stableHash(Worker.str());
+  const std::uint64_t Own = stableHash(Entry.str());
+  std::vector<std::uint64_t> Others;
+  for (const EntryId &E : LiveEntries)
+    if (E != Entry)
+      Others.push_back(stableHash(E.str()));
+  std::uint32_t Share = 0;
+  for (std::uint32_t Slot = 0; Slot != Slots; ++Slot) {
+    const std::uint64_t SlotBase = mix(Base, Slot);
+    const std::uint64_t OwnWeight = mix(SlotBase, Own);
+    const bool Wins = std::ranges::all_of(Others, [&](std::uint64_t Other) {
+      return mix(SlotBase, Other) < OwnWeight;
+    });
+    Share += Wins ? 1 : 0;
+  }
+  return Share;
+}
+
+std::optional<Rank> RandomPicker::rank(const WorkerState &W,
+                                       const Ask &A) const {
+  if (W.InFlight_ >= usable(W, A))
+    return std::nullopt;
+  return 0;
+}
+
+std::optional<Rank> LeastLoadedPicker::rank(const WorkerState &W,
+                                            const Ask &A) const {
+  if (W.InFlight_ >= usable(W, A))
+    return std::nullopt;
+  return W.InFlight_;
+}
+
+std::optional<Rank> SharedSlotsPicker::rank(const WorkerState &W,
+                                            const Ask &A) const {
+  const bool Fresh = W.reportFresh(A.Now_, A.ReportFresh_);
+  const std::uint32_t Load = W.load(Fresh);
+  if (W.InFlight_ >= W.ConnectionShare_ || Load >= W.Total_)
+    return std::nullopt;
+  const std::uint32_t Limit = usable(W, A);
+  const bool InShare =
+      W.InFlight_ < W.Share_ && W.InFlight_ < Limit && Load < Limit;
+  if (InShare)
+    return Load;
+  if (Fresh && Load < Limit)
+    return Borrowed + Load;
+  if (!Fresh && W.Share_ == 0 && W.InFlight_ == 0)
+    return LastResort;
+  return std::nullopt;
+}
+
+} // namespace heathercross::request
