Access by tokens and rights; secret files closed to others

Cause: operators, teams and metrics readers need to be told apart, and a file with secrets must not be open to others. Conclusion: Access::require turns a header into a principal or a typed 401/403.

--- /dev/null
+++ b/test/access/access-test.cc
@@ -0,0 +1,149 @@
+// Tests of access: tokens, rights, and the files that hold them.
+#include "access/access.h"
+#include "access/secret-file.h"
+#include "support/story.h"
+
+#include <QTemporaryDir>
+#include <rapidcheck.h>
+
+#include <filesystem>
+#include <fstream>
+
+using namespace heathercross::access;
+using heathercross::test::section;
+
+namespace {
+
+const Principal Ada{PrincipalKind::Operator, "ada"};
+const Principal Trading{PrincipalKind::Team, "trading"};
+const Principal Scraper{PrincipalKind::Metrics, "scraper"};
+
+std::string someTokens() {
+  return "# tokens\n" + tokenLine("t-ada", Ada) + "\n\n" +
+         tokenLine("t-trading", Trading) + "\n" +
+         tokenLine("t-scraper", Scraper) + "\n";
+}
+
+std::vector<TokenProblem> problemsOf(const std::string &Text) {
+  try {
+    parseTokens(Text, "tokens");
+  } catch (const TokensFileError &E) {
+    return E.problems();
+  }
+  return {};
+}
+
+/// A file with this text and these permission bits.
+std::string fileWith(const QTemporaryDir &Folder, const std::string &Text,
+                     unsigned Bits) {
+  std::string Name = Folder.filePath("secret").toStdString();
+  std::filesystem::remove(Name);
+  std::ofstream(Name) << Text;
+  std::filesystem::permissions(Name, std::filesystem::perms(Bits));
+  return Name;
+}
+
+SecretFault faultOf(const std::string &File) {
+  try {
+    readSecretFile(File);
+  } catch (const SecretFileError &E) {
+    return E.fault();
+  }
+  CPPUNIT_FAIL("no SecretFileError");
+  return {};
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(AccessTokens, "a token stands for one caller") {
+  const Access A = parseTokens(someTokens(), "tokens");
+  section("a known token is let in", [&] {
+    CPPUNIT_ASSERT(A.authenticate("t-ada") == Ada);
+    CPPUNIT_ASSERT(A.authenticate("t-trading") == Trading);
+  });
+  section("near ones, empty and very long ones aren't", [&] {
+    for (const std::string &T : {std::string("t-ad"), std::string("t-adaa"),
+                                 std::string(), std::string(300, 'x')})
+      CPPUNIT_ASSERT(!A.authenticate(T));
+  });
+  section("the digest is SHA-256", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61"
+                    "f20015ad team x"),
+        tokenLine("abc", {PrincipalKind::Team, "x"}));
+  });
+  section("the header has the Bearer scheme", [&] {
+    CPPUNIT_ASSERT(A.require("bearer t-ada", Right::Change) == Ada);
+    for (const char *Header : {"", "t-ada", "Basic t-ada", "Bearer", "Bearer "})
+      CPPUNIT_ASSERT_THROW(A.require(Header, Right::Change), Unauthenticated);
+  });
+  HEATHERCROSS_PROPERTY("no other text is let in", [&](const std::string &T) {
+    RC_ASSERT(!A.authenticate(T));
+  });
+}
+
+HEATHERCROSS_STORY(AccessRights, "each kind of caller has its rights") {
+  const Access A = parseTokens(someTokens(), "tokens");
+  const auto May = [&](const char *Token, Right R) {
+    try {
+      A.require(std::string("Bearer ") + Token, R);
+      return true;
+    } catch (const Forbidden &) {
+      return false;
+    }
+  };
+  const auto RightsOf = [&](const char *Token) {
+    std::string Result;
+    for (const Right R : {Right::Call, Right::ReadView, Right::Change,
+                          Right::Dump, Right::Metrics})
+      Result += May(Token, R) ? '1' : '0';
+    return Result;
+  };
+  CPPUNIT_ASSERT_EQUAL(std::string("01111"), RightsOf("t-ada"));
+  CPPUNIT_ASSERT_EQUAL(std::string("11000"), RightsOf("t-trading"));
+  CPPUNIT_ASSERT_EQUAL(std::string("00001"), RightsOf("t-scraper"));
+}
+
+HEATHERCROSS_STORY(AccessTokensFile, "a tokens file is checked") {
+  section("all faulty lines are reported", [] {
+    const std::string Good = tokenLine("a", Ada);
+    const std::string Digest = Good.substr(0, 64);
+    const std::vector<TokenProblem> Expected{
+        {2, TokenFault::Duplicate},   {3, TokenFault::Malformed},
+        {4, TokenFault::BadDigest},   {5, TokenFault::BadDigest},
+        {6, TokenFault::UnknownKind}, {7, TokenFault::BadName}};
+    CPPUNIT_ASSERT(problemsOf(Good + "\n" + Good + "\n" + Digest + " team\n" +
+                              "12ab team x\n" + std::string(64, 'g') +
+                              " team x\n" + Digest + " king x\n" + Digest +
+                              " team x/y\n") == Expected);
+  });
+  section("the failure doesn't repeat the line", [] {
+    try {
+      parseTokens("not-a-digest-but-a-token team x", "tokens");
+      CPPUNIT_FAIL("no TokensFileError");
+    } catch (const TokensFileError &E) {
+      CPPUNIT_ASSERT(std::string(E.what()).find("but-a") == std::string::npos);
+    }
+  });
+}
+
+HEATHERCROSS_STORY(AccessSecretFiles, "a secret file is closed to others") {
+  const QTemporaryDir Folder;
+  section("one of the owner's alone is read", [&] {
+    const auto File = fileWith(Folder, someTokens(), 0600);
+    CPPUNIT_ASSERT(loadTokens(File).authenticate("t-ada") == Ada);
+  });
+  section("any right of the group or others is refused", [&] {
+    for (const unsigned Bits : {0640U, 0604U, 0620U, 0601U})
+      CPPUNIT_ASSERT(faultOf(fileWith(Folder, "x", Bits)) ==
+                     SecretFault::Exposed);
+  });
+  section("so are an empty, a huge, a missing file and a folder", [&] {
+    CPPUNIT_ASSERT(faultOf(fileWith(Folder, "", 0600)) == SecretFault::Empty);
+    const std::string Huge(MaxSecretFile + 1, 'x');
+    CPPUNIT_ASSERT(faultOf(fileWith(Folder, Huge, 0600)) ==
+                   SecretFault::TooLong);
+    CPPUNIT_ASSERT(faultOf("/nonexistent") == SecretFault::Unreadable);
+    CPPUNIT_ASSERT(faultOf("/") == SecretFault::NotRegular);
+  });
+}
--- a/test/settings/settings-test.cc
+++ b/test/settings/settings-test.cc
@@ -42,6 +42,14 @@
   return Text.replace(At, From.size(), To);
 }
 
+/// The minimal settings with one line more at the start of a section.
+std::string withLine(const std::string &Section, const std::string &Line) {
+  const std::string Header = "[" + Section + "]\n";
+  if (Minimal.find(Header) == std::string::npos)
+    return Minimal + Header + Line;
+  return with(Header, Header + Line);
+}
+
 std::vector<Problem> problemsOf(const std::string &Text) {
   try {
     parse(Text, "x.ini");
@@ -186,12 +194,9 @@
       for (const std::int64_t N :
            {Spec.Min_ - 1, Spec.Min_, Spec.Max_, Spec.Max_ + 1}) {
         const std::string Section(Spec.Section_);
-        const std::string Line =
-            std::string(Spec.Key_) + "=" + std::to_string(N) + "\n";
-        const auto Problems = problemsOf(
-            Minimal.find("[" + Section + "]") == std::string::npos
-                ? Minimal + "[" + Section + "]\n" + Line
-                : with("[" + Section + "]\n", "[" + Section + "]\n" + Line));
+        std::string Line(Spec.Key_);
+        Line += "=" + std::to_string(N) + "\n";
+        const auto Problems = problemsOf(withLine(Section, Line));
         const bool Refused = std::ranges::any_of(Problems, [](auto &P) {
           return P.Kind_ == ProblemKind::OutOfRange;
         });
