Thin path: a request and a wave travel the whole way

Cause: the parts stood alone. Change: the server closes connections that ask for what it can't handle; the feed reads rows in full.

--- a/src/daemon/fleet-feed.cc
+++ b/src/daemon/fleet-feed.cc
@@ -85,7 +85,7 @@
         if (R.Row_)
           Head = view::decodeHead(R.Row_->Value_);
         readView(Head);
-        readInstances();
+        readInstancesNow([](bool) {});
       });
 }
 
--- a/src/http/http-server.cc
+++ b/src/http/http-server.cc
@@ -264,4 +264,8 @@
   return true;
 }
 
+void Server::missingHandler(const QHttpServerRequest &, QTcpSocket *Socket) {
+  Socket->disconnectFromHost();
+}
+
 } // namespace heathercross::http
--- a/src/http/http-server.h
+++ b/src/http/http-server.h
@@ -136,6 +136,8 @@
 protected:
   bool handleRequest(const QHttpServerRequest &Request,
                      QTcpSocket *Socket) override;
+  void missingHandler(const QHttpServerRequest &Request,
+                      QTcpSocket *Socket) override;
 
 private:
   Handler OnRequest_;
