View: tickets and the view store

Cause: operators race with tickets; exactly one agreed view must come out. Numbers commit strictly upwards.

--- /dev/null
+++ b/src/view/view-store.cc
@@ -0,0 +1,87 @@
+// Applying newer heads to the view in force.
+#include "view/view-store.h"
+
+#include <algorithm>
+
+namespace heathercross::view {
+
+Applied ViewStore::apply(const std::vector<Row> &Rows, TicketNumber Head) {
+  return take(Rows, Head);
+}
+
+Applied ViewStore::merge(const ViewChanges &Changes) {
+  if (Changes.Rows_.size() > MaxChangedRows)
+    raise(FormatError("rows", "too many"));
+  if (Changes.Since_ > head())
+    return Applied::Torn;
+  return take(Changes.Rows_, Changes.Head_);
+}
+
+Applied ViewStore::take(const std::vector<Row> &Rows, TicketNumber Head) {
+  if (Known_ && Head <= head())
+    return Applied::Unchanged;
+  Entries Next = Entries_;
+  RowVersion Cursor = Cursor_;
+  for (const Row &R : Rows) {
+    const ViewObject Object = decodeViewObject(R.Value_);
+    if (Object.Ticket_ > Head)
+      return Applied::Torn;
+    Entry &Held = Next[keyOf(Object.Object_)];
+    if (Object.Ticket_ > Held.Value_.Ticket_)
+      Held = {Object, R};
+    Cursor = std::max(Cursor, R.Version_);
+  }
+  Agreed State{Head, RowVersion(), {}};
+  TicketNumber Highest;
+  for (const auto &[Key, Held] : Next) {
+    Highest = std::max(Highest, Held.Value_.Ticket_);
+    State.Objects_[Key] = {Held.Value_, Held.Row_.Version_};
+  }
+  if (Highest != Head)
+    return Applied::Torn;
+  Entries_ = std::move(Next);
+  View_ = viewOf(State);
+  Cursor_ = Cursor;
+  Known_ = true;
+  return Applied::Newer;
+}
+
+ViewChanges ViewStore::changesSince(TicketNumber Since) const {
+  ViewChanges Changes{Since, head(), {}};
+  for (const auto &[Key, Held] : Entries_)
+    if (Held.Value_.Ticket_ > Since)
+      Changes.Rows_.push_back(Held.Row_);
+  return Changes;
+}
+
+TicketNumber ViewStore::versionOf(const ObjectKey &Object) const {
+  const auto I = Entries_.find(Object);
+  return I == Entries_.end() ? TicketNumber() : I->second.Value_.Ticket_;
+}
+
+std::optional<Agreed>
+ViewStore::agreed(const std::optional<Row> &HeadRow) const {
+  Agreed State;
+  if (HeadRow) {
+    State.Head_ = decodeHead(HeadRow->Value_);
+    State.HeadVersion_ = HeadRow->Version_;
+  }
+  if (!Known_ || State.Head_ != head())
+    return std::nullopt;
+  for (const auto &[Key, Held] : Entries_)
+    State.Objects_[Key] = {Held.Value_, Held.Row_.Version_};
+  return State;
+}
+
+std::string ViewStore::dump() const {
+  QJsonObject Versions;
+  for (const auto &[Key, Held] : Entries_)
+    Versions[QString::fromStdString(Key.str())] =
+        jsonValue(Held.Value_.Ticket_.value());
+  return jsonText({{"known", Known_},
+                   {"cursor", jsonValue(Cursor_.value())},
+                   {"versions", Versions},
+                   {"view", toJson(View_)}});
+}
+
+} // namespace heathercross::view
