Request decisions: properties of whole runs against a model world

One table, four workers and up to three entries with lost, late and repeated answers, frozen and killed entries. Found and mended: a follower of a key that was answered before its leader ended was looked up after its removal.

--- a/src/request/dispatcher.cc
+++ b/src/request/dispatcher.cc
@@ -351,11 +351,12 @@
   if (Node.empty())
     return;
   for (const Sequence S : Node.mapped()) {
-    OpenRequest &R = Open_.at(S);
+    const auto I = Open_.find(S);
+    if (I == Open_.end() || I->second.Over_)
+      continue;
+    OpenRequest &R = I->second;
     const bool Recorded = Row && (Row->State_ == ClaimState::Done ||
                                   Row->State_ == ClaimState::Failed);
-    if (R.Over_)
-      continue;
     if (Recorded && Row->Digest_ != R.Spec_.Digest_)
       finish(R, {R.Spec_.Request_, Outcome::NotRun, Reason::KeyReused});
     else if (Recorded)
