--- a/src/fleet/availability.cc
+++ b/src/fleet/availability.cc
@@ -68,6 +68,13 @@
 
 } // namespace
 
+InstanceRow withState(const Member &M, InstanceState State) {
+  auto Row = M.row();
+  Row.State_ = State;
+  Row.Boot_.clear();
+  return Row;
+}
+
 std::uint32_t PoolPicture::available() const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(Members_, &Member::available));
@@ -103,9 +110,10 @@
   PoolPicture Picture;
   Picture.Name_ = Pool;
   if (const auto P = S.View_.Pools_.find(Pool); P != S.View_.Pools_.end()) {
-    Picture.Size_ = P->second.Size_;
+    const bool Removed = P->second.Removed_;
+    Picture.Size_ = Removed ? 0 : P->second.Size_;
     Picture.Spare_ = P->second.Spare_;
-    Picture.MinAvailable_ = minAvailableOf(S.View_, P->second);
+    Picture.MinAvailable_ = Removed ? 0 : minAvailableOf(S.View_, P->second);
   }
   if (const auto P = S.Permits_.find(Pool); P != S.Permits_.end())
     Picture.Permit_ = P->second;
--- a/src/fleet/availability.h
+++ b/src/fleet/availability.h
@@ -36,6 +36,9 @@
   bool answers() const { return Status_ && Standing_ != Standing::Unknown; }
 };
 
+/// The member's row in another state; a boot id in it is dropped.
+InstanceRow withState(const Member &M, InstanceState State);
+
 /// One pool at one moment.
 struct PoolPicture {
   PoolId Name_;
--- a/src/fleet/drain-watch.cc
+++ b/src/fleet/drain-watch.cc
@@ -3,6 +3,12 @@
 
 namespace heathercross::fleet {
 
+void DrainWatch::observe(const PoolPicture &Picture, Instant Now) {
+  for (const Member &M : Picture.Members_)
+    if (M.row().State_ == InstanceState::Draining)
+      observe(M, Now);
+}
+
 void DrainWatch::observe(const Member &M, Instant Now) {
   auto &W = Watches_.try_emplace(M.id(), Watch{Now, {}, Now}).first->second;
   const bool Settled = M.answers() && M.Status_->Draining_ && idle(*M.Status_);
@@ -27,9 +33,12 @@
   return Found == Watches_.end() ? Micros(0) : Now - Found->second.Since_;
 }
 
-void DrainWatch::keepOnly(const std::set<InstanceId> &Draining) {
+void DrainWatch::keepDraining(
+    const std::map<InstanceId, InstanceRecord> &Instances) {
   std::erase_if(Watches_, [&](const auto &Entry) {
-    return !Draining.contains(Entry.first);
+    const auto Found = Instances.find(Entry.first);
+    return Found == Instances.end() ||
+           Found->second.Row_.State_ != InstanceState::Draining;
   });
 }
 
--- a/src/fleet/drain-watch.h
+++ b/src/fleet/drain-watch.h
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 
 namespace heathercross::fleet {
 
@@ -13,8 +12,8 @@
 /// asks for two more idle statuses; it never makes a busy instance look idle.
 class DrainWatch {
 public:
-  /// Takes in the member's latest status.
-  void observe(const Member &M, Instant Now);
+  /// Takes in the latest statuses of the pool's draining members.
+  void observe(const PoolPicture &Picture, Instant Now);
 
   /// Whether two statuses, received one after the other, said that the worker
   /// refuses new work and runs nothing.
@@ -23,8 +22,8 @@
   /// How long the instance has been seen draining.
   Micros drainingFor(const InstanceId &Name, Instant Now) const;
 
-  /// Forgets instances that aren't among those that still drain.
-  void keepOnly(const std::set<InstanceId> &Draining);
+  /// Forgets instances whose rows don't say that they drain.
+  void keepDraining(const std::map<InstanceId, InstanceRecord> &Instances);
 
 private:
   struct Watch {
@@ -33,6 +32,9 @@
     std::optional<Instant> FirstIdle_;
     Instant LastSeen_;
   };
+
+  void observe(const Member &M, Instant Now);
+
   std::map<InstanceId, Watch> Watches_;
 };
 
--- a/src/fleet/fleet-duty.cc
+++ b/src/fleet/fleet-duty.cc
@@ -11,15 +11,6 @@
 /// How long a move or a return may drain when no wave gives a limit.
 constexpr Millis DefaultDrainLimit{30'000};
 
-PoolNeed needOf(const Snapshot &S, const PoolPicture &Picture,
-                const SilenceWatch &Silence) {
-  PoolNeed Need{Picture.Name_, Picture.Size_, Picture.MinAvailable_, {}};
-  for (const Member &M : Picture.Members_)
-    if (stays(M, Silence, S.Now_))
-      ++Need.Members_[{M.row().Zone_, M.row().Rack_}];
-  return Need;
-}
-
 InstanceRow newMember(const ListedInstance &I, const PoolId &Pool) {
   InstanceRow Row;
   Row.Name_ = I.Name_;
@@ -32,32 +23,14 @@
 
 } // namespace
 
-std::vector<PoolNeed> poolNeeds(const Snapshot &S,
-                                const SilenceWatch &Silence) {
-  std::vector<PoolNeed> Needs;
-  for (const auto &[Name, P] : S.View_.Pools_)
-    if (!P.Removed_)
-      Needs.push_back(needOf(S, pictureOf(S, Name), Silence));
-  return Needs;
-}
-
-std::vector<ListedInstance> unassigned(const Snapshot &S) {
-  std::vector<ListedInstance> Free;
-  std::ranges::copy_if(
-      *S.Listed_, std::back_inserter(Free), [&](const ListedInstance &I) {
-        return !S.Instances_.contains(I.Name_) && !saidLeaving(S, I.Name_);
-      });
-  return Free;
-}
-
 void adopt(const Snapshot &S, const std::vector<Assignment> &Placement,
-           const PoolId &Pool, PoolPlan &Plan) {
+           PoolPlan &Plan) {
   for (const auto &A : Placement) {
-    if (A.Pool_ != Pool)
+    if (A.Pool_ != Plan.pool())
       continue;
     const auto I =
         std::ranges::find(*S.Listed_, A.Instance_, &ListedInstance::Name_);
-    Plan.insert(newMember(*I, Pool));
+    Plan.insert(newMember(*I, A.Pool_));
   }
 }
 
--- a/src/fleet/leaving.cc
+++ b/src/fleet/leaving.cc
@@ -9,9 +9,8 @@
   });
   for (const auto &[Name, Record] : S.Instances_) {
     const auto Status = S.Workers_.find(Name);
-    const bool Answers =
-        Status != S.Workers_.end() && recentlyHeard(S, &Status->second);
-    if (Answers)
+    const bool Watched = Status != S.Workers_.end();
+    if (!Watched || recentlyHeard(S, &Status->second))
       Since_.erase(Name);
     else
       Since_.try_emplace(Name, S.Now_);
@@ -33,10 +32,7 @@
     const bool Marked = M.row().State_ == InstanceState::Leaving;
     if (Marked || !saidLeaving(S, M.id()))
       continue;
-    auto Row = M.row();
-    Row.State_ = InstanceState::Leaving;
-    Row.Boot_.clear();
-    Plan.settle(M, std::move(Row));
+    Plan.settle(M, withState(M, InstanceState::Leaving));
   }
 }
 
--- a/src/fleet/leaving.h
+++ b/src/fleet/leaving.h
@@ -15,7 +15,8 @@
 /// An instance that is listed but hasn't answered for this long is replaced.
 constexpr Millis ReplaceAfter{60'000};
 
-/// Remembers since when instances haven't answered. Losing it delays the
+/// Remembers since when instances haven't answered. Instances that this entry
+/// doesn't watch (without a status) don't count as silent. Losing it delays the
 /// replacement of lost instances.
 class SilenceWatch {
 public:
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -64,7 +64,8 @@
   std::vector<BatchTask> Tasks_;
 };
 
-/// How the work that entries sent to an instance ended, lately.
+/// How the work that entries sent to an instance ended, counted since the
+/// entries started.
 struct InstanceEvidence {
   std::uint32_t Succeeded_ = 0;
   std::uint32_t Failed_ = 0;
@@ -94,8 +95,10 @@
   std::map<InstanceId, InstanceRecord> Instances_;
   /// The platform's instance list; absent when it couldn't be read.
   std::optional<std::vector<ListedInstance>> Listed_;
-  /// At least the workers of the pools that are held.
+  /// The workers that this entry watches: at least those of the pools that it
+  /// holds, also when they never answered.
   std::map<InstanceId, WorkerStatus> Workers_;
+  /// Of all pools, also those that others hold.
   std::map<PoolId, PoolDemand> Demand_;
   std::map<InstanceId, InstanceEvidence> Evidence_;
   /// Instances that an operator has declared to be leaving.
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -194,8 +194,10 @@
 
 } // namespace
 
+std::uint32_t PoolNeed::memberCount() const { return total(Members_); }
+
 std::uint32_t PoolNeed::deficit() const {
-  const auto Have = total(Members_);
+  const auto Have = memberCount();
   return Size_ > Have ? Size_ - Have : 0;
 }
 
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -28,6 +28,7 @@
   /// The members that it has, and that stay where they are.
   RackCounts Members_;
 
+  std::uint32_t memberCount() const;
   /// How many instances the pool lacks.
   std::uint32_t deficit() const;
   /// How many members in one rack the pool can lose within its budget once it
--- a/src/fleet/pool-plan.h
+++ b/src/fleet/pool-plan.h
@@ -18,6 +18,8 @@
   /// The picture must outlive the plan.
   PoolPlan(const PoolPicture &Picture, const LeaseHold &Lease);
 
+  const PoolId &pool() const { return Picture_.Name_; }
+
   /// How many more voluntary disruptions this step may start.
   std::uint32_t permitsLeft() const { return PermitsLeft_; }
 
--- a/src/fleet/wave.cc
+++ b/src/fleet/wave.cc
@@ -44,13 +44,6 @@
   return W.Pool_ == Picture.Name_;
 }
 
-InstanceRow rowIn(const Member &M, InstanceState State) {
-  auto Row = M.row();
-  Row.State_ = State;
-  Row.Boot_.clear();
-  return Row;
-}
-
 /// How cheap it is to take the member out: what is out anyway first, then
 /// idle ones, then those whose work can be checkpointed, then by load.
 std::tuple<int, std::uint32_t, std::size_t> cost(const Member &M) {
@@ -176,7 +169,7 @@
   const Wave *Current = currentWave(V, Picture);
   if (!Current || Current->Mode_ != WaveMode::Running)
     return false;
-  return Picture.Members_.size() <= Picture.MinAvailable_ &&
+  return Picture.Size_ == Picture.MinAvailable_ &&
          std::ranges::any_of(Picture.Members_, [&](const Member &M) {
            return owes(M, *Current);
          });
@@ -202,12 +195,11 @@
     const bool Wanted = Current && owes(M, *Current);
     if (State == InstanceState::Rebooting &&
         M.Status_->Boot_ != M.row().Boot_) {
-      auto Back = rowIn(M, InstanceState::Active);
-      Plan.settle(M, std::move(Back));
+      Plan.settle(M, withState(M, InstanceState::Active));
     } else if (State == InstanceState::Draining && !Wanted) {
-      Plan.settle(M, rowIn(M, InstanceState::Active));
+      Plan.settle(M, withState(M, InstanceState::Active));
     } else if (State == InstanceState::Draining && Drains.idleTwice(M.id())) {
-      auto Reboot = rowIn(M, InstanceState::Rebooting);
+      auto Reboot = withState(M, InstanceState::Rebooting);
       Reboot.Boot_ = M.Status_->Boot_;
       Reboot.DoneWave_ = Current->Name_;
       Plan.change(M, std::move(Reboot));
@@ -228,7 +220,7 @@
     Candidates.erase(Next);
     if (M.available() && Count == 0)
       return;
-    if (!Plan.disrupt(M, rowIn(M, InstanceState::Draining)))
+    if (!Plan.disrupt(M, withState(M, InstanceState::Draining)))
       return;
     Count -= M.available() ? 1 : 0;
     ByRack[rackOf(M)] -= M.available() ? 1 : 0;
