Tickets and the view in force, through the daemon

Cause: entries had no agreed view of their own and operators no way to change it. Change: the view service carries out the sync decisions, the ticket service runs submit and vote against the table and reads again after conflicts and lost answers; instances' rows are followed apart from the view.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -10,6 +10,8 @@
 #include "daemon/history.h"
 #include "daemon/metrics.h"
 #include "daemon/request-service.h"
+#include "daemon/ticket-service.h"
+#include "daemon/view-service.h"
 #include "daemon/worker-client.h"
 #include "http/http-client.h"
 #include "http/http-server.h"
@@ -22,6 +24,7 @@
 
 #include <glog/logging.h>
 
+#include <charconv>
 #include <chrono>
 #include <random>
 
@@ -78,6 +81,21 @@
   return C;
 }
 
+view::Committee committee(const settings::Settings &S) {
+  return {{S.Committee_.Members_.begin(), S.Committee_.Members_.end()},
+          S.Committee_.Chair_};
+}
+
+/// The ticket number in a path. Throws FormatError.
+TicketNumber ticketNumber(const std::string &Text) {
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Value == 0)
+    raise(FormatError("ticket number", "must be a positive number"));
+  return TicketNumber(Value);
+}
+
 ControlConfig controlConfig(const settings::Settings &S,
                             std::uint64_t Incarnation) {
   ControlConfig C;
@@ -103,7 +121,13 @@
   auto &Platform =
       Kernel_.add<platform::Client>("platform", Http, platformConfig(S));
   auto &Workers = Kernel_.add<WorkerClient>("workers", Http);
-  Kernel_.add<FleetFeed>("fleet", feedConfig(S), C, H, Platform, Workers);
+  auto &ViewKeeper = Kernel_.add<ViewService>(
+      "view", ViewConfig{S.Platform_.Poll_, seedOf(S)}, C, H, Platform);
+  Kernel_.add<FleetFeed>("fleet", feedConfig(S), C, H, Platform, Workers,
+                         ViewKeeper);
+  Kernel_.add<TicketService>("tickets",
+                             Name + "-" + std::to_string(Incarnation),
+                             committee(S), H, Platform, ViewKeeper);
   RequestLimits Limits;
   Limits.DefaultWindow_ = S.Request_.DefaultWindow_;
   Kernel_.add<RequestService>("requests",
@@ -116,6 +140,7 @@
   Kernel_.add<Api>("api", A, M);
   connectServices();
   addRoutes();
+  addTicketRoutes();
   auto &Api_ = Kernel_.find<Api>("api");
   auto &Server = Kernel_.add<http::Server>(
       "http-server", serverLimits(S),
@@ -139,6 +164,9 @@
   Feed.onReport(
       [&Requests](const request::WorkerReport &R) { Requests.report(R); });
   Requests.onReport([&Feed](const request::WorkerReport &R) { Feed.heard(R); });
+  auto &ViewKeeper = Kernel_.find<ViewService>("view");
+  ViewKeeper.onChange([&Feed] { Feed.publishSoon(); });
+  ViewKeeper.start();
   Feed.start();
   Kernel_.find<ControlService>("control").start();
 }
@@ -189,6 +217,25 @@
   });
 }
 
+void Daemon::addTicketRoutes() {
+  auto &A = Kernel_.find<Api>("api");
+  auto &Tickets = Kernel_.find<TicketService>("tickets");
+  A.add("POST", "/v1/tickets", access::Right::Change, [&Tickets](ApiCall C) {
+    Tickets.submit(std::move(C.Request_), C.Responder_,
+                   OperatorId(C.Caller_.Name_));
+  });
+  A.add("POST", "/v1/tickets/*/votes", access::Right::Change,
+        [&Tickets](ApiCall C) {
+          Tickets.vote(ticketNumber(C.Parts_[0]), std::move(C.Request_),
+                       C.Responder_, OperatorId(C.Caller_.Name_));
+        });
+  A.add("GET", "/v1/tickets/*", access::Right::ReadView, [&Tickets](ApiCall C) {
+    Tickets.show(ticketNumber(C.Parts_[0]), C.Responder_);
+  });
+  A.add("GET", "/v1/tickets", access::Right::ReadView,
+        [&Tickets](ApiCall C) { Tickets.list(C.Responder_); });
+}
+
 void Daemon::sampleMetrics() {
   auto &M = Kernel_.find<Metrics>("metrics");
   const auto &Requests = Kernel_.find<RequestService>("requests");
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -28,6 +28,7 @@
 private:
   void connectServices();
   void addRoutes();
+  void addTicketRoutes();
   void watchDrain();
   void exitNow(const char *How, std::size_t Cut);
   void sampleMetrics();
--- a/src/daemon/fleet-feed.cc
+++ b/src/daemon/fleet-feed.cc
@@ -1,4 +1,4 @@
-// Follows the agreed view, the instances' rows and the workers of the zone.
+// Follows the instances' rows and the workers of the zone.
 #include "daemon/fleet-feed.h"
 
 #include "fleet/rows.h"
@@ -39,9 +39,10 @@
 } // namespace
 
 FleetFeed::FleetFeed(FeedConfig Config, Clock &C, History &H,
-                     platform::Client &Platform, WorkerClient &Workers)
+                     platform::Client &Platform, WorkerClient &Workers,
+                     ViewService &View)
     : Config_(std::move(Config)), Clock_(C), History_(H), Platform_(Platform),
-      Workers_(Workers), ZoneEntries_{Config_.Entry_},
+      Workers_(Workers), View_(View), ZoneEntries_{Config_.Entry_},
       Random_(static_cast<unsigned>(Config_.Seed_)) {
   PollTimer_.setSingleShot(true);
   connect(&PollTimer_, &QTimer::timeout, this, [this] { poll(); });
@@ -69,58 +70,15 @@
 
 void FleetFeed::poll() {
   Polling_ = true;
-  Platform_.readRow(
-      std::string(view::HeadKey), [this](const platform::RowResult &R) {
-        Polling_ = false;
-        Failures_ = R.Answered_ ? 0 : Failures_ + 1;
-        // Half to one and a half intervals, longer after failures.
-        const unsigned Doublings = std::min(Failures_, 3U);
-        const Millis Base =
-            std::min(Config_.Poll_ * (1U << Doublings), MaxBackoff);
-        const auto Half = static_cast<unsigned>(Base.count() / 2);
-        PollTimer_.start(static_cast<int>(Half + Random_() % (2 * Half)));
-        if (!R.Answered_)
-          return;
-        TicketNumber Head;
-        if (R.Row_)
-          Head = view::decodeHead(R.Row_->Value_);
-        readView(Head);
-        readInstancesNow([](bool) {});
-      });
-}
-
-void FleetFeed::readView(TicketNumber Head) {
-  if (Store_.ready() && Head <= Store_.head())
-    return;
-  Platform_.scan(std::string(view::ViewPrefix), ViewVersion_, ScanLimit,
-                 [this, Head](const platform::ScanResult &R) {
-                   if (!R.Answered_)
-                     return;
-                   const TicketNumber Before = Store_.head();
-                   const bool Fresh = !Store_.ready();
-                   if (!Store_.apply(R.Rows_, R.More_ ? Before : Head))
-                     return;
-                   if (!R.Rows_.empty())
-                     ViewVersion_ = R.Rows_.back().Version_;
-                   if (R.More_)
-                     return readView(Head);
-                   if (Fresh || Store_.head() != Before)
-                     viewChanged();
-                 });
-}
-
-void FleetFeed::viewChanged() {
-  const auto Head = static_cast<qint64>(Store_.head().value());
-  LOG(INFO) << "event=in-force ticket=" << Head;
-  History_.write("in-force", std::to_string(Head), {{"head", Head}});
-  publish();
-}
-
-void FleetFeed::mergeFromPeer(
-    const std::function<bool(view::ViewStore &)> &Merge) {
-  const TicketNumber Before = Store_.head();
-  if (Merge(Store_) && Store_.head() != Before)
-    viewChanged();
+  readInstancesNow([this](bool Answered) {
+    Polling_ = false;
+    Failures_ = Answered ? 0 : Failures_ + 1;
+    // Half to one and a half intervals, longer after failures.
+    const unsigned Doublings = std::min(Failures_, 3U);
+    const Millis Base = std::min(Config_.Poll_ * (1U << Doublings), MaxBackoff);
+    const auto Half = static_cast<unsigned>(Base.count() / 2);
+    PollTimer_.start(static_cast<int>(Half + Random_() % (2 * Half)));
+  });
 }
 
 void FleetFeed::readInstancesNow(std::function<void(bool)> OnDone) {
@@ -136,23 +94,34 @@
 }
 
 void FleetFeed::takeInstances(const platform::ScanResult &R) {
-  for (const Row &One : R.Rows_) {
+  const bool First = !InstancesRead_ && !R.More_;
+  for (const Row &One : R.Rows_)
+    InstanceVersion_ = std::max(InstanceVersion_, One.Version_);
+  InstancesRead_ = InstancesRead_ || !R.More_;
+  takeRows(R.Rows_);
+  if (First)
+    publishSoon();
+}
+
+void FleetFeed::takeRows(const std::vector<Row> &Rows) {
+  for (const Row &One : Rows) {
     try {
-      fleet::InstanceRecord Record = fleet::decodeInstance(One);
-      if (Record.Row_.State_ == InstanceState::Leaving)
-        markLeaving(Record.Row_.Name_, "row");
-      Instances_[Record.Row_.Name_] = std::move(Record);
+      takeRow(fleet::decodeInstance(One));
     } catch (const FormatError &E) {
       LOG(ERROR) << "event=bad-row problem=\"" << E.what() << "\"";
     }
-    InstanceVersion_ = std::max(InstanceVersion_, One.Version_);
   }
-  if (R.More_)
+}
+
+void FleetFeed::takeRow(fleet::InstanceRecord Record) {
+  const InstanceId Name = Record.Row_.Name_;
+  const auto Known = Instances_.find(Name);
+  if (Known != Instances_.end() && Known->second.Version_ >= Record.Version_)
     return;
-  const bool First = !InstancesRead_;
-  InstancesRead_ = true;
-  if (First || !R.Rows_.empty())
-    publish();
+  if (Record.Row_.State_ == InstanceState::Leaving)
+    markLeaving(Name, "row");
+  Instances_[Name] = std::move(Record);
+  publishSoon();
 }
 
 void FleetFeed::markLeaving(const InstanceId &Worker, const char *Source) {
@@ -183,7 +152,7 @@
   if (!ready())
     return;
   request::Fleet F;
-  F.Head_ = Store_.head();
+  F.Head_ = view().Head_;
   F.Pools_ = view().Pools_;
   F.Quotas_ = view().Quotas_;
   F.ZoneEntries_ = ZoneEntries_;
@@ -285,8 +254,6 @@
   }
   const QJsonObject All{
       {"ready", ready()},
-      {"head", static_cast<qint64>(Store_.head().value())},
-      {"view_version", static_cast<qint64>(ViewVersion_.value())},
       {"instance_version", static_cast<qint64>(InstanceVersion_.value())},
       {"poll_failures", static_cast<int>(Failures_)},
       {"instances", Instances}};
--- a/src/daemon/fleet-feed.h
+++ b/src/daemon/fleet-feed.h
@@ -1,14 +1,14 @@
-// Follows the agreed view, the instances' rows and the workers of the zone.
+// Follows the instances' rows and the workers of the zone.
 #pragma once
 
 #include "daemon/clock.h"
 #include "daemon/history.h"
+#include "daemon/view-service.h"
 #include "daemon/worker-client.h"
 #include "fleet/model.h"
 #include "heathercross/fleet-model.h"
 #include "platform/platform-client.h"
 #include "request/events.h"
-#include "view/view-store.h"
 
 #include <QObject>
 #include <QTimer>
@@ -32,12 +32,12 @@
   std::uint64_t Seed_ = 1;
 };
 
-/// What the entry knows of the fleet. It polls the platform for changed rows
-/// with jitter, and tells the others when something changed.
+/// What the entry knows of the instances. It polls the platform for changed
+/// rows with jitter, and tells the others when something changed.
 class FleetFeed : public QObject {
 public:
   FleetFeed(FeedConfig Config, Clock &C, History &H, platform::Client &Platform,
-            WorkerClient &Workers);
+            WorkerClient &Workers, ViewService &View);
 
   void start();
   /// Reads changed rows soon, for example since a peer is ahead.
@@ -48,9 +48,8 @@
   void onReport(std::function<void(const request::WorkerReport &)> Done);
 
   /// Whether a whole view has been obtained since the start.
-  bool ready() const { return Store_.ready() && InstancesRead_; }
-  const View &view() const { return Store_.view(); }
-  view::ViewStore &store() { return Store_; }
+  bool ready() const { return View_.ready() && InstancesRead_; }
+  const View &view() const { return View_.view(); }
   const std::map<InstanceId, fleet::InstanceRecord> &instances() const {
     return Instances_;
   }
@@ -69,29 +68,29 @@
   void ask(const InstanceId &Worker, std::function<void()> OnDone = nullptr);
   /// Reads the instances' rows up to now; says whether the table answered.
   void readInstancesNow(std::function<void(bool)> OnDone);
-  /// Takes view rows that a peer sent.
-  void mergeFromPeer(const std::function<bool(view::ViewStore &)> &Merge);
+  /// Takes instances' rows, from the table or from a peer. Older versions than
+  /// those that are known change nothing.
+  void takeRows(const std::vector<Row> &Rows);
+  /// Builds the fleet anew for those who follow it.
+  void publishSoon();
 
   std::string dump() const;
 
 private:
   void poll();
-  void readView(TicketNumber Head);
   void takeInstances(const platform::ScanResult &R);
+  void takeRow(fleet::InstanceRecord Record);
   void takeStatus(const InstanceId &Worker, const StatusReply &R);
   void pollWorkers();
   bool watches(const InstanceId &Worker) const;
-  void viewChanged();
   void publish();
-  void publishSoon();
 
   FeedConfig Config_;
   Clock &Clock_;
   History &History_;
   platform::Client &Platform_;
   WorkerClient &Workers_;
-  view::ViewStore Store_;
-  RowVersion ViewVersion_;
+  ViewService &View_;
   RowVersion InstanceVersion_;
   bool InstancesRead_ = false;
   bool Polling_ = false;
--- /dev/null
+++ b/src/daemon/ticket-service.cc
@@ -0,0 +1,190 @@
+// Submits tickets, records votes and shows both.
+#include "daemon/ticket-service.h"
+
+#include "daemon/api.h"
+#include "daemon/error-response.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QTimer>
+
+#include <glog/logging.h>
+
+namespace heathercross::daemon {
+
+namespace {
+
+constexpr unsigned MaxTries = 12;
+constexpr int RetryMs = 40;
+constexpr unsigned MaxListed = 500;
+
+http::Response conflictResponse(const view::VersionConflict &E) {
+  return jsonResponse(Conflict,
+                      {{"error", E.code()},
+                       {"message", E.what()},
+                       {"object", QString::fromStdString(E.object().str())},
+                       {"expected", static_cast<qint64>(E.expected().value())},
+                       {"actual", static_cast<qint64>(E.actual().value())}});
+}
+
+std::string_view textOf(const QByteArray &Body) {
+  return {Body.constData(), static_cast<std::size_t>(Body.size())};
+}
+
+} // namespace
+
+/// One change of a ticket on its way.
+struct TicketService::Change {
+  TicketNumber Number_;
+  http::Responder To_;
+  Decide Decide_;
+  unsigned Tries_ = 0;
+  /// A write may have taken effect without our knowing.
+  bool Uncertain_ = false;
+};
+
+TicketService::TicketService(std::string Incarnation, view::Committee Members,
+                             History &H, platform::Client &Platform,
+                             ViewService &View)
+    : Incarnation_(std::move(Incarnation)), Members_(std::move(Members)),
+      History_(H), Platform_(Platform), View_(View) {}
+
+void TicketService::submit(http::Request R, http::Responder To,
+                           const OperatorId &Author) {
+  const view::Submission S = view::decodeSubmission(textOf(R.Body_));
+  History_.write("ticket-submit", std::to_string(S.Number_.value()),
+                 {{"operator", QString::fromStdString(Author.str())}});
+  begin(S.Number_, std::move(To),
+        [S, Author](const std::optional<Row> &Existing,
+                    const view::Agreed &State, const AttemptId &Attempt) {
+          return view::submit(S, Author, Existing, State, Attempt);
+        });
+}
+
+void TicketService::vote(TicketNumber Number, http::Request R,
+                         http::Responder To, const OperatorId &Voter) {
+  const view::Vote Cast = view::decodeVote(textOf(R.Body_));
+  begin(Number, std::move(To),
+        [this, Number, Cast, Voter](const std::optional<Row> &Existing,
+                                    const view::Agreed &State,
+                                    const AttemptId &Attempt) {
+          return view::vote(Number, Existing, Voter, Cast, Members_, State,
+                            Attempt);
+        });
+}
+
+void TicketService::begin(TicketNumber Number, http::Responder To, Decide D) {
+  auto C = std::make_shared<Change>();
+  C->Number_ = Number;
+  C->To_ = std::move(To);
+  C->Decide_ = std::move(D);
+  readHead(C);
+}
+
+void TicketService::readHead(const ChangePtr &C) {
+  ++C->Tries_;
+  View_.readNow([this, C](bool Read) {
+    if (!Read)
+      return again(C);
+    Platform_.readRow(
+        std::string(view::HeadKey), [this, C](const platform::RowResult &R) {
+          const auto State =
+              R.Answered_ ? View_.store().agreed(R.Row_) : std::nullopt;
+          if (!State)
+            return again(C);
+          readTicket(C, *State);
+        });
+  });
+}
+
+void TicketService::readTicket(const ChangePtr &C, const view::Agreed &State) {
+  Platform_.readRow(view::rowKey(C->Number_),
+                    [this, C, State](const platform::RowResult &R) {
+                      if (!R.Answered_)
+                        return again(C);
+                      decide(C, R.Row_, State);
+                    });
+}
+
+void TicketService::decide(const ChangePtr &C,
+                           const std::optional<Row> &Existing,
+                           const view::Agreed &State) {
+  const AttemptId Attempt(Incarnation_ + "-t" + std::to_string(++LastAttempt_));
+  try {
+    const view::Step S = C->Decide_(Existing, State, Attempt);
+    if (!S.Write_)
+      return finish(C, S.Ticket_);
+    Platform_.commit(
+        *S.Write_, [this, C, S](const CommitResult &R) { committed(C, S, R); });
+  } catch (const view::VersionConflict &E) {
+    C->To_.respond(conflictResponse(E));
+  } catch (const view::NoSuchTicket &E) {
+    C->To_.respond(errorResponse(NotFound, E));
+  } catch (const view::NotOnCommittee &E) {
+    C->To_.respond(errorResponse(Forbidden, E));
+  } catch (const Error &E) {
+    C->To_.respond(errorResponse(Conflict, E));
+  }
+}
+
+void TicketService::committed(const ChangePtr &C, const view::Step &S,
+                              const CommitResult &R) {
+  if (R.Status_ == CommitStatus::Committed)
+    return finish(C, S.Ticket_);
+  C->Uncertain_ = C->Uncertain_ || R.Status_ == CommitStatus::Uncertain;
+  again(C);
+}
+
+void TicketService::again(const ChangePtr &C) {
+  if (!C->To_.open())
+    return;
+  if (C->Tries_ < MaxTries) {
+    QTimer::singleShot(RetryMs * static_cast<int>(C->Tries_), &View_,
+                       [this, C] { readHead(C); });
+    return;
+  }
+  if (C->Uncertain_)
+    C->To_.respond(errorResponse(504, TicketUncertain(C->Number_)));
+  else
+    C->To_.respond(errorResponse(Unavailable, PlatformAway()));
+}
+
+void TicketService::finish(const ChangePtr &C, const view::Ticket &T) {
+  const std::string Id = std::to_string(T.Number_.value());
+  LOG(INFO) << "event=ticket ticket=" << Id << " state=" << name(T.State_);
+  History_.write("ticket", Id,
+                 {{"state", QString::fromUtf8(name(T.State_).data())}});
+  C->To_.respond(jsonResponse(200, view::toJson(T)));
+  if (T.State_ == view::TicketState::Accepted)
+    View_.readNow([](bool) {});
+}
+
+void TicketService::show(TicketNumber Number, http::Responder To) {
+  Platform_.readRow(
+      view::rowKey(Number), [To, Number](const platform::RowResult &R) mutable {
+        if (!R.Answered_)
+          To.respond(errorResponse(Unavailable, PlatformAway()));
+        else if (!R.Row_)
+          To.respond(errorResponse(NotFound, view::NoSuchTicket(Number)));
+        else
+          To.respond(jsonResponse(
+              200, view::toJson(view::decodeTicket(R.Row_->Value_))));
+      });
+}
+
+void TicketService::list(http::Responder To) {
+  Platform_.scan(
+      std::string(view::TicketPrefix), RowVersion(), MaxListed,
+      [To](const platform::ScanResult &R) mutable {
+        if (!R.Answered_) {
+          To.respond(errorResponse(Unavailable, PlatformAway()));
+          return;
+        }
+        QJsonArray All;
+        for (const Row &One : R.Rows_)
+          All.append(view::toJson(view::decodeTicket(One.Value_)));
+        To.respond(jsonResponse(200, {{"tickets", All}, {"more", R.More_}}));
+      });
+}
+
+} // namespace heathercross::daemon
