--- /dev/null
+++ b/src/peer/messages.thrift
@@ -0,0 +1,56 @@
+// What entry instances tell each other. Regenerate after a change with
+// thrift --gen cpp:no_skeleton -out gen messages.thrift
+namespace cpp heathercross.peer.wire
+
+// An instance that is leaving the fleet, and how long that has been known.
+struct LeavingInstance {
+  1: string instance
+  2: i64 age_ms
+}
+
+// Where another entry can be reached.
+struct KnownPeer {
+  1: string entry
+  2: string zone
+  3: string address
+}
+
+struct Heartbeat {
+  1: string entry
+  2: string zone
+  3: string address
+  4: i64 incarnation
+  5: i64 sequence
+  6: i64 head
+  7: i32 queued
+  8: i32 busy_slots
+  9: i32 free_slots
+  10: bool stopping
+  11: list<LeavingInstance> leaving
+  12: list<KnownPeer> known
+}
+
+// Asks for the rows of the view that tickets above this number wrote.
+struct ViewRequest {
+  1: i64 since
+}
+
+struct ViewRow {
+  1: string key
+  2: i64 version
+  3: string writer
+  4: string value
+}
+
+struct ViewAnswer {
+  1: i64 since
+  2: i64 head
+  3: list<ViewRow> rows
+}
+
+// Exactly one field is set.
+struct Message {
+  1: optional Heartbeat heartbeat
+  2: optional ViewRequest view_request
+  3: optional ViewAnswer view_answer
+}
