--- /dev/null
+++ b/src/cli/job-commands.cc
@@ -0,0 +1,198 @@
+// Commands on jobs.
+#include "cli/command.h"
+#include "cli/errors.h"
+#include "cli/flags.h"
+
+#include <QJsonDocument>
+
+#include <algorithm>
+#include <iostream>
+#include <limits>
+
+namespace heathercross::cli {
+
+namespace {
+
+const Columns JobColumns{"id", "state"};
+constexpr std::size_t Many = std::numeric_limits<std::size_t>::max();
+constexpr std::size_t CancelBatch = 200;
+
+QString text(const std::string &S) { return QString::fromStdString(S); }
+
+QJsonObject jobFromFlags(const Arguments &A) {
+  return {{"id", text(A[0])},
+          {"pool", text(A[1])},
+          {"work_ms", static_cast<qint64>(FLAGS_work_ms)},
+          {"cores", static_cast<qint64>(FLAGS_cores)},
+          {"memory_mb", static_cast<qint64>(FLAGS_memory_mb)}};
+}
+
+QJsonObject jobFromLine(const std::string &Line) {
+  const auto Job = QJsonDocument::fromJson(QByteArray::fromStdString(Line));
+  if (!Job.isObject())
+    raise(UsageError("not a JSON object: " + Line));
+  return Job.object();
+}
+
+std::vector<QJsonObject> jobsToSubmit(const Arguments &A) {
+  if (A.size() == 2)
+    return {jobFromFlags(A)};
+  if (A[0] != "-")
+    raise(UsageError("job submit takes ID POOL, or - for JSON lines"));
+  std::vector<QJsonObject> Jobs;
+  for (const std::string &Line : wordsOrInput(A))
+    Jobs.push_back(jobFromLine(Line));
+  return Jobs;
+}
+
+QJsonValue idOf(const std::string &Id) { return text(Id); }
+QJsonValue idOf(const QJsonObject &Job) { return Job["id"]; }
+
+/// The row of an item whose call failed.
+QJsonObject failureRow(const QJsonValue &Id, const CallFailed &E) {
+  return {
+      {"id", Id}, {"state", "-"}, {"error", E.code()}, {"message", E.what()}};
+}
+
+/// Asks once for each item and prints one row each; an item that failed has
+/// its failure as its row. The worst end counts.
+template <class Item, class Ask>
+ExitCode printEach(Session &S, const std::vector<Item> &Items, Ask A) {
+  ExitCode Worst = ExitCode::Done;
+  QJsonArray Rows;
+  for (const Item &I : Items) {
+    try {
+      Rows.append(A(I));
+    } catch (const CallFailed &E) {
+      Worst = worse(Worst, E.exitCode());
+      Rows.append(failureRow(idOf(I), E));
+    }
+  }
+  S.printRows("jobs", Rows, JobColumns);
+  return Worst;
+}
+
+ExitCode submit(Session &S, const Arguments &A) {
+  return printEach(S, jobsToSubmit(A), [&](const QJsonObject &Job) {
+    return S.post("/v1/jobs", Job);
+  });
+}
+
+ExitCode status(Session &S, const Arguments &A) {
+  return printEach(S, wordsOrInput(A), [&](const std::string &Id) {
+    return S.get("/v1/jobs/" + pathPart(Id));
+  });
+}
+
+ExitCode list(Session &S, const Arguments &) {
+  const std::string Query =
+      FLAGS_state.empty() ? "" : "?state=" + pathPart(FLAGS_state);
+  S.printRows("jobs", arrayAt(S.get("/v1/jobs" + Query), "jobs"), JobColumns);
+  return ExitCode::Done;
+}
+
+QByteArray resultOf(Session &S, const std::string &Id) {
+  return S.getRaw("/v1/jobs/" + pathPart(Id) + "/result");
+}
+
+ExitCode result(Session &S, const Arguments &A) {
+  const auto Ids = wordsOrInput(A);
+  if (Ids.size() == 1 && !S.options().Json_) {
+    std::cout << resultOf(S, Ids[0]).toStdString();
+    return ExitCode::Done;
+  }
+  return printEach(S, Ids, [&](const std::string &Id) {
+    return QJsonObject{{"id", text(Id)},
+                       {"state", "done"},
+                       {"result", QString::fromUtf8(resultOf(S, Id))}};
+  });
+}
+
+using IdBatch = std::span<const std::string>;
+
+std::vector<IdBatch> batchesOf(IdBatch Ids) {
+  std::vector<IdBatch> Batches;
+  for (; !Ids.empty(); Ids = Ids.subspan(Batches.back().size()))
+    Batches.push_back(Ids.first(std::min(CancelBatch, Ids.size())));
+  return Batches;
+}
+
+/// Cancels some jobs with one call and adds a row for each.
+ExitCode cancelBatch(Session &S, IdBatch Ids, QJsonArray &Rows) {
+  QJsonArray Names;
+  std::ranges::transform(Ids, std::back_inserter(Names), text);
+  try {
+    const QJsonObject States = S.post("/v1/jobs/cancel", {{"ids", Names}});
+    for (auto I = States.begin(); I != States.end(); ++I)
+      Rows.append(QJsonObject{{"id", I.key()}, {"state", I.value()}});
+    return ExitCode::Done;
+  } catch (const CallFailed &E) {
+    for (const auto &Id : Names)
+      Rows.append(failureRow(Id, E));
+    return E.exitCode();
+  }
+}
+
+ExitCode cancel(Session &S, const Arguments &A) {
+  const auto Ids = wordsOrInput(A);
+  ExitCode Worst = ExitCode::Done;
+  QJsonArray Rows;
+  for (const IdBatch Batch : batchesOf(Ids))
+    Worst = worse(Worst, cancelBatch(S, Batch, Rows));
+  S.printRows("jobs", Rows, JobColumns);
+  return Worst;
+}
+
+} // namespace
+
+CommandList jobCommands() {
+  return {
+      {"job",
+       "submit",
+       "ID POOL|-",
+       1,
+       2,
+       "Submits a job, or with - one for each JSON line of the input.",
+       "heathercross job submit relay-7 sweeps --work-ms 600000 --cores 4",
+       {"work_ms", "cores", "memory_mb"},
+       submit},
+      {"job",
+       "status",
+       "ID...|-",
+       1,
+       Many,
+       "Shows the states of jobs.",
+       "heathercross job status relay-7 relay-8",
+       {},
+       status},
+      {"job",
+       "list",
+       "",
+       0,
+       0,
+       "Lists the team's jobs.",
+       "heathercross job list --state running",
+       {"state"},
+       list},
+      {"job",
+       "result",
+       "ID...|-",
+       1,
+       Many,
+       "Prints the results of jobs.",
+       "heathercross job result relay-7 > relay-7.out",
+       {},
+       result},
+      {"job",
+       "cancel",
+       "ID...|-",
+       1,
+       Many,
+       "Cancels jobs, many at once.",
+       "heathercross job cancel - < ids.txt",
+       {},
+       cancel},
+  };
+}
+
+} // namespace heathercross::cli
--- /dev/null
+++ b/src/cli/wave-commands.cc
@@ -0,0 +1,128 @@
+// Commands on maintenance waves. All changes go by ticket.
+#include "cli/command.h"
+#include "cli/draft.h"
+#include "cli/errors.h"
+#include "cli/flags.h"
+
+namespace heathercross::cli {
+
+namespace {
+
+const Columns WaveColumns{"name", "pool", "mode"};
+
+ExitCode list(Session &S, const Arguments &) {
+  S.printRows("waves", arrayAt(S.get("/v1/view"), "waves"), WaveColumns);
+  return ExitCode::Done;
+}
+
+/// Whether the report is of the wave that was asked for.
+bool isWanted(const QJsonValue &Report, const Arguments &A) {
+  return A.empty() || nameOf("wave", Report.toObject()) == A[0];
+}
+
+ExitCode status(Session &S, const Arguments &A) {
+  QJsonArray Rows;
+  for (const auto &Report : arrayAt(S.get("/v1/waves"), "waves"))
+    if (isWanted(Report, A))
+      Rows.append(Report);
+  if (Rows.isEmpty() && !A.empty())
+    raise(CallFailed(ExitCode::Refused, "no-such-wave",
+                     "no wave is named " + A[0]));
+  S.printRows("waves", Rows, WaveColumns);
+  return ExitCode::Done;
+}
+
+ExitCode create(Session &S, const Arguments &A) {
+  const QJsonObject Wave{
+      {"name", QString::fromStdString(A[0])},
+      {"pool", QString::fromStdString(A[1])},
+      {"mode", "running"},
+      {"drain_limit_ms", static_cast<qint64>(FLAGS_drain_limit_ms)}};
+  return submitChange(S, CurrentView(S), "wave", Wave);
+}
+
+/// Submits the wave as it is, with another mode.
+ExitCode changeMode(Session &S, const Arguments &A, const char *Mode) {
+  const CurrentView View(S);
+  QJsonObject Wave = View.find("wave", A[0]);
+  if (Wave.isEmpty())
+    raise(CallFailed(ExitCode::Refused, "no-such-wave",
+                     "no wave is named " + A[0]));
+  Wave["mode"] = Mode;
+  return submitChange(S, View, "wave", Wave);
+}
+
+ExitCode pause(Session &S, const Arguments &A) {
+  return changeMode(S, A, "paused");
+}
+
+ExitCode resume(Session &S, const Arguments &A) {
+  return changeMode(S, A, "running");
+}
+
+ExitCode abort(Session &S, const Arguments &A) {
+  return changeMode(S, A, "aborted");
+}
+
+} // namespace
+
+CommandList waveCommands() {
+  return {
+      {"wave",
+       "list",
+       "",
+       0,
+       0,
+       "Lists the waves of the view in force.",
+       "heathercross wave list",
+       {},
+       list},
+      {"wave",
+       "status",
+       "[NAME]",
+       0,
+       1,
+       "Shows how far waves have come.",
+       "heathercross wave status kernel-6-12",
+       {},
+       status},
+      {"wave",
+       "create",
+       "NAME POOL",
+       2,
+       2,
+       "Submits a ticket for a wave over a pool.",
+       "heathercross wave create kernel-6-12 quotes --ticket 13",
+       {"ticket", "drain_limit_ms"},
+       create},
+      {"wave",
+       "pause",
+       "NAME",
+       1,
+       1,
+       "Submits a ticket that pauses a wave.",
+       "heathercross wave pause kernel-6-12",
+       {"ticket"},
+       pause},
+      {"wave",
+       "resume",
+       "NAME",
+       1,
+       1,
+       "Submits a ticket that resumes a wave.",
+       "heathercross wave resume kernel-6-12",
+       {"ticket"},
+       resume},
+      {"wave",
+       "abort",
+       "NAME",
+       1,
+       1,
+       "Submits a ticket that aborts a wave.",
+       "heathercross wave abort kernel-6-12",
+       {"ticket"},
+       abort},
+  };
+}
+
+} // namespace heathercross::cli
