Peers: heartbeats, view rows from peers, simulated cuts

Cause: entries didn't know of each other; a fresh one was not ready while the platform was away. Change: signed datagrams and streams carry the membership's heartbeats, the view's rows and the instances' rows; a switch file simulates cuts.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -2,13 +2,16 @@
 #include "daemon/daemon.h"
 
 #include "access/access.h"
+#include "access/secret-file.h"
 #include "daemon/api.h"
 #include "daemon/clock.h"
 #include "daemon/control-service.h"
+#include "daemon/cut-switch.h"
 #include "daemon/error-response.h"
 #include "daemon/fleet-feed.h"
 #include "daemon/history.h"
 #include "daemon/metrics.h"
+#include "daemon/peer-service.h"
 #include "daemon/request-service.h"
 #include "daemon/ticket-service.h"
 #include "daemon/view-service.h"
@@ -24,8 +27,10 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <iterator>
 #include <random>
 
 namespace heathercross::daemon {
@@ -86,6 +91,17 @@
           S.Committee_.Chair_};
 }
 
+PeerConfig peerConfig(const settings::Settings &S, std::uint64_t Incarnation) {
+  PeerConfig C;
+  C.Self_ = {S.Entry_.Id_, S.Entry_.Zone_, S.Peer_.Listen_.str(), Incarnation};
+  std::ranges::transform(S.Peer_.Peers_, std::back_inserter(C.Seeds_),
+                         &settings::Endpoint::str);
+  C.Seed_ = seedOf(S);
+  C.Membership_.Interval_ = S.Peer_.Heartbeat_;
+  C.Membership_.ZoneFanOut_ = S.Peer_.Fanout_;
+  return C;
+}
+
 /// The ticket number in a path. Throws FormatError.
 TicketNumber ticketNumber(const std::string &Text) {
   std::uint64_t Value = 0;
@@ -137,6 +153,13 @@
   auto &Feed = Kernel_.find<FleetFeed>("fleet");
   Kernel_.add<ControlService>("control", controlConfig(S, Incarnation), C, H, M,
                               Platform, Workers, Feed);
+  auto &Peers = Kernel_.add<PeerService>(
+      "peers", peerConfig(S, Incarnation),
+      peer::PeerKey(access::readSecretFile(S.Peer_.KeyFile_)), C, M, ViewKeeper,
+      Feed);
+  Kernel_.add<CutSwitch>(
+      "cut", S.Cut_.SwitchFile_,
+      [this](const std::set<std::string> &Cut) { applyCut(Cut); });
   Kernel_.add<Api>("api", A, M);
   connectServices();
   addRoutes();
@@ -149,6 +172,8 @@
       });
   Server.listen(QHostAddress(QString::fromStdString(S.Entry_.Listen_.Host_)),
                 S.Entry_.Listen_.Port_);
+  Peers.listen(QHostAddress(QString::fromStdString(S.Peer_.Listen_.Host_)),
+               S.Peer_.Listen_.Port_);
   H.write("start", Name, {{"zone", S.Entry_.Zone_.str().c_str()}});
   LOG(INFO) << "event=start entry=" << Name << " zone=" << S.Entry_.Zone_.str()
             << " listen=" << S.Entry_.Listen_.str();
@@ -166,9 +191,22 @@
   Requests.onReport([&Feed](const request::WorkerReport &R) { Feed.heard(R); });
   auto &ViewKeeper = Kernel_.find<ViewService>("view");
   ViewKeeper.onChange([&Feed] { Feed.publishSoon(); });
+  auto &Peers = Kernel_.find<PeerService>("peers");
+  auto &Control = Kernel_.find<ControlService>("control");
+  Peers.onEntries([&] {
+    Feed.setZoneEntries(Peers.zoneEntries());
+    Control.setEntries(Peers.liveEntries());
+  });
   ViewKeeper.start();
   Feed.start();
-  Kernel_.find<ControlService>("control").start();
+  Control.start();
+}
+
+void Daemon::applyCut(const std::set<std::string> &Cut) {
+  Kernel_.find<platform::Client>("platform")
+      .setCut(Cut.contains(Settings_.Platform_.Address_.str()));
+  Kernel_.find<WorkerClient>("workers").setCut({Cut.begin(), Cut.end()});
+  Kernel_.find<PeerService>("peers").setCut(Cut);
 }
 
 bool Daemon::ready() const {
@@ -267,6 +305,7 @@
   Kernel_.find<History>("history").write("stop-began",
                                          Settings_.Entry_.Id_.str());
   Kernel_.find<ControlService>("control").stop();
+  Kernel_.find<PeerService>("peers").beginStop();
   // Keep serving until the balancer has had time to see "not ready".
   QTimer::singleShot(Settings_.Entry_.StopGrace_, this,
                      [this] { watchDrain(); });
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -8,6 +8,7 @@
 #include <QObject>
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace heathercross::daemon {
@@ -29,6 +30,7 @@
   void connectServices();
   void addRoutes();
   void addTicketRoutes();
+  void applyCut(const std::set<std::string> &Cut);
   void watchDrain();
   void exitNow(const char *How, std::size_t Cut);
   void sampleMetrics();
--- a/src/daemon/fleet-feed.cc
+++ b/src/daemon/fleet-feed.cc
@@ -113,6 +113,12 @@
   }
 }
 
+void FleetFeed::takeFromPeer(const std::vector<Row> &Rows) {
+  takeRows(Rows);
+  InstancesRead_ = InstancesRead_ || !Rows.empty();
+  publishSoon();
+}
+
 void FleetFeed::takeRow(fleet::InstanceRecord Record) {
   const InstanceId Name = Record.Row_.Name_;
   const auto Known = Instances_.find(Name);
--- a/src/daemon/fleet-feed.h
+++ b/src/daemon/fleet-feed.h
@@ -71,6 +71,9 @@
   /// Takes instances' rows, from the table or from a peer. Older versions than
   /// those that are known change nothing.
   void takeRows(const std::vector<Row> &Rows);
+  /// Takes the rows that a peer holds; they make a fresh entry ready while the
+  /// platform is away.
+  void takeFromPeer(const std::vector<Row> &Rows);
   /// Builds the fleet anew for those who follow it.
   void publishSoon();
 
--- /dev/null
+++ b/src/daemon/peer-service.cc
@@ -0,0 +1,276 @@
+// Datagrams and streams between entry instances.
+#include "daemon/peer-service.h"
+
+#include "fleet/rows.h"
+#include "http/http-server.h"
+#include "settings/endpoint.h"
+
+#include <QNetworkDatagram>
+#include <QtEndian>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace heathercross::daemon {
+
+namespace {
+
+constexpr int TickMs = 100;
+constexpr int StreamTimeoutMs = 2000;
+constexpr int MaxStreams = 16;
+constexpr qsizetype LengthBytes = 4;
+constexpr const char *InstancePrefix = "instance/";
+
+std::string_view viewOf(const QByteArray &B) {
+  return {B.constData(), static_cast<std::size_t>(B.size())};
+}
+
+/// A frame: the length of the message, then the message.
+QByteArray framed(const std::string &Message) {
+  QByteArray Frame(LengthBytes, '\0');
+  qToBigEndian(static_cast<quint32>(Message.size()), Frame.data());
+  return Frame + QByteArray::fromStdString(Message);
+}
+
+/// Takes the message out of a buffer that holds one whole frame.
+std::optional<QByteArray> unframed(const QByteArray &Buffer) {
+  if (Buffer.size() < LengthBytes)
+    return std::nullopt;
+  const auto Length = qFromBigEndian<quint32>(Buffer.constData());
+  if (Length > peer::MaxFrame.Count_)
+    raise(peer::Oversized(Bytes{Length}, peer::MaxFrame));
+  if (Buffer.size() < LengthBytes + static_cast<qsizetype>(Length))
+    return std::nullopt;
+  return Buffer.mid(LengthBytes, static_cast<qsizetype>(Length));
+}
+
+/// Ends a stream that takes too long; the socket frees itself.
+void bound(QTcpSocket *Socket) {
+  QTimer::singleShot(StreamTimeoutMs, Socket, [Socket] { Socket->abort(); });
+  QObject::connect(Socket, &QTcpSocket::disconnected, Socket,
+                   &QObject::deleteLater);
+}
+
+bool isInstanceRow(const Row &R) { return R.Key_.starts_with(InstancePrefix); }
+
+} // namespace
+
+PeerService::PeerService(PeerConfig Config, peer::PeerKey Key, Clock &C,
+                         Metrics &M, ViewService &View, FleetFeed &Feed)
+    : Config_(std::move(Config)), Key_(std::move(Key)), Clock_(C), Metrics_(M),
+      View_(View), Feed_(Feed), Members_(C.now(), Config_.Self_, Config_.Seeds_,
+                                         Config_.Seed_, Config_.Membership_) {
+  connect(&Udp_, &QUdpSocket::readyRead, this, [this] { readDatagrams(); });
+  connect(&Streams_, &QTcpServer::newConnection, this, [this] { accept(); });
+  connect(&Tick_, &QTimer::timeout, this, [this] { tick(); });
+  View_.setAskPeer([this](const EntryId &Peer, TicketNumber Since,
+                          ViewService::PeerAnswer Done) {
+    ask(Peer, Since, std::move(Done));
+  });
+}
+
+void PeerService::listen(const QHostAddress &Address, std::uint16_t Port) {
+  const bool Bound = Udp_.bind(Address, Port) && Streams_.listen(Address, Port);
+  if (!Bound)
+    raise(http::ListenFailed(
+        (Address.toString() + ":" + QString::number(Port)).toStdString(),
+        Udp_.errorString().toStdString()));
+  Tick_.start(TickMs);
+}
+
+void PeerService::setLoad(std::uint32_t Queued, Slots Busy, Slots Free) {
+  Own_.Queued_ = Queued;
+  Own_.Busy_ = Busy;
+  Own_.Free_ = Free;
+}
+
+void PeerService::beginStop() { send(Members_.stop(Clock_.now())); }
+
+std::vector<EntryId> PeerService::zoneEntries() const {
+  return Members_.zoneEntries(Clock_.now());
+}
+
+std::vector<EntryId> PeerService::liveEntries() const {
+  return Members_.liveEntries(Clock_.now());
+}
+
+void PeerService::tick() {
+  const Instant Now = Clock_.now();
+  Own_.Head_ = View_.view().Head_;
+  Members_.setOwnState(Own_);
+  spreadLeaving();
+  send(Members_.tick(Now));
+  for (const peer::PeerStatus &P : Members_.peers(Now)) {
+    if (P.Health_ == peer::Health::Live)
+      View_.peerSeen(P.Entry_, P.Last_.Head_);
+    if (P.Health_ == peer::Health::Gone)
+      View_.peerGone(P.Entry_);
+  }
+  std::vector<EntryId> Live = liveEntries();
+  if (Live == LastLive_)
+    return;
+  LOG(INFO) << "event=entries live=" << Live.size();
+  LastLive_ = std::move(Live);
+  if (OnEntries_)
+    OnEntries_();
+}
+
+void PeerService::spreadLeaving() {
+  const Instant Now = Clock_.now();
+  const std::vector<InstanceId> Known = Members_.leaving(Now);
+  for (const InstanceId &I : Known)
+    Feed_.markLeaving(I, "peer");
+  for (const InstanceId &I : Feed_.leaving())
+    if (std::ranges::find(Known, I) == Known.end())
+      Members_.sawLeaving(Now, I);
+}
+
+void PeerService::send(const std::vector<peer::Outgoing> &All) {
+  for (const peer::Outgoing &O : All) {
+    const auto To = settings::parseEndpoint(O.Address_);
+    if (!To || Cut_.contains(O.Address_))
+      continue;
+    const std::string Message =
+        peer::encode(O.Heartbeat_, Key_, peer::MaxDatagram);
+    Udp_.writeDatagram(Message.data(), static_cast<qint64>(Message.size()),
+                       QHostAddress(QString::fromStdString(To->Host_)),
+                       To->Port_);
+    Bytes_ += Message.size();
+  }
+}
+
+void PeerService::readDatagrams() {
+  while (Udp_.hasPendingDatagrams()) {
+    const QByteArray Data =
+        Udp_.receiveDatagram(static_cast<qint64>(peer::MaxDatagram.Count_) + 1)
+            .data();
+    Bytes_ += static_cast<std::uint64_t>(Data.size());
+    try {
+      const peer::Message M =
+          peer::decode(viewOf(Data), Key_, peer::MaxDatagram);
+      if (const auto *H = std::get_if<peer::Heartbeat>(&M))
+        take(*H);
+    } catch (const Error &E) {
+      Metrics_.add("heathercross_peer_messages_refused_total",
+                   "Messages of peers that were unsigned or malformed.");
+      LOG_EVERY_N(WARNING, 100) << "event=peer-refused code=" << E.code();
+    }
+  }
+}
+
+void PeerService::take(const peer::Heartbeat &H) {
+  if (Cut_.contains(H.Address_))
+    return;
+  if (Members_.on(Clock_.now(), H) == peer::Received::News)
+    View_.peerSeen(H.Entry_, H.Head_);
+}
+
+// Streams.
+
+void PeerService::accept() {
+  while (QTcpSocket *Socket = Streams_.nextPendingConnection()) {
+    Socket->setReadBufferSize(LengthBytes + 1024);
+    bound(Socket);
+    if (Streams_.findChildren<QTcpSocket *>().size() > MaxStreams) {
+      Socket->abort();
+      continue;
+    }
+    connect(Socket, &QTcpSocket::readyRead, this,
+            [this, Socket] { serve(Socket); });
+  }
+}
+
+void PeerService::serve(QTcpSocket *Socket) {
+  try {
+    const auto Message = unframed(Socket->peek(LengthBytes + 1024));
+    if (!Message)
+      return;
+    Socket->readAll();
+    const peer::Message M =
+        peer::decode(viewOf(*Message), Key_, peer::MaxFrame);
+    if (const auto *R = std::get_if<peer::ViewRequest>(&M))
+      Socket->write(answerTo(*R));
+    Socket->disconnectFromHost();
+  } catch (const Error &E) {
+    Metrics_.add("heathercross_peer_messages_refused_total",
+                 "Messages of peers that were unsigned or malformed.");
+    Socket->abort();
+  }
+}
+
+QByteArray PeerService::answerTo(const peer::ViewRequest &R) {
+  peer::ViewAnswer A;
+  if (View_.store().known()) {
+    const view::ViewChanges Changes = View_.store().changesSince(R.Since_);
+    A = {Changes.Since_, Changes.Head_, Changes.Rows_};
+  }
+  for (const auto &[Name, Record] : Feed_.instances())
+    A.Rows_.push_back({fleet::instanceKey(Name), Record.Version_, AttemptId(),
+                       fleet::encode(Record.Row_)});
+  const std::string Message = peer::encode(A, Key_, peer::MaxFrame);
+  Bytes_ += Message.size();
+  return framed(Message);
+}
+
+std::string PeerService::addressOf(const EntryId &Peer) const {
+  const auto All = Members_.peers(Clock_.now());
+  const auto It = std::ranges::find(All, Peer, &peer::PeerStatus::Entry_);
+  return It == All.end() ? std::string() : It->Address_;
+}
+
+void PeerService::ask(const EntryId &Peer, TicketNumber Since,
+                      ViewService::PeerAnswer Done) {
+  const std::string Address = addressOf(Peer);
+  const auto To = settings::parseEndpoint(Address);
+  if (!To || Cut_.contains(Address))
+    return QTimer::singleShot(0, [Done] { Done(std::nullopt); });
+  auto *Socket = new QTcpSocket(this);
+  auto Answered = std::make_shared<bool>(false);
+  connect(Socket, &QTcpSocket::connected, this, [this, Socket, Since] {
+    Socket->write(
+        framed(peer::encode(peer::ViewRequest{Since}, Key_, peer::MaxFrame)));
+  });
+  connect(Socket, &QTcpSocket::readyRead, this, [this, Socket, Answered, Done] {
+    try {
+      const auto Message = unframed(Socket->peek(
+          LengthBytes + static_cast<qint64>(peer::MaxFrame.Count_)));
+      if (!Message || *Answered)
+        return;
+      Bytes_ += static_cast<std::uint64_t>(Message->size());
+      const peer::Message M =
+          peer::decode(viewOf(*Message), Key_, peer::MaxFrame);
+      *Answered = true;
+      if (const auto *A = std::get_if<peer::ViewAnswer>(&M))
+        takeAnswer(*A, Done);
+      else
+        Done(std::nullopt);
+    } catch (const Error &E) {
+      LOG(WARNING) << "event=peer-refused code=" << E.code();
+    }
+    Socket->abort();
+  });
+  connect(Socket, &QTcpSocket::stateChanged, this,
+          [Answered, Done](QAbstractSocket::SocketState State) {
+            if (State != QAbstractSocket::UnconnectedState || *Answered)
+              return;
+            *Answered = true;
+            Done(std::nullopt);
+          });
+  bound(Socket);
+  Socket->connectToHost(QHostAddress(QString::fromStdString(To->Host_)),
+                        To->Port_);
+}
+
+void PeerService::takeAnswer(const peer::ViewAnswer &A,
+                             const ViewService::PeerAnswer &Done) {
+  view::ViewChanges Changes{A.Since_, A.Head_, {}};
+  std::vector<Row> Instances;
+  std::ranges::partition_copy(A.Rows_, std::back_inserter(Instances),
+                              std::back_inserter(Changes.Rows_), isInstanceRow);
+  Feed_.takeFromPeer(Instances);
+  Done(std::move(Changes));
+}
+
+} // namespace heathercross::daemon
