--- a/src/request/dispatcher-tries.cc
+++ b/src/request/dispatcher-tries.cc
@@ -21,8 +21,7 @@
     return true;
   }
   if (E.Result_ == TryResult::Answered)
-    P.RunTime_.observe(Info.Declared_,
-                       E.Took_.count() > 0 ? E.Took_ : Now_ - Info.SentAt_);
+    P.RunTime_.observe(Info.Declared_, Now_ - Info.SentAt_);
   const OpenRequest *R = find(E.Request_);
   const bool CallersDoing = R && R->CallerLeft_;
   if (!CallersDoing)
--- a/src/request/dispatcher.cc
+++ b/src/request/dispatcher.cc
@@ -122,8 +122,11 @@
 }
 
 bool Dispatcher::tooLate(OpenRequest &R) {
-  RunTimeEstimate &RunTime = poolOf(R).RunTime_;
-  R.Work_ = RunTime.expected(R.Spec_.DeclaredWork_);
+  PoolState &P = poolOf(R);
+  RunTimeEstimate &RunTime = P.RunTime_;
+  const Millis Declared = R.Spec_.DeclaredWork_;
+  const bool Contended = P.Queue_.size() > 1;
+  R.Work_ = Contended ? RunTime.cautious(Declared) : RunTime.expected(Declared);
   if (Now_ + R.Work_ < R.Spec_.Deadline_)
     return false;
   RunTime.refused();
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -120,6 +120,8 @@
   bool makeRoom(const Waiting &W, PoolState &P);
   bool joinsLeader(OpenRequest &R);
   Waiting waiting(const OpenRequest &R) const;
+  /// Whether the window can't be met any more. While others wait for the slot
+  /// it isn't given to a request that may well come too late.
   bool tooLate(OpenRequest &R);
   void enqueue(OpenRequest &R);
   void park(OpenRequest &R);
--- a/src/request/run-time-estimate.cc
+++ b/src/request/run-time-estimate.cc
@@ -15,6 +15,8 @@
 constexpr double DeclaredError = 4.0;
 /// What a refusal takes off the estimate.
 constexpr double RefusalFactor = 0.98;
+/// Time for a request to reach the worker and its answer to come back late.
+constexpr Micros CautionMargin{2000};
 constexpr double MicrosPerMilli = 1000.0;
 
 double declaredMicros(Millis Declared) {
@@ -60,6 +62,14 @@
   return micros(std::clamp(Corrected, Low_.value(), Highest));
 }
 
+Micros RunTimeEstimate::cautious(Millis Declared) const {
+  const Micros Expected = expected(Declared);
+  if (Samples_ < EnoughSamples)
+    return Expected;
+  return std::clamp(micros(High_.value()), Expected, 2 * Expected) +
+         CautionMargin;
+}
+
 void RunTimeEstimate::refused() {
   Low_.scale(RefusalFactor);
   Middle_.scale(RefusalFactor);
--- a/src/request/run-time-estimate.h
+++ b/src/request/run-time-estimate.h
@@ -34,6 +34,10 @@
   /// The expected run time.
   Micros expected(Millis Declared) const;
 
+  /// The run time that the request will seldom exceed, for decisions in which
+  /// a wrong guess wastes a slot.
+  Micros cautious(Millis Declared) const;
+
   /// A request was refused because of the estimate. Lowers the estimate a
   /// little, so that refusals can't keep a wrong estimate alive forever.
   void refused();
--- a/src/request/slot-share.cc
+++ b/src/request/slot-share.cc
@@ -14,6 +14,10 @@
 /// this entry: one request at a time finds out.
 constexpr Rank LastResort = 1'000'000;
 
+/// Free slots that a report has to show beyond the one that is borrowed: the
+/// report is old by the time, and the owners use their slots without asking.
+constexpr std::uint32_t LeftToOwners = 1;
+
 std::uint32_t usable(const WorkerState &W, const Ask &A) {
   return partOf(W.Total_, std::min(A.Most_, 1 - A.Reserve_));
 }
@@ -79,7 +83,7 @@
       W.InFlight_ < W.Share_ && W.InFlight_ < Limit && Load < Limit;
   if (InShare)
     return Load;
-  if (Fresh && Load < Limit)
+  if (Fresh && Load + LeftToOwners < Limit)
     return Borrowed + Load;
   if (!Fresh && W.Share_ == 0 && W.InFlight_ == 0)
     return LastResort;
