--- a/test/cli/cli-test.cc
+++ b/test/cli/cli-test.cc
@@ -4,6 +4,7 @@
 
 #include <QCoreApplication>
 #include <QEventLoop>
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QProcess>
@@ -13,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <sstream>
 
 using namespace heathercross::standin;
 using heathercross::test::section;
@@ -33,7 +35,7 @@
 class FakeEntry {
 public:
   FakeEntry()
-      : Server_([this](const HttpRequest &R, Responder Answer) {
+      : Server_([this](const HttpRequest &R, const Responder &Answer) {
           Requests_.push_back(R);
           const auto I = Answers_.find(R.Method_ + " " + R.Path_);
           Answer(I == Answers_.end() ? jsonResponse("{}", 404) : I->second);
@@ -213,6 +215,30 @@
   });
 }
 
+HEATHERCROSS_STORY(CliCompletion, "completion knows every command and flag") {
+  startQt();
+  const auto File = std::filesystem::path(__FILE__).parent_path() /
+                    "../../support/completion";
+  std::ifstream Input(File);
+  const std::string Script(std::istreambuf_iterator<char>(Input), {});
+  std::istringstream Help(run({"--help"}).Output_);
+  int Commands = 0;
+  for (std::string Line; std::getline(Help, Line);) {
+    if (!Line.starts_with("  "))
+      continue;
+    std::istringstream Words(Line);
+    std::string Group;
+    std::string Verb;
+    Words >> Group >> Verb;
+    const bool HasVerb = !Verb.empty() && Verb[0] >= 'a' && Verb[0] <= 'z';
+    CPPUNIT_ASSERT_MESSAGE(Line, has(Script, Group));
+    CPPUNIT_ASSERT_MESSAGE(Line, Group.starts_with("--") || !HasVerb ||
+                                     has(Script, Verb));
+    ++Commands;
+  }
+  CPPUNIT_ASSERT(Commands > 20);
+}
+
 HEATHERCROSS_STORY(CliCommands, "what the commands send") {
   startQt();
   FakeEntry E;
