--- /dev/null
+++ b/src/job/placement.cc
@@ -0,0 +1,58 @@
+// Choice of workers for jobs.
+#include "job/placement.h"
+
+#include <algorithm>
+
+namespace heathercross::job {
+
+namespace {
+
+bool hasRoom(const JobWorker &W) {
+  return W.TakesWork_ && !W.Ejected_ && W.Free_.Count_ > 0;
+}
+
+bool mayRun(const JobRow &Job, const JobWorker &W) {
+  const bool FailedThere =
+      std::ranges::find(Job.FailedOn_, W.Worker_) != Job.FailedOn_.end();
+  return hasRoom(W) && !FailedThere && fits(Job.Size_, W.Capacity_);
+}
+
+} // namespace
+
+void Placement::exclude(const InstanceId &Worker) {
+  const auto I = std::ranges::find(Workers_, Worker, &JobWorker::Worker_);
+  if (I != Workers_.end())
+    I->TakesWork_ = false;
+}
+
+void Placement::occupy(const InstanceId &Worker) {
+  const auto I = std::ranges::find(Workers_, Worker, &JobWorker::Worker_);
+  if (I != Workers_.end() && I->Free_.Count_ > 0)
+    --I->Free_.Count_;
+}
+
+bool Placement::anyFree() const {
+  return std::ranges::any_of(Workers_, hasRoom);
+}
+
+double Placement::load(const TeamId &Team) const {
+  const auto R = Running_.find(Team);
+  const auto Q = Quotas_.find(Team);
+  const std::uint32_t Running = R == Running_.end() ? 0 : R->second;
+  const std::uint32_t Weight = Q == Quotas_.end() ? 1 : Q->second.Weight_;
+  return static_cast<double>(Running) / std::max<std::uint32_t>(1, Weight);
+}
+
+std::optional<InstanceId> Placement::choose(const JobRow &Job) {
+  JobWorker *Best = nullptr;
+  for (JobWorker &W : Workers_)
+    if (mayRun(Job, W) && (!Best || W.Free_ > Best->Free_))
+      Best = &W;
+  if (!Best)
+    return std::nullopt;
+  --Best->Free_.Count_;
+  ++Running_[Job.Team_];
+  return Best->Worker_;
+}
+
+} // namespace heathercross::job
