--- a/test/cli/docs-test.cc
+++ b/test/cli/docs-test.cc
@@ -78,8 +78,8 @@
     const std::string Sources = sourcesIn("include") + sourcesIn("src");
     const auto Types =
         matches(read(Root / "docs/GLOSSARY.md"), "`([A-Z][A-Za-z]+)`");
-    const auto Declared = matches(
-        Sources, "(?:struct|class|using) ([A-Z][A-Za-z]+)");
+    const auto Declared =
+        matches(Sources, "(?:struct|class|using) ([A-Z][A-Za-z]+)");
     const auto Enums = matches(Sources, "enum class ([A-Z][A-Za-z]+)");
     std::string All;
     for (const auto &Set : {Declared, Enums})
