Jobs through the daemon: accepted durably, run under the pool's duty

Cause: overnight runs had rows and decisions but no process that ran them. Change: the job service accepts, shows and cancels; the job runner carries out the duty of each held pool, under the pool's lease.

--- a/src/daemon/control-service.cc
+++ b/src/daemon/control-service.cc
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace heathercross::daemon {
 
@@ -89,6 +90,19 @@
   return Held;
 }
 
+std::optional<Expectation> ControlService::guard(const PoolId &Pool) const {
+  const auto It = Leases_.find(Pool);
+  if (It == Leases_.end() || !It->second->held(Clock_.now()))
+    return std::nullopt;
+  return It->second->guard(Clock_.now());
+}
+
+void ControlService::suspect(const InstanceId &Worker) {
+  // Jobs failed here that didn't fail elsewhere.
+  constexpr std::uint32_t DistinctJobs = 3;
+  Evidence_[Worker] = {0, DistinctJobs, DistinctJobs};
+}
+
 // Leases.
 
 bool ControlService::standsBy(const PoolId &Pool) const {
@@ -246,7 +260,7 @@
   S.Instances_ = Feed_.instances();
   S.Workers_ = Feed_.statuses();
   S.Demand_ = Demand_;
-  S.Evidence_ = Evidence_;
+  S.Evidence_ = std::exchange(Evidence_, {});
   const auto Actions = std::visit([&](auto &D) { return D.step(S); }, Duty_);
   Waves_ = std::visit([](auto &D) { return D.report().Waves_; }, Duty_);
   for (const fleet::Action &A : Actions)
--- a/src/daemon/control-service.h
+++ b/src/daemon/control-service.h
@@ -51,11 +51,12 @@
   void setDemand(std::map<PoolId, fleet::PoolDemand> Demand) {
     Demand_ = std::move(Demand);
   }
-  void setEvidence(std::map<InstanceId, fleet::InstanceEvidence> Evidence) {
-    Evidence_ = std::move(Evidence);
-  }
   /// The pools whose duty this entry holds now.
   std::set<PoolId> held() const;
+  /// What each write of a pool's duty must expect; nothing unless held.
+  std::optional<Expectation> guard(const PoolId &Pool) const;
+  /// Notes that too many distinct jobs fail on a worker.
+  void suspect(const InstanceId &Worker);
   const std::vector<fleet::WaveReport> &waves() const { return Waves_; }
   std::string dump() const;
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -10,6 +10,8 @@
 #include "daemon/error-response.h"
 #include "daemon/fleet-feed.h"
 #include "daemon/history.h"
+#include "daemon/job-runner.h"
+#include "daemon/job-service.h"
 #include "daemon/metrics.h"
 #include "daemon/peer-service.h"
 #include "daemon/request-service.h"
@@ -157,6 +159,11 @@
       "peers", peerConfig(S, Incarnation),
       peer::PeerKey(access::readSecretFile(S.Peer_.KeyFile_)), C, M, ViewKeeper,
       Feed);
+  const std::string Run = Name + "-" + std::to_string(Incarnation);
+  auto &Index = Kernel_.add<JobIndex>("job-index", Platform);
+  Kernel_.add<JobService>("jobs", Run, H, Platform, Feed, Index);
+  Kernel_.add<JobRunner>("job-runner", Run, C, H, M, Platform, Workers, Feed,
+                         Kernel_.find<ControlService>("control"), Index);
   Kernel_.add<CutSwitch>(
       "cut", S.Cut_.SwitchFile_,
       [this](const std::set<std::string> &Cut) { applyCut(Cut); });
@@ -164,6 +171,7 @@
   connectServices();
   addRoutes();
   addTicketRoutes();
+  addJobRoutes();
   auto &Api_ = Kernel_.find<Api>("api");
   auto &Server = Kernel_.add<http::Server>(
       "http-server", serverLimits(S),
@@ -200,6 +208,9 @@
   ViewKeeper.start();
   Feed.start();
   Control.start();
+  auto &Runner = Kernel_.find<JobRunner>("job-runner");
+  Runner.start();
+  Kernel_.find<JobService>("jobs").onAccepted([&Runner] { Runner.pollSoon(); });
 }
 
 void Daemon::applyCut(const std::set<std::string> &Cut) {
@@ -274,6 +285,27 @@
         [&Tickets](ApiCall C) { Tickets.list(C.Responder_); });
 }
 
+void Daemon::addJobRoutes() {
+  auto &A = Kernel_.find<Api>("api");
+  auto &Jobs = Kernel_.find<JobService>("jobs");
+  A.add("POST", "/v1/jobs", access::Right::Call, [&Jobs](ApiCall C) {
+    Jobs.submit(C.Request_, C.Responder_, TeamId(C.Caller_.Name_));
+  });
+  A.add("POST", "/v1/jobs/cancel", access::Right::Call, [&Jobs](ApiCall C) {
+    Jobs.cancel(C.Request_, C.Responder_, TeamId(C.Caller_.Name_));
+  });
+  A.add("GET", "/v1/jobs", access::Right::Call, [&Jobs](ApiCall C) {
+    const std::string State = C.Request_.parameter("state").toStdString();
+    Jobs.list(State, C.Responder_, TeamId(C.Caller_.Name_));
+  });
+  A.add("GET", "/v1/jobs/*", access::Right::Call, [&Jobs](ApiCall C) {
+    Jobs.show(JobId(C.Parts_[0]), C.Responder_, TeamId(C.Caller_.Name_));
+  });
+  A.add("GET", "/v1/jobs/*/result", access::Right::Call, [&Jobs](ApiCall C) {
+    Jobs.result(JobId(C.Parts_[0]), C.Responder_, TeamId(C.Caller_.Name_));
+  });
+}
+
 void Daemon::sampleMetrics() {
   auto &M = Kernel_.find<Metrics>("metrics");
   const auto &Requests = Kernel_.find<RequestService>("requests");
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -30,6 +30,7 @@
   void connectServices();
   void addRoutes();
   void addTicketRoutes();
+  void addJobRoutes();
   void applyCut(const std::set<std::string> &Cut);
   void watchDrain();
   void exitNow(const char *How, std::size_t Cut);
--- a/src/daemon/fleet-feed.cc
+++ b/src/daemon/fleet-feed.cc
@@ -20,6 +20,7 @@
 constexpr unsigned ScanLimit = 500;
 constexpr int SoonMs = 30;
 constexpr Millis MaxBackoff{8000};
+constexpr Millis ListInterval{2000};
 constexpr unsigned DefaultSlots = 8;
 
 std::uint64_t weightOf(const std::string &Entry, const std::string &Worker) {
@@ -70,6 +71,7 @@
 
 void FleetFeed::poll() {
   Polling_ = true;
+  readList();
   readInstancesNow([this](bool Answered) {
     Polling_ = false;
     Failures_ = Answered ? 0 : Failures_ + 1;
@@ -81,6 +83,34 @@
   });
 }
 
+void FleetFeed::readList() {
+  const Instant Now = Clock_.now();
+  if (!ListedAt_.time_since_epoch().count() ||
+      Now - ListedAt_ >= ListInterval) {
+    ListedAt_ = Now;
+    Platform_.listInstances([this](const platform::ListResult &R) {
+      for (const ListedInstance &L : R.Instances_) {
+        Sizes_[L.Name_] = {Millis(0), L.Cores_, L.MemoryMb_};
+        if (L.Leaving_)
+          markLeaving(L.Name_, "list");
+      }
+    });
+  }
+}
+
+job::JobSize FleetFeed::sizeOf(const InstanceId &Name) const {
+  const auto It = Sizes_.find(Name);
+  return It == Sizes_.end() ? job::JobSize() : It->second;
+}
+
+std::vector<job::JobSize> FleetFeed::sizesOf(const PoolId &Pool) const {
+  std::vector<job::JobSize> All;
+  for (const auto &[Name, Record] : Instances_)
+    if (Record.Row_.Pool_ == Pool && Sizes_.contains(Name))
+      All.push_back(Sizes_.at(Name));
+  return All;
+}
+
 void FleetFeed::readInstancesNow(std::function<void(bool)> OnDone) {
   Platform_.scan(
       "instance/", InstanceVersion_, ScanLimit,
--- a/src/daemon/fleet-feed.h
+++ b/src/daemon/fleet-feed.h
@@ -7,6 +7,7 @@
 #include "daemon/worker-client.h"
 #include "fleet/model.h"
 #include "heathercross/fleet-model.h"
+#include "job/job-row.h"
 #include "platform/platform-client.h"
 #include "request/events.h"
 
@@ -58,6 +59,11 @@
   }
   const std::set<InstanceId> &leaving() const { return Leaving_; }
 
+  /// Cores and memory of an instance, as listed; zeros while unknown.
+  job::JobSize sizeOf(const InstanceId &Name) const;
+  /// The sizes of a pool's instances that are listed.
+  std::vector<job::JobSize> sizesOf(const PoolId &Pool) const;
+
   /// An instance is leaving, as some source said first.
   void markLeaving(const InstanceId &Worker, const char *Source);
   /// Notes a sign of life that came beside an answer.
@@ -81,6 +87,7 @@
 
 private:
   void poll();
+  void readList();
   void takeInstances(const platform::ScanResult &R);
   void takeRow(fleet::InstanceRecord Record);
   void takeStatus(const InstanceId &Worker, const StatusReply &R);
@@ -103,6 +110,8 @@
   std::map<InstanceId, fleet::WorkerStatus> Statuses_;
   std::map<InstanceId, Instant> HeardAt_;
   std::set<InstanceId> Leaving_;
+  std::map<InstanceId, job::JobSize> Sizes_;
+  Instant ListedAt_;
   std::vector<EntryId> ZoneEntries_;
   std::vector<std::function<void(request::Fleet)>> FleetListeners_;
   std::vector<std::function<void(const request::WorkerReport &)>>
--- /dev/null
+++ b/src/daemon/job-index.cc
@@ -0,0 +1,60 @@
+// The rows of jobs as this entry last read them.
+#include "daemon/job-index.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace heathercross::daemon {
+
+namespace {
+constexpr unsigned PageRows = 200;
+} // namespace
+
+void JobIndex::refresh(Done OnDone) { read({}, std::move(OnDone)); }
+
+void JobIndex::read(std::vector<Row> Have, Done OnDone) {
+  Platform_.scan(std::string(job::JobPrefix), Cursor_, PageRows,
+                 [this, Have = std::move(Have), OnDone = std::move(OnDone)](
+                     const platform::ScanResult &R) mutable {
+                   if (!R.Answered_)
+                     return OnDone(false, Have);
+                   for (const Row &One : R.Rows_)
+                     take(One);
+                   std::ranges::copy(R.Rows_, std::back_inserter(Have));
+                   if (R.More_ && !R.Rows_.empty())
+                     return read(std::move(Have), std::move(OnDone));
+                   OnDone(true, Have);
+                 });
+}
+
+void JobIndex::take(const Row &R) {
+  Cursor_ = std::max(Cursor_, R.Version_);
+  try {
+    const job::JobRow Job = job::decodeJobRow(R.Value_);
+    Entry &E = Jobs_[Job.Job_];
+    E = {Job.Team_, Job.Pool_, Job.State_, {}};
+    if (!job::isFinal(Job.State_))
+      E.Row_ = R;
+  } catch (const FormatError &E) {
+    LOG(ERROR) << "event=bad-row problem=\"" << E.what() << "\"";
+  }
+}
+
+std::vector<Row> JobIndex::activeRows() const {
+  std::vector<Row> Rows;
+  for (const auto &[Id, E] : Jobs_)
+    if (!job::isFinal(E.State_))
+      Rows.push_back(E.Row_);
+  return Rows;
+}
+
+std::uint32_t JobIndex::activeOf(const TeamId &Team) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(Jobs_, [&](const auto &One) {
+        return One.second.Team_ == Team && !job::isFinal(One.second.State_);
+      }));
+}
+
+} // namespace heathercross::daemon
