--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,6 +3,7 @@
 #include "daemon/signals.h"
 
 #include <QCoreApplication>
+#include <QNetworkProxyFactory>
 
 #include <gflags/gflags.h>
 #include <glog/logging.h>
@@ -46,6 +47,8 @@
       return 0;
     startLogs(Argv[0], S.Log_.Level_);
     QCoreApplication App(Argc, Argv);
+    // Addresses are IP numbers; asking for proxies costs a thread.
+    QNetworkProxyFactory::setUseSystemConfiguration(false);
     return run(S, App);
   } catch (const heathercross::settings::SettingsError &E) {
     for (const auto &P : E.problems())
--- a/src/platform/platform-client.cc
+++ b/src/platform/platform-client.cc
@@ -16,6 +16,7 @@
 
 constexpr int StatusOk = 200;
 constexpr int StatusCreated = 201;
+constexpr int StatusNotModified = 304;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
 constexpr int StatusUnavailable = 503;
@@ -178,12 +179,20 @@
 
 void Client::listInstances(const Done<ListResult> &OnDone) {
   ++Counters_.Reads_;
-  send(call("GET", "/instances"), [OnDone](const http::Reply &R) {
-    ListResult Result;
-    Result.Answered_ = answered(R, {StatusOk});
-    std::ranges::transform(objectIn(R)["instances"].toArray(),
-                           std::back_inserter(Result.Instances_), listedIn);
-    OnDone(Result);
+  http::Call C = call("GET", "/instances");
+  if (!ListTag_.empty())
+    C.Headers_.push_back("If-None-Match: " + ListTag_);
+  send(std::move(C), [this, OnDone](const http::Reply &R) {
+    if (answered(R, {StatusOk})) {
+      ListTag_ = R.header("ETag");
+      List_.clear();
+      std::ranges::transform(objectIn(R)["instances"].toArray(),
+                             std::back_inserter(List_), listedIn);
+    }
+    if (answered(R, {StatusOk, StatusNotModified}))
+      OnDone({true, List_});
+    else
+      OnDone({});
   });
 }
 
--- a/src/platform/platform-client.h
+++ b/src/platform/platform-client.h
@@ -74,6 +74,7 @@
   /// The rows under a prefix that were written after a version, oldest first.
   void scan(const std::string &Prefix, RowVersion After, unsigned Limit,
             const Done<ScanResult> &OnDone);
+  /// A conditional read: the list is sent only when it changed.
   void listInstances(const Done<ListResult> &OnDone);
   void putObject(const std::string &Name, const QByteArray &Bytes,
                  const Done<ObjectResult> &OnDone);
@@ -93,6 +94,9 @@
   http::Client &Http_;
   ClientConfig Config_;
   ClientCounters Counters_;
+  /// The list as it was read last, to be used while it hasn't changed.
+  std::string ListTag_;
+  std::vector<ListedInstance> List_;
   bool Answering_ = false;
   bool Cut_ = false;
 };
--- a/test/standin/platform/instance-list.cc
+++ b/test/standin/platform/instance-list.cc
@@ -23,9 +23,14 @@
     if (!Known.contains("state"))
       Known["state"] = "live";
   }
+  ++Revision_;
   Shown_(Instance);
 }
 
+QByteArray InstanceList::etag() const {
+  return "\"" + QByteArray::number(static_cast<quint64>(Revision_)) + "\"";
+}
+
 QByteArray InstanceList::body() const {
   QJsonArray All;
   for (const auto &[Id, Instance] : Visible_)
--- a/test/standin/platform/instance-list.h
+++ b/test/standin/platform/instance-list.h
@@ -6,6 +6,7 @@
 #include <QObject>
 #include <QString>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 
@@ -22,6 +23,8 @@
   void change(const QJsonObject &Instance);
   /// The body of GET /instances.
   QByteArray body() const;
+  /// Changes whenever the body does, for conditional reads.
+  QByteArray etag() const;
 
 private:
   void show(const QJsonObject &Instance);
@@ -29,6 +32,7 @@
   int LagMs_;
   std::function<void(const QJsonObject &)> Shown_;
   std::map<QString, QJsonObject> Visible_;
+  std::uint64_t Revision_ = 0;
 };
 
 } // namespace heathercross::standin
--- a/test/standin/platform/platform.cc
+++ b/test/standin/platform/platform.cc
@@ -107,7 +107,7 @@
   if (Request.Path_.startsWith("/object/"))
     return object(Request);
   if (Request.Path_ == "/instances")
-    return Get ? jsonResponse(Instances_.body()) : changeInstance(Request);
+    return Get ? listInstances(Request) : changeInstance(Request);
   if (Request.Path_ == "/fault")
     return setFault(Request);
   if (Request.Path_ == "/stats")
@@ -115,6 +115,15 @@
   return jsonResponse(R"({"error":"no-such-path"})", 404);
 }
 
+HttpResponse Platform::listInstances(const HttpRequest &Request) const {
+  const QByteArray Tag = Instances_.etag();
+  if (Request.header("If-None-Match") == Tag)
+    return jsonResponse("", 304);
+  HttpResponse Whole = jsonResponse(Instances_.body());
+  Whole.Headers_.emplace_back("ETag", Tag);
+  return Whole;
+}
+
 HttpResponse Platform::commit(const HttpRequest &Request) {
   const Transaction T = transactionOf(objectOf(Request.Body_));
   const CommitResult Result = Table_.commit(T);
--- a/test/standin/platform/platform.h
+++ b/test/standin/platform/platform.h
@@ -34,6 +34,7 @@
 private:
   void handle(const HttpRequest &Request, const Responder &Answer);
   HttpResponse serve(const HttpRequest &Request);
+  HttpResponse listInstances(const HttpRequest &Request) const;
   HttpResponse commit(const HttpRequest &Request);
   HttpResponse row(const HttpRequest &Request);
   HttpResponse scan(const HttpRequest &Request);
