--- a/src/request/dispatcher-tries.cc
+++ b/src/request/dispatcher-tries.cc
@@ -17,7 +17,7 @@
   PoolState &P = Pools_[Info.Pool_];
   P.InFlight_ -= P.InFlight_ != 0;
   if (E.Result_ == TryResult::Refused) {
-    noteRefusal(E);
+    noteRefusal(E, P);
     return true;
   }
   if (E.Result_ == TryResult::Answered)
@@ -29,10 +29,12 @@
   return true;
 }
 
-void Dispatcher::noteRefusal(const TryEnded &E) {
+void Dispatcher::noteRefusal(const TryEnded &E, PoolState &P) {
   ++Counters_.Refusals_;
-  if (E.Refusal_ == Refusal::Full)
+  if (E.Refusal_ == Refusal::Full) {
     Board_.markFull(E.Worker_, Now_);
+    P.Margin_.refused(Now_);
+  }
   if (E.Refusal_ == Refusal::Leaving)
     Board_.markLeaving(E.Worker_);
 }
--- a/src/request/dispatcher.cc
+++ b/src/request/dispatcher.cc
@@ -123,14 +123,11 @@
 
 bool Dispatcher::tooLate(OpenRequest &R) {
   PoolState &P = poolOf(R);
-  RunTimeEstimate &RunTime = P.RunTime_;
+  const RunTimeEstimate &RunTime = P.RunTime_;
   const Millis Declared = R.Spec_.DeclaredWork_;
   const bool Contended = P.Queue_.size() > 1;
   R.Work_ = Contended ? RunTime.cautious(Declared) : RunTime.expected(Declared);
-  if (Now_ + R.Work_ < R.Spec_.Deadline_)
-    return false;
-  RunTime.refused();
-  return true;
+  return Now_ + R.Work_ >= R.Spec_.Deadline_;
 }
 
 std::optional<Reason> Dispatcher::queueRefusal(const OpenRequest &R,
@@ -163,8 +160,10 @@
   PoolState &P = poolOf(R);
   if (!Placement_.anyTakesWork(R.Spec_.Pool_))
     return finishUnserved(R, Reason::NoWorkers);
-  if (tooLate(R))
+  if (tooLate(R)) {
+    P.RunTime_.refused();
     return finishUnserved(R, Reason::WindowTooShort);
+  }
   if (const auto Why = queueRefusal(R, P))
     return finishUnserved(R, *Why);
   if (!makeRoom(waiting(R), P))
@@ -229,6 +228,7 @@
   Rules.Pool_ = R.Spec_.Pool_;
   Rules.Exclude_ = R.LostOn_;
   Rules.Retry_ = R.Tries_ != 0;
+  Rules.BorrowMargin_ = P.Margin_.slots(Now_);
   if (!Config_.Overflow_ || !P.Pool_.MayOverflow_ || P.Pool_.Spare_)
     return Rules;
   std::ranges::copy_if(
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -99,6 +99,7 @@
     Pool Pool_;
     FairQueue Queue_;
     RunTimeEstimate RunTime_;
+    BorrowMargin Margin_;
     std::size_t InFlight_ = 0;
   };
   using ClaimKey = std::pair<TeamId, IdempotencyKey>;
@@ -136,7 +137,7 @@
   void startClaim(OpenRequest &R, const PoolState &P, const Place &At);
 
   bool noteTryEnd(const TryEnded &E);
-  void noteRefusal(const TryEnded &E);
+  void noteRefusal(const TryEnded &E, PoolState &P);
   void noteHealth(const TryEnded &E, const TryInfo &Info);
   void repeatableEnded(OpenRequest &R, const TryEnded &E);
   void placeAgain(OpenRequest &R);
--- a/src/request/placement.cc
+++ b/src/request/placement.cc
@@ -52,6 +52,7 @@
 
 std::optional<Place> Placement::find(const PlaceRules &Rules, Instant Now) {
   Ask Terms{Now, Config_.ReportFresh_};
+  Terms.BorrowMargin_ = Rules.BorrowMargin_;
   const PoolWorkers &Own = Board_.of(Rules.Pool_);
   if (const auto I = search(Own.Near_, Terms, Rules.Exclude_))
     return Place{Board_.at(*I).Name_, PlaceKind::OwnZone};
--- a/src/request/placement.h
+++ b/src/request/placement.h
@@ -31,6 +31,8 @@
   std::span<const InstanceId> Exclude_;
   /// A retry crosses zones only when the own zone has no worker at all.
   bool Retry_ = false;
+  /// Free slots to leave to the owners of borrowed ones.
+  std::uint32_t BorrowMargin_ = 0;
 };
 
 /// Searches the board under the configured policy.
--- a/src/request/run-time-estimate.h
+++ b/src/request/run-time-estimate.h
@@ -38,8 +38,9 @@
   /// a wrong guess wastes a slot.
   Micros cautious(Millis Declared) const;
 
-  /// A request was refused because of the estimate. Lowers the estimate a
-  /// little, so that refusals can't keep a wrong estimate alive forever.
+  /// A request was refused on arrival because of the estimate. Lowers the
+  /// estimate a little, so that refusals can't keep a wrong estimate alive
+  /// forever.
   void refused();
 
   std::uint64_t samples() const { return Samples_; }
--- a/src/request/slot-share.cc
+++ b/src/request/slot-share.cc
@@ -14,15 +14,31 @@
 /// this entry: one request at a time finds out.
 constexpr Rank LastResort = 1'000'000;
 
-/// Free slots that a report has to show beyond the one that is borrowed: the
-/// report is old by the time, and the owners use their slots without asking.
-constexpr std::uint32_t LeftToOwners = 1;
+/// What one refusal adds to the margin, what a second without any takes off
+/// it, and the most that it can be.
+constexpr double MarginPerRefusal = 0.25;
+constexpr double MarginPerSecond = 1.0;
+constexpr double MostMargin = 3.0;
 
 std::uint32_t usable(const WorkerState &W, const Ask &A) {
   return partOf(W.Total_, std::min(A.Most_, 1 - A.Reserve_));
 }
 } // namespace
 
+double BorrowMargin::at(Instant Now) const {
+  const std::chrono::duration<double> Since = Now - LevelAt_;
+  return std::max(0.0, Level_ - Since.count() * MarginPerSecond);
+}
+
+void BorrowMargin::refused(Instant Now) {
+  Level_ = std::min(MostMargin, at(Now) + MarginPerRefusal);
+  LevelAt_ = Now;
+}
+
+std::uint32_t BorrowMargin::slots(Instant Now) const {
+  return static_cast<std::uint32_t>(std::lround(at(Now)));
+}
+
 std::uint64_t stableHash(std::string_view Text) {
   std::uint64_t H = 0xCBF29CE484222325ULL;
   for (const char C : Text)
@@ -83,7 +99,7 @@
       W.InFlight_ < W.Share_ && W.InFlight_ < Limit && Load < Limit;
   if (InShare)
     return Load;
-  if (Fresh && Load + LeftToOwners < Limit)
+  if (Fresh && Load + A.BorrowMargin_ < Limit)
     return Borrowed + Load;
   if (!Fresh && W.Share_ == 0 && W.InFlight_ == 0)
     return LastResort;
--- a/src/request/slot-share.h
+++ b/src/request/slot-share.h
@@ -38,6 +38,25 @@
   double Reserve_ = 0;
   /// The part of each worker that this entry may use at most.
   double Most_ = 1;
+  /// Free slots to leave beyond the one that is borrowed.
+  std::uint32_t BorrowMargin_ = 0;
+};
+
+/// How many free slots, beyond the one that it takes, an entry leaves to the
+/// owners when it uses slots that don't fall to it. Refusals show that entries
+/// get in each other's way and raise it; without refusals it falls, so that
+/// the slots of an entry that is gone don't stay idle.
+class BorrowMargin {
+public:
+  /// A worker refused because it was full.
+  void refused(Instant Now);
+  std::uint32_t slots(Instant Now) const;
+
+private:
+  double at(Instant Now) const;
+
+  double Level_ = 0;
+  Instant LevelAt_{};
 };
 
 /// The part of a worker's slots that the terms leave, at least one unless the
