--- a/src/request/config.h
+++ b/src/request/config.h
@@ -42,6 +42,11 @@
   /// probe.
   Micros AvoidFirst_ = Millis(1000);
   Micros AvoidMost_ = Millis(30'000);
+  /// The first time for which a worker is left alone that couldn't be reached;
+  /// doubles likewise. Callers can't cause it, so it isn't bounded to a part
+  /// of the pool.
+  Micros UnreachableFirst_ = Millis(100);
+  Micros UnreachableMost_ = Millis(2000);
   /// The largest part of a pool that may be avoided at a time.
   double MostOfPool_ = 0.3;
   /// Distinct workers on which a caller has to fail in a row to be taken for
--- a/src/request/dispatcher-tries.cc
+++ b/src/request/dispatcher-tries.cc
@@ -45,6 +45,8 @@
     return;
   if (E.Result_ == TryResult::Answered)
     return Health_.succeeded(*W, Info.Cause_);
+  if (E.Result_ == TryResult::NeverSent)
+    return Health_.unreachable(*W, Now_);
   Counters_.WorkersAvoided_ += Health_.failed(
       *W, Info.Cause_, Now_, Board_.size(W->Pool_), Board_.avoided(W->Pool_));
 }
--- a/src/request/slot-share.cc
+++ b/src/request/slot-share.cc
@@ -20,6 +20,14 @@
 constexpr double MarginPerSecond = 1.0;
 constexpr double MostMargin = 3.0;
 
+/// What each failure in a row adds to a worker's rank: those that are in doubt
+/// but not avoided are used last.
+constexpr Rank PerFailure = 500;
+
+Rank doubt(const WorkerState &W) {
+  return PerFailure * static_cast<Rank>(W.Health_.Causes_.size());
+}
+
 std::uint32_t usable(const WorkerState &W, const Ask &A) {
   return partOf(W.Total_, std::min(A.Most_, 1 - A.Reserve_));
 }
@@ -85,7 +93,7 @@
                                             const Ask &A) const {
   if (W.InFlight_ >= usable(W, A))
     return std::nullopt;
-  return W.InFlight_;
+  return W.InFlight_ + doubt(W);
 }
 
 std::optional<Rank> SharedSlotsPicker::rank(const WorkerState &W,
@@ -98,9 +106,9 @@
   const bool InShare =
       W.InFlight_ < W.Share_ && W.InFlight_ < Limit && Load < Limit;
   if (InShare)
-    return Load;
+    return Load + doubt(W);
   if (Fresh && Load + A.BorrowMargin_ < Limit)
-    return Borrowed + Load;
+    return Borrowed + Load + doubt(W);
   if (!Fresh && W.Share_ == 0 && W.InFlight_ == 0)
     return LastResort;
   return std::nullopt;
--- a/src/request/worker-board.cc
+++ b/src/request/worker-board.cc
@@ -62,6 +62,8 @@
   W->Busy_ = R.Busy_.Count_;
   W->BatchTasks_ = R.BatchTasks_.Count_;
   W->Leaving_ = R.Leaving_ || R.Draining_;
+  W->Health_.UnreachableFor_ = Micros(0);
+  W->Health_.UnreachableUntil_ = Instant();
   W->HasReport_ = true;
   W->ReportedAt_ = Now;
   W->ClockMs_ = R.ClockMs_;
--- a/src/request/worker-health.cc
+++ b/src/request/worker-health.cc
@@ -19,9 +19,11 @@
 } // namespace
 
 HealthGate HealthWatch::gate(const WorkerState &W, Instant Now) {
-  if (W.Health_.AvoidedFor_.count() == 0)
+  const WorkerHealth &H = W.Health_;
+  if (H.AvoidedFor_.count() == 0 && H.UnreachableFor_.count() == 0)
     return HealthGate::Open;
-  return Now < W.Health_.AvoidUntil_ ? HealthGate::Shut : HealthGate::Probe;
+  const bool Shut = Now < H.AvoidUntil_ || Now < H.UnreachableUntil_;
+  return Shut ? HealthGate::Shut : HealthGate::Probe;
 }
 
 void HealthWatch::succeeded(WorkerState &W, const Cause &C) {
@@ -30,6 +32,16 @@
   Callers_.erase(C.Body_);
 }
 
+void HealthWatch::unreachable(WorkerState &W, Instant Now) const {
+  WorkerHealth &H = W.Health_;
+  if (Now < H.UnreachableUntil_)
+    return;
+  H.UnreachableFor_ =
+      std::clamp(2 * H.UnreachableFor_, Limits_.UnreachableFirst_,
+                 Limits_.UnreachableMost_);
+  H.UnreachableUntil_ = Now + H.UnreachableFor_;
+}
+
 void HealthWatch::noteCaller(std::uint64_t Key, std::uint64_t Worker) {
   if (Callers_.size() >= MostCallers && !Callers_.contains(Key))
     Callers_.erase(Callers_.begin());
--- a/src/request/worker-health.h
+++ b/src/request/worker-health.h
@@ -39,6 +39,9 @@
   bool failed(WorkerState &W, const Cause &C, Instant Now, std::size_t PoolSize,
               std::size_t Avoided);
 
+  /// No connection to the worker could be made.
+  void unreachable(WorkerState &W, Instant Now) const;
+
   /// Whether the cause failed on so many workers in a row that it is taken
   /// for the cause itself.
   bool poison(const Cause &C) const;
--- a/src/request/worker-state.h
+++ b/src/request/worker-state.h
@@ -18,6 +18,9 @@
   Instant AvoidUntil_{};
   /// How long it was avoided the last time; zero when it is healthy.
   Micros AvoidedFor_{0};
+  /// The same for a worker to which no connection could be made.
+  Instant UnreachableUntil_{};
+  Micros UnreachableFor_{0};
 };
 
 /// A worker as the placement sees it.
