--- a/src/request/dispatcher-tries.cc
+++ b/src/request/dispatcher-tries.cc
@@ -17,7 +17,7 @@
   PoolState &P = Pools_[Info.Pool_];
   P.InFlight_ -= P.InFlight_ != 0;
   if (E.Result_ == TryResult::Refused) {
-    noteRefusal(E);
+    noteRefusal(E, P);
     return true;
   }
   if (E.Result_ == TryResult::Answered)
@@ -29,10 +29,12 @@
   return true;
 }
 
-void Dispatcher::noteRefusal(const TryEnded &E) {
+void Dispatcher::noteRefusal(const TryEnded &E, PoolState &P) {
   ++Counters_.Refusals_;
-  if (E.Refusal_ == Refusal::Full)
+  if (E.Refusal_ == Refusal::Full) {
     Board_.markFull(E.Worker_, Now_);
+    P.Margin_.refused(Now_);
+  }
   if (E.Refusal_ == Refusal::Leaving)
     Board_.markLeaving(E.Worker_);
 }
@@ -43,6 +45,8 @@
     return;
   if (E.Result_ == TryResult::Answered)
     return Health_.succeeded(*W, Info.Cause_);
+  if (E.Result_ == TryResult::NeverSent)
+    return Health_.unreachable(*W, Now_);
   Counters_.WorkersAvoided_ += Health_.failed(
       *W, Info.Cause_, Now_, Board_.size(W->Pool_), Board_.avoided(W->Pool_));
 }
