--- a/test/fleet/model-fleet.h
+++ b/test/fleet/model-fleet.h
@@ -50,15 +50,27 @@
   std::uint32_t Busy_ = 0;
   bool Draining_ = false;
   bool Leaving_ = false;
+  /// Whether it has left: the platform lists it no more.
+  bool Gone_ = false;
   std::vector<BatchTask> Tasks_;
   std::uint32_t Reboots_ = 0;
 };
 
 /// What a run of the model must never show.
 struct ModelFaults {
-  std::uint32_t RebootsOfBusy_ = 0;
+  /// A running request or task was cut by a reboot.
+  std::uint32_t WorkCut_ = 0;
+  /// A reboot was decided on a status that didn't say idle and draining.
+  std::uint32_t RashReboots_ = 0;
+  /// One wave rebooted an instance more than once.
+  std::uint32_t RebootedTwice_ = 0;
+  /// An instance changed its pool while it wasn't idle and draining.
+  std::uint32_t RashMoves_ = 0;
+  /// A voluntary disruption left a pool under its budget.
   std::uint32_t BudgetBroken_ = 0;
+  /// A write of a holder that had been replaced took effect.
   std::uint32_t StaleWrites_ = 0;
+  auto operator<=>(const ModelFaults &) const = default;
 };
 
 /// Workers, table and view, with the checks that look at every effect.
@@ -72,6 +84,10 @@
   std::map<InstanceId, ModelWorker> Workers_;
   ModelFaults Faults_;
   bool PlatformUp_ = true;
+  /// Whether workers refuse to reboot unless they drain and are idle.
+  bool WorkersRefuse_ = false;
+  std::map<InstanceId, InstanceEvidence> Evidence_;
+  std::map<PoolId, PoolDemand> Demand_;
 
   void addPool(const std::string &Name, std::uint32_t Size,
                std::uint32_t MinAvailable, bool Spare = false) {
@@ -114,6 +130,8 @@
     S.PlatformAnswers_ = PlatformUp_;
     S.View_ = View_;
     S.Leases_ = Leases;
+    S.Evidence_ = Evidence_;
+    S.Demand_ = Demand_;
     for (const auto &[Key, R] : Table_.rows()) {
       if (Key.starts_with("instance/"))
         S.Instances_[InstanceId(Key.substr(9))] = decodeInstance(R);
@@ -122,7 +140,8 @@
     }
     S.Listed_.emplace();
     for (const auto &[Name, W] : Workers_) {
-      S.Listed_->push_back(W.Listed_);
+      if (!W.Gone_)
+        S.Listed_->push_back(W.Listed_);
       S.Workers_[Name] = statusOf(W);
     }
     return S;
@@ -139,11 +158,12 @@
       const auto Held = DecidedOn.Leases_.at(W.Pool_).Epoch_.value();
       Faults_.StaleWrites_ += Held != LastEpoch_[W.Pool_] ? 1 : 0;
       checkBudget(W.Pool_, Before, DecidedOn);
+      checkMoves(Before);
     }
     return Status;
   }
 
-  void command(const WorkerCommand &C) {
+  void command(const WorkerCommand &C, const Snapshot &DecidedOn) {
     auto &W = Workers_.at(C.Instance_);
     if (!W.Up_)
       return;
@@ -158,6 +178,7 @@
       W.Tasks_.clear();
       return;
     case CommandKind::Reboot:
+      checkReboot(C, DecidedOn);
       reboot(W, C.Boot_);
       return;
     }
@@ -213,9 +234,15 @@
   }
 
   void reboot(ModelWorker &W, const std::string &Boot) {
+    const bool Idle = W.Busy_ == 0 && W.Tasks_.empty();
     if (Boot != std::to_string(W.Boot_))
       return;
-    Faults_.RebootsOfBusy_ += W.Busy_ > 0 || !W.Tasks_.empty() ? 1 : 0;
+    if (WorkersRefuse_ && !(Idle && W.Draining_))
+      return;
+    Faults_.WorkCut_ += Idle ? 0 : 1;
+    const auto Row = snapshot({}).Instances_.at(W.Listed_.Name_).Row_;
+    const bool First = Rebooted_.insert({Row.Name_, Row.DoneWave_}).second;
+    Faults_.RebootedTwice_ += First ? 0 : 1;
     W.Up_ = false;
     W.Draining_ = false;
     W.Busy_ = 0;
@@ -223,6 +250,27 @@
     ++W.Reboots_;
   }
 
+  void checkReboot(const WorkerCommand &C, const Snapshot &DecidedOn) {
+    const auto &Status = DecidedOn.Workers_.at(C.Instance_);
+    const auto State = DecidedOn.Instances_.at(C.Instance_).Row_.State_;
+    const bool Safe =
+        Status.Draining_ && idle(Status) && State == InstanceState::Rebooting;
+    Faults_.RashReboots_ += Safe ? 0 : 1;
+  }
+
+  /// An instance that changes its pool must have drained.
+  void checkMoves(const Snapshot &Before) {
+    for (const auto &[Name, Record] : snapshot({}).Instances_) {
+      const auto Was = Before.Instances_.find(Name);
+      if (Was == Before.Instances_.end() ||
+          Was->second.Row_.Pool_ == Record.Row_.Pool_)
+        continue;
+      const auto &W = Workers_.at(Name);
+      const bool Drained = W.Draining_ && W.Busy_ == 0 && W.Tasks_.empty();
+      Faults_.RashMoves_ += Drained ? 0 : 1;
+    }
+  }
+
   /// A write that takes an available member out must leave the budget whole.
   void checkBudget(const PoolId &Pool, const Snapshot &Before,
                    const Snapshot &DecidedOn) {
@@ -245,6 +293,7 @@
   }
 
   std::map<PoolId, std::uint64_t> LastEpoch_;
+  std::set<std::pair<InstanceId, WaveId>> Rebooted_;
 };
 
 /// One entry that holds duties, with its memory.
@@ -262,13 +311,21 @@
     Pending_ = Duty_.step(Seen_);
   }
 
+  /// Drops the share of what was decided that has an odd place.
+  void loseHalf() {
+    std::vector<Action> Kept;
+    for (std::size_t I = 0; I < Pending_.size(); I += 2)
+      Kept.push_back(Pending_[I]);
+    Pending_ = std::move(Kept);
+  }
+
   /// Carries out what the last think() decided.
   void act() {
     for (const auto &A : Pending_) {
       if (const auto *W = std::get_if<Write>(&A))
         Last_ = Fleet_.commit(*W, Seen_);
       else
-        Fleet_.command(std::get<WorkerCommand>(A));
+        Fleet_.command(std::get<WorkerCommand>(A), Seen_);
     }
     Pending_.clear();
   }
@@ -278,11 +335,14 @@
     act();
   }
 
-  /// Forgets everything soft, as a restarted entry with the same lease would.
-  void forget() { Duty_ = Duty(); }
-
   CommitStatus last() const { return Last_; }
-  const std::vector<Action> &pending() const { return Pending_; }
+  std::size_t pending() const { return Pending_.size(); }
+  bool wantsToWrite() const {
+    return std::ranges::any_of(Pending_, [](const Action &A) {
+      return std::holds_alternative<Write>(A);
+    });
+  }
+  const WaveReport &wave() const { return Duty_.report().Waves_.at(0); }
   const Duty &duty() const { return Duty_; }
 
 private:
@@ -294,6 +354,7 @@
   CommitStatus Last_ = CommitStatus::Committed;
 };
 
+/// How often a holder steps.
 constexpr Millis StepInterval{500};
 
 /// Steps until the condition holds or the time is up. Returns the time that
