Views of the fleet for operators: pools, instances, waves, versions

Cause: the operators' tool asked for paths that the entry didn't have. Change: GET /v1/view with versions, /v1/pools, /v1/instances, /v1/waves.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include "daemon/control-service.h"
 #include "daemon/cut-switch.h"
 #include "daemon/error-response.h"
+#include "daemon/fleet-api.h"
 #include "daemon/fleet-feed.h"
 #include "daemon/history.h"
 #include "daemon/job-runner.h"
@@ -159,6 +160,7 @@
       "peers", peerConfig(S, Incarnation),
       peer::PeerKey(access::readSecretFile(S.Peer_.KeyFile_)), C, M, ViewKeeper,
       Feed);
+  Kernel_.add<FleetApi>("fleet-api", C, Platform, ViewKeeper, Feed);
   const std::string Run = Name + "-" + std::to_string(Incarnation);
   auto &Index = Kernel_.add<JobIndex>("job-index", Platform);
   Kernel_.add<JobService>("jobs", Run, H, Platform, Feed, Index);
@@ -238,7 +240,6 @@
 void Daemon::addRoutes() {
   auto &A = Kernel_.find<Api>("api");
   auto &Requests = Kernel_.find<RequestService>("requests");
-  auto &Feed = Kernel_.find<FleetFeed>("fleet");
   auto &M = Kernel_.find<Metrics>("metrics");
   A.addOpen("GET", "/livez", [](ApiCall C) {
     C.Responder_.respond(jsonResponse(200, {{"live", true}}));
@@ -261,9 +262,18 @@
     Requests.accept(std::move(C.Request_), C.Responder_,
                     TeamId(C.Caller_.Name_), PoolId(C.Parts_[0]));
   });
-  A.add("GET", "/v1/view", access::Right::ReadView, [&Feed](ApiCall C) {
-    C.Responder_.respond(jsonResponse(200, view::toJson(Feed.view())));
+  auto &Fleet = Kernel_.find<FleetApi>("fleet-api");
+  A.add("GET", "/v1/view", access::Right::ReadView, [&Fleet](ApiCall C) {
+    C.Responder_.respond(jsonResponse(200, Fleet.view()));
+  });
+  A.add("GET", "/v1/pools", access::Right::ReadView, [&Fleet](ApiCall C) {
+    C.Responder_.respond(jsonResponse(200, Fleet.pools()));
+  });
+  A.add("GET", "/v1/instances", access::Right::ReadView, [&Fleet](ApiCall C) {
+    C.Responder_.respond(jsonResponse(200, Fleet.instances()));
   });
+  A.add("GET", "/v1/waves", access::Right::ReadView,
+        [&Fleet](ApiCall C) { Fleet.waves(C.Responder_); });
 }
 
 void Daemon::addTicketRoutes() {
