--- a/src/cli/wave-commands.cc
+++ b/src/cli/wave-commands.cc
@@ -9,6 +9,8 @@
 namespace {
 
 const Columns WaveColumns{"name", "pool", "mode"};
+const Columns StatusColumns{"name", "pool",        "state",
+                            "done", "in_progress", "total"};
 
 ExitCode list(Session &S, const Arguments &) {
   S.printRows("waves", arrayAt(S.get("/v1/view"), "waves"), WaveColumns);
@@ -28,7 +30,7 @@
   if (Rows.isEmpty() && !A.empty())
     raise(CallFailed(ExitCode::Refused, "no-such-wave",
                      "no wave is named " + A[0]));
-  S.printRows("waves", Rows, WaveColumns);
+  S.printRows("waves", Rows, StatusColumns);
   return ExitCode::Done;
 }
 
