--- /dev/null
+++ b/test/standin/check/main.cc
@@ -0,0 +1,35 @@
+// standin-check: judges the promises from the merged histories of a run.
+#include "standin/common/judge.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace heathercross::standin;
+
+int main(int Argc, char **Argv) {
+  if (Argc < 2) {
+    std::cerr << "usage: standin-check HISTORY...\n";
+    return 2;
+  }
+  HistoryEvents All;
+  int BadLines = 0;
+  for (int I = 1; I < Argc; ++I) {
+    std::ifstream In(Argv[I]);
+    if (!In) {
+      std::cerr << "standin-check: can't read " << Argv[I] << '\n';
+      return 2;
+    }
+    std::ostringstream Text;
+    Text << In.rdbuf();
+    HistoryEvents Events = parseHistory(Text.str(), BadLines);
+    All.insert(All.end(), std::make_move_iterator(Events.begin()),
+               std::make_move_iterator(Events.end()));
+  }
+  sortHistory(All);
+  const auto Judgements = judgeAll(All);
+  std::cout << "events " << All.size() << ", lines passed over " << BadLines
+            << '\n'
+            << report(Judgements);
+  return allHold(Judgements) ? 0 : 1;
+}
--- /dev/null
+++ b/test/standin/common/judge.cc
@@ -0,0 +1,78 @@
+// Reading histories and printing what was judged.
+#include "standin/common/judge.h"
+
+#include <QJsonDocument>
+
+#include <algorithm>
+#include <sstream>
+
+namespace heathercross::standin {
+namespace {
+
+constexpr std::size_t ViolationsShown = 5;
+
+} // namespace
+
+std::string HistoryEvent::text(const char *Name) const {
+  return Fields_[Name].toString().toStdString();
+}
+
+std::int64_t HistoryEvent::number(const char *Name) const {
+  return Fields_[Name].toInteger();
+}
+
+HistoryEvents parseHistory(const std::string &Text, int &BadLines) {
+  HistoryEvents Events;
+  std::istringstream In(Text);
+  for (std::string Line; std::getline(In, Line);) {
+    const QJsonDocument Document =
+        QJsonDocument::fromJson(QByteArray::fromStdString(Line));
+    if (!Document.isObject()) {
+      ++BadLines;
+      continue;
+    }
+    HistoryEvent E;
+    E.Fields_ = Document.object();
+    E.At_ = E.number("t");
+    E.Process_ = E.text("p");
+    E.Kind_ = E.text("k");
+    E.Id_ = E.text("id");
+    Events.push_back(std::move(E));
+  }
+  return Events;
+}
+
+void sortHistory(HistoryEvents &Events) {
+  std::ranges::stable_sort(Events, {}, &HistoryEvent::At_);
+}
+
+std::vector<Judgement> judgeAll(const HistoryEvents &Events) {
+  return {judgeAtMostOnce(Events),    judgeNotRun(Events),
+          judgeOwnAnswer(Events),     judgeOnePool(Events),
+          judgeBudget(Events),        judgeLeaving(Events),
+          judgePlannedStop(Events),   judgeMaintenance(Events),
+          judgeConfiguration(Events), judgeJobs(Events),
+          judgeTries(Events),         judgeUnknown(Events)};
+}
+
+std::string report(const std::vector<Judgement> &Judgements) {
+  std::ostringstream Out;
+  for (const Judgement &J : Judgements) {
+    Out << J.Promise_ << ": checked " << J.Checked_ << ", violations "
+        << J.Violations_.size();
+    if (!J.Note_.empty())
+      Out << ", " << J.Note_;
+    Out << '\n';
+    const auto Shown = std::min(J.Violations_.size(), ViolationsShown);
+    for (std::size_t I = 0; I < Shown; ++I)
+      Out << "  " << J.Violations_[I] << '\n';
+  }
+  return Out.str();
+}
+
+bool allHold(const std::vector<Judgement> &Judgements) {
+  return std::ranges::all_of(
+      Judgements, [](const Judgement &J) { return J.Violations_.empty(); });
+}
+
+} // namespace heathercross::standin
