--- a/test/fleet/fleet-property-test.cc
+++ b/test/fleet/fleet-property-test.cc
@@ -34,8 +34,10 @@
   HolderPauses,
   HolderResumes,
   ActionsLost,
+  ActionsDelayed,
+  ActionsArrive,
 };
-constexpr int HappeningCount = 20;
+constexpr int HappeningCount = 22;
 
 struct Happens {
   Happening Kind_;
@@ -218,6 +220,11 @@
       newest().loseHalf();
       newest().act();
       return;
+    case Happening::ActionsDelayed:
+      newest().think();
+      return newest().delay();
+    case Happening::ActionsArrive:
+      return newest().arrive();
     }
   }
 
--- a/test/fleet/model-fleet.h
+++ b/test/fleet/model-fleet.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace heathercross::fleet::test {
@@ -215,10 +216,6 @@
         }));
   }
 
-  PoolPicture picture(const Snapshot &S, const std::string &Pool) const {
-    return pictureOf(S, PoolId(Pool));
-  }
-
 private:
   WorkerStatus statusOf(const ModelWorker &W) const {
     WorkerStatus Status;
@@ -271,24 +268,34 @@
     }
   }
 
-  /// A write that takes an available member out must leave the budget whole.
+  /// The members that may be counted on, worked out apart from the product.
+  std::set<InstanceId> countedOn(const PoolId &Pool, const Snapshot &Rows,
+                                 const Snapshot &Statuses) const {
+    std::set<InstanceId> Result;
+    const auto Permit = Rows.Permits_.find(Pool);
+    for (const auto &[Name, Record] : Rows.Instances_) {
+      const auto Status = Statuses.Workers_.find(Name);
+      if (Record.Row_.Pool_ != Pool || Status == Statuses.Workers_.end() ||
+          Record.Row_.State_ != InstanceState::Active)
+        continue;
+      const auto &W = Status->second;
+      if (W.Reachable_ && !W.Draining_ && !W.Leaving_)
+        Result.insert(Name);
+    }
+    if (Permit != Rows.Permits_.end())
+      for (const auto &Name : Permit->second.Held_)
+        Result.erase(Name);
+    return Result;
+  }
+
+  /// A write that takes out a member that was counted on must leave the budget
+  /// whole.
   void checkBudget(const PoolId &Pool, const Snapshot &Before,
                    const Snapshot &DecidedOn) {
-    auto Was = DecidedOn;
-    Was.Instances_ = Before.Instances_;
-    Was.Permits_ = Before.Permits_;
-    auto Is = Was;
-    const auto After = snapshot({});
-    Is.Instances_ = After.Instances_;
-    Is.Permits_ = After.Permits_;
-    const auto PictureBefore = pictureOf(Was, Pool);
-    const auto Picture = pictureOf(Is, Pool);
-    const bool Took =
-        std::ranges::any_of(PictureBefore.Members_, [&](const Member &M) {
-          const auto *Now = Picture.find(M.id());
-          return M.available() && (!Now || !Now->available());
-        });
-    const bool Broken = Picture.available() < Picture.MinAvailable_;
+    const auto Was = countedOn(Pool, Before, DecidedOn);
+    const auto Is = countedOn(Pool, snapshot({}), DecidedOn);
+    const bool Took = !std::ranges::includes(Is, Was);
+    const bool Broken = Is.size() < View_.Budgets_.at(Pool).MinAvailable_;
     Faults_.BudgetBroken_ += Took && Broken ? 1 : 0;
   }
 
@@ -321,15 +328,22 @@
 
   /// Carries out what the last think() decided.
   void act() {
-    for (const auto &A : Pending_) {
-      if (const auto *W = std::get_if<Write>(&A))
-        Last_ = Fleet_.commit(*W, Seen_);
-      else
-        Fleet_.command(std::get<WorkerCommand>(A), Seen_);
-    }
+    carryOut(Pending_, Seen_);
     Pending_.clear();
   }
 
+  /// Puts what was decided on its way without an answer, as a timeout does.
+  void delay() {
+    Delayed_ = std::exchange(Pending_, {});
+    DelayedSeen_ = Seen_;
+  }
+
+  /// Carries out what was delayed, after whatever has happened since.
+  void arrive() {
+    carryOut(Delayed_, DelayedSeen_);
+    Delayed_.clear();
+  }
+
   void step() {
     think();
     act();
@@ -346,11 +360,22 @@
   const Duty &duty() const { return Duty_; }
 
 private:
+  void carryOut(const std::vector<Action> &Actions, const Snapshot &Seen) {
+    for (const auto &A : Actions) {
+      if (const auto *W = std::get_if<Write>(&A))
+        Last_ = Fleet_.commit(*W, Seen);
+      else
+        Fleet_.command(std::get<WorkerCommand>(A), Seen);
+    }
+  }
+
   ModelFleet &Fleet_;
   Duty Duty_;
   std::map<PoolId, LeaseHold> Leases_;
   Snapshot Seen_;
   std::vector<Action> Pending_;
+  Snapshot DelayedSeen_;
+  std::vector<Action> Delayed_;
   CommitStatus Last_ = CommitStatus::Committed;
 };
 
