Claims name the boots of their workers; tests of the claim protocol

A worker that restarted has forgotten what it ran and fenced. A claim now names the boot of each worker as far as known, a send carries it, and a fence from another boot counts as no answer. All fields are additive and empty means unknown.

--- a/src/request/claim.cc
+++ b/src/request/claim.cc
@@ -25,6 +25,19 @@
   }
   return Outcome::Unknown;
 }
+std::string bootOf(const ClaimRow &Row, std::size_t Worker) {
+  return Worker < Row.Boots_.size() ? Row.Boots_[Worker] : std::string();
+}
+
+/// What a fence says about a worker that the claim names. One that restarted
+/// has nothing to say: what it ran before is forgotten.
+FenceResult judged(const FenceEnded &E, const ClaimRow &Row,
+                   std::size_t Worker) {
+  const std::string Named = bootOf(Row, Worker);
+  const bool Restarted = !Named.empty() && !E.Boot_.empty() && Named != E.Boot_;
+  const bool Forgot = Restarted && E.Result_ == FenceResult::Fenced;
+  return Forgot ? FenceResult::NoAnswer : E.Result_;
+}
 } // namespace
 
 Claim::Claim(const Spec &S, EntryId Entry, const ClaimTimings &Timings)
@@ -48,14 +61,15 @@
 // Steps that everything else is made of.
 
 void Claim::place(const AttemptId &Attempt, std::vector<InstanceId> Workers,
-                  ClaimStep &Step) {
+                  std::vector<std::string> Boots, ClaimStep &Step) {
   Goal_ = ClaimRow{Attempt,
                    Spec_.Digest_,
                    std::move(Workers),
                    ClaimState::Claimed,
                    Entry_,
                    std::string(),
-                   Base_};
+                   Base_,
+                   std::move(Boots)};
   Held_.reset();
   Foreign_.reset();
   Unsent_ = true;
@@ -210,6 +224,7 @@
   Unsent_ = false;
   Send S{Spec_.Request_, Held_->Attempt_, Held_->Workers_[Tried_]};
   S.Fresh_ = true;
+  S.Boot_ = bootOf(*Held_, Tried_);
   Step.Out_.push_back(std::move(S));
 }
 
@@ -246,14 +261,14 @@
       Fence{Spec_.Request_, Held_->Attempt_, Held_->Workers_[Tried_]});
 }
 
-void Claim::ownFenceEnded(FenceResult R, ClaimStep &Step) {
-  switch (R) {
+void Claim::ownFenceEnded(FenceResult Result, ClaimStep &Step) {
+  switch (Result) {
   case FenceResult::Fenced:
     ++Tried_;
     return tryNext(Step);
   case FenceResult::Done:
   case FenceResult::Failed:
-    return fetch(Held_->Attempt_, Held_->Workers_[Tried_], R, Step);
+    return fetch(Held_->Attempt_, Held_->Workers_[Tried_], Result, Step);
   case FenceResult::Running:
   case FenceResult::NoAnswer:
     return rest(Timings_.Poll_, Next::FenceOwn, Step);
@@ -284,7 +299,7 @@
                    E.Attempt_ == Held_->Attempt_ &&
                    E.Worker_ == Held_->Workers_[Tried_];
   if (Own)
-    ownFenceEnded(E.Result_, Step);
+    ownFenceEnded(judged(E, *Held_, Tried_), Step);
 }
 
 void Claim::otherFenceEnded(const FenceEnded &E, ClaimStep &Step) {
@@ -294,15 +309,17 @@
   if (E.Attempt_ != Foreign_->Attempt_ || Index == Workers.size() ||
       FenceResults_[Index])
     return;
-  FenceResults_[Index] = E.Result_;
-  if (E.Result_ == FenceResult::Done || E.Result_ == FenceResult::Failed)
-    return fetch(Foreign_->Attempt_, E.Worker_, E.Result_, Step);
-  const auto Is = [](FenceResult R) {
-    return [R](const std::optional<FenceResult> &Seen) { return Seen == R; };
+  const FenceResult R = judged(E, *Foreign_, Index);
+  FenceResults_[Index] = R;
+  if (R == FenceResult::Done || R == FenceResult::Failed)
+    return fetch(Foreign_->Attempt_, E.Worker_, R, Step);
+  const auto Asked = [](const auto &Seen) { return !Seen.has_value(); };
+  const auto Fenced = [](const auto &Seen) {
+    return Seen == FenceResult::Fenced;
   };
-  if (!std::ranges::all_of(FenceResults_, [](const auto &R) { return !!R; }))
+  if (std::ranges::any_of(FenceResults_, Asked))
     return;
-  if (std::ranges::all_of(FenceResults_, Is(FenceResult::Fenced)))
+  if (std::ranges::all_of(FenceResults_, Fenced))
     return takeOver(*Foreign_, Step);
   rest(Timings_.Poll_, Next::FenceOther, Step);
 }
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -30,10 +30,10 @@
 public:
   Claim(const Spec &S, EntryId Entry, const ClaimTimings &Timings);
 
-  /// Starts with a new attempt on the given workers, the best first. Allowed
-  /// only while needsPlace().
+  /// Starts with a new attempt on the given workers, the best first, with the
+  /// boot of each as far as known. Allowed only while needsPlace().
   void place(const AttemptId &Attempt, std::vector<InstanceId> Workers,
-             ClaimStep &Step);
+             std::vector<std::string> Boots, ClaimStep &Step);
 
   void onWritten(const ClaimWritten &E, ClaimStep &Step);
   void onRead(const ClaimRead &E, ClaimStep &Step);
@@ -87,7 +87,7 @@
   void tryNext(ClaimStep &Step);
   void allRefused(ClaimStep &Step);
   void fenceOwn(ClaimStep &Step);
-  void ownFenceEnded(FenceResult R, ClaimStep &Step);
+  void ownFenceEnded(FenceResult Result, ClaimStep &Step);
   void fenceOther(ClaimStep &Step);
   void otherFenceEnded(const FenceEnded &E, ClaimStep &Step);
   void fetch(const AttemptId &Attempt, const InstanceId &Worker,
--- a/src/request/dispatcher.cc
+++ b/src/request/dispatcher.cc
@@ -282,8 +282,13 @@
   Workers.insert(Workers.begin(), At.Worker_);
   R.Reserved_ = At.Worker_;
   Board_.occupy(At.Worker_);
+  std::vector<std::string> Boots;
+  for (const InstanceId &Worker : Workers) {
+    const WorkerState *W = Board_.find(Worker);
+    Boots.push_back(W ? W->Boot_ : std::string());
+  }
   stepClaim(R, [&](Claim &C, ClaimStep &Step) {
-    C.place(newAttempt(), std::move(Workers), Step);
+    C.place(newAttempt(), std::move(Workers), std::move(Boots), Step);
   });
 }
 
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -67,6 +67,8 @@
   std::int64_t ClockMs_ = 0;
   /// Batch tasks among them that could be checkpointed or stopped.
   Slots BatchTasks_{};
+  /// Changes when the worker restarts; empty when not known.
+  std::string Boot_{};
 };
 
 /// A worker that may serve a pool, as the fleet view has it now.
@@ -103,6 +105,9 @@
   /// Identifies the stored answer: the shell keeps the body beside it.
   std::string Answer_;
   RowVersion Version_;
+  /// For each named worker its boot when it was named, as far as known. A
+  /// worker that restarted has forgotten what it started and fenced before.
+  std::vector<std::string> Boots_{};
 };
 
 /// What a worker answered to a fence of an attempt.
@@ -148,6 +153,8 @@
   AttemptId Attempt_;
   InstanceId Worker_;
   FenceResult Result_;
+  /// The boot of the worker that answered; empty when not known.
+  std::string Boot_{};
 };
 struct Reported {
   WorkerReport Report_;
@@ -176,6 +183,8 @@
   bool Fresh_ = false;
   /// Give the try up after this long.
   Micros Timeout_{0};
+  /// When not empty, the worker has to refuse unless this is its boot.
+  std::string Boot_{};
 };
 /// Answer the caller. For Done and Failed the answer is the one that came with
 /// the try or the stored claim named here.
--- a/src/request/worker-board.cc
+++ b/src/request/worker-board.cc
@@ -67,6 +67,8 @@
   W->HasReport_ = true;
   W->ReportedAt_ = Now;
   W->ClockMs_ = R.ClockMs_;
+  if (!R.Boot_.empty())
+    W->Boot_ = R.Boot_;
   W->ClockAt_ = Now;
 }
 
--- a/src/request/worker-state.h
+++ b/src/request/worker-state.h
@@ -45,6 +45,8 @@
   Instant ReportedAt_{};
   /// The worker's clock in its last report, and when that came.
   std::int64_t ClockMs_ = 0;
+  /// The worker's boot by its last report; empty when not known.
+  std::string Boot_;
   Instant ClockAt_{};
   WorkerHealth Health_;
 
--- a/test/request/at-most-once-test.cc
+++ b/test/request/at-most-once-test.cc
@@ -33,17 +33,20 @@
 HEATHERCROSS_STORY(PromisesOfRuns, "whole runs keep the promises") {
   heathercross::test::section("of one entry without trouble", [] {
     HEATHERCROSS_PROPERTY("one entry, no trouble", [] {
-      runWorlds(1, {0, 0, 0, 0});
+      runWorlds(1, {0, 0, 0, 0, 0});
     });
   });
   heathercross::test::section("of one entry with lost and late answers", [] {
-    HEATHERCROSS_PROPERTY("one entry", [] { runWorlds(1, {25, 25, 3, 1}); });
+    HEATHERCROSS_PROPERTY("one entry", [] { runWorlds(1, {25, 25, 3, 1, 1}); });
   });
   heathercross::test::section(
       "of entries that share the table and workers", [] {
         HEATHERCROSS_PROPERTY("two entries", [] { runWorlds(2, Trouble()); });
+        HEATHERCROSS_PROPERTY("two entries, workers that restart", [] {
+          runWorlds(2, {10, 35, 6, 3, 8});
+        });
         HEATHERCROSS_PROPERTY("three entries in deep trouble", [] {
-          runWorlds(3, {50, 50, 8, 3});
+          runWorlds(3, {50, 50, 8, 3, 3});
         });
       });
 }
--- a/test/request/world.h
+++ b/test/request/world.h
@@ -19,6 +19,7 @@
   unsigned Workers_ = 25;
   unsigned Freezes_ = 5;
   unsigned Kills_ = 2;
+  unsigned Reboots_ = 1;
 };
 
 /// The ground truth of one attempt on one worker.
@@ -42,6 +43,11 @@
       Entries_[roll(Entries_.size())].Frozen_ ^= true;
     else if (Dice < 25 + Trouble_.Freezes_ + Trouble_.Kills_)
       startEntry(static_cast<int>(roll(Entries_.size())));
+    else if (Dice <
+             25 + Trouble_.Freezes_ + Trouble_.Kills_ + Trouble_.Reboots_)
+      reboot(roll(Workers));
+    else if (Dice == 99)
+      release();
     else
       message();
   }
@@ -49,7 +55,7 @@
   /// Ends all trouble and lets all windows pass; then what was held up
   /// anywhere arrives after all.
   void settle() {
-    Trouble_ = {0, 0, 0, 0};
+    Trouble_ = {0, 0, 0, 0, 0};
     for (Entry &E : Entries_)
       E.Frozen_ = false;
     for (int I = 0; I != 60; ++I) {
@@ -59,6 +65,9 @@
     }
     for (const Delayed &D : Delayed_)
       startOn(D.Send_);
+    release();
+    while (!Pending_.empty())
+      message();
   }
 
   /// The first broken promise; empty while all hold.
@@ -114,7 +123,38 @@
     for (auto &[Request, Owner] : Asked_)
       Owner.Killed_ |= Owner.Entry_ == static_cast<std::size_t>(I);
     E = Entry{std::make_unique<Dispatcher>(C), false, {}, Lives_};
-    give(static_cast<std::size_t>(I), FleetChanged{smallFleet(1, 4)});
+    give(static_cast<std::size_t>(I), FleetChanged{smallFleet(1, Workers)});
+    for (int Number = 0; Number != Workers; ++Number)
+      give(static_cast<std::size_t>(I), Reported{state(Number)});
+  }
+
+  WorkerReport state(int Number) {
+    WorkerReport R;
+    R.Worker_ = worker("p0", Number).Worker_;
+    R.Boot_ = std::to_string(Boots_[R.Worker_.str()]);
+    return R;
+  }
+
+  /// What a frozen process was about to send goes out after all.
+  void release() {
+    Pending_.insert(Pending_.end(), Stuck_.begin(), Stuck_.end());
+    Stuck_.clear();
+  }
+
+  /// The worker forgets all, and what waits in its sockets is gone. Requests
+  /// that are still under way arrive at the new boot.
+  void reboot(unsigned Number) {
+    const std::string Name =
+        worker("p0", static_cast<int>(Number)).Worker_.str();
+    ++Boots_[Name];
+    std::erase_if(LivesAt_,
+                  [&](const auto &L) { return L.first.second == Name; });
+    std::erase_if(Delayed_, [&](const Delayed &D) {
+      return D.Send_.Worker_.str() == Name;
+    });
+    if (roll(2) == 0)
+      for (std::size_t I = 0; I != Entries_.size(); ++I)
+        give(I, Reported{state(static_cast<int>(Number))});
   }
 
   void give(std::size_t I, const Event &What) {
@@ -185,11 +225,10 @@
     check(Claim != Confirmed_.end() && Claim->second.contains(S.Worker_.str()),
           "claim confirmed first", S.Attempt_.str());
     const OnWorker Target(S.Attempt_.str(), S.Worker_.str());
-    const bool CantStart = LivesAt_[Target] == Life::Fenced;
+    const bool CantStart = Fenced_.contains(Target);
     for (const Send &Before : SendsOf_[Key]) {
       const OnWorker Place(Before.Attempt_.str(), Before.Worker_.str());
-      check(CantStart || Harmless_.contains(Place) ||
-                LivesAt_[Place] == Life::Fenced,
+      check(CantStart || Harmless_.contains(Place) || Fenced_.contains(Place),
             "fenced between sends", S.Attempt_.str());
     }
     SendsOf_[Key].push_back(S);
@@ -272,7 +311,8 @@
   /// Whether the attempt started now.
   bool startOn(const Send &S) {
     Life &L = LivesAt_[{S.Attempt_.str(), S.Worker_.str()}];
-    if (L != Life::Unseen)
+    const std::string Boot = std::to_string(Boots_[S.Worker_.str()]);
+    if (L != Life::Unseen || (!S.Boot_.empty() && S.Boot_ != Boot))
       return false;
     L = Life::Running;
     Starts_.emplace_back(S.Attempt_.str(), S.Worker_.str());
@@ -295,6 +335,10 @@
                        : End(TryResult::Refused, Refusal::Full);
     }
     if (Kind == 2) {
+      if (roll(2) == 0) {
+        Stuck_.push_back(P);
+        return;
+      }
       Delayed_.push_back({S});
       return End(TryResult::Lost);
     }
@@ -316,9 +360,10 @@
     Life &L = LivesAt_[{F.Attempt_.str(), F.Worker_.str()}];
     const bool Bad = trouble(Trouble_.Workers_);
     if (!Bad || roll(2) == 0) {
-      if (L == Life::Unseen)
+      if (L == Life::Unseen) {
         L = Life::Fenced;
-      else if (L == Life::Running && roll(2) == 0)
+        Fenced_.emplace(F.Attempt_.str(), F.Worker_.str());
+      } else if (L == Life::Running && roll(2) == 0)
         L = roll(4) == 0 ? Life::Failed : Life::Done;
     }
     static const std::map<Life, FenceResult> Results{
@@ -327,7 +372,8 @@
         {Life::Done, FenceResult::Done},
         {Life::Failed, FenceResult::Failed}};
     const auto R = Bad ? FenceResult::NoAnswer : Results.at(L);
-    reply(P, FenceEnded{F.Request_, F.Attempt_, F.Worker_, R});
+    reply(P, FenceEnded{F.Request_, F.Attempt_, F.Worker_, R,
+                        std::to_string(Boots_[F.Worker_.str()])});
   }
 
   void onFetch(const Pending &P, const FetchAnswer &G) {
@@ -340,6 +386,8 @@
     reply(P, TryEnded{G.Request_, G.Attempt_, G.Worker_, R});
   }
 
+  static constexpr int Workers = 4;
+
   std::uint64_t Seed_;
   std::uint64_t Rolls_ = 0;
   std::uint64_t Lives_ = 0;
@@ -348,12 +396,16 @@
   std::vector<Entry> Entries_;
   std::vector<Pending> Pending_;
   std::vector<Delayed> Delayed_;
+  std::vector<Pending> Stuck_;
   std::map<std::string, ClaimRow> Rows_;
   RowVersion Version_;
   std::map<std::pair<std::size_t, std::string>, std::set<std::string>>
       Confirmed_;
   std::map<OnWorker, Life> LivesAt_;
   std::set<OnWorker> Harmless_;
+  /// Attempts that a worker fenced, also when it forgot that since.
+  std::set<OnWorker> Fenced_;
+  std::map<std::string, int> Boots_;
   std::map<std::string, std::vector<Send>> SendsOf_;
   std::map<std::string, std::string> RequestOf_;
   std::map<std::string, Asker> Asked_;
