Less work for each request in the event loop

Cause: an entry spent 139 us of processor time a request at 32 connections while the machine was busy with builds (load 14 on 10 cores). Ruled out: the decisions (8% of the samples) and the history, which was off. Conclusion: to be measured again on a quiet machine.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -46,6 +46,8 @@
     if (FLAGS_check)
       return 0;
     startLogs(Argv[0], S.Log_.Level_);
+    // Qt's own dispatcher costs less for each event than GLib's.
+    qputenv("QT_NO_GLIB", "1");
     QCoreApplication App(Argc, Argv);
     // Addresses are IP numbers; asking for proxies costs a thread.
     QNetworkProxyFactory::setUseSystemConfiguration(false);
--- a/src/http/http-client.cc
+++ b/src/http/http-client.cc
@@ -12,6 +12,7 @@
 #include <cstring>
 #include <ranges>
 #include <unordered_map>
+#include <utility>
 
 namespace heathercross::http {
 
@@ -97,6 +98,7 @@
   void prepare(CURL *Easy, Transfer &T);
   void act(curl_socket_t Socket, int Flags);
   void collect();
+  void collectSoon();
   void finish(CURL *Easy, CURLcode Code);
   void watch(curl_socket_t Socket, int What);
 
@@ -110,6 +112,7 @@
   std::unordered_map<CURL *, std::unique_ptr<Transfer>> Transfers_;
   std::vector<CURL *> Idle_;
   std::uint64_t Bytes_ = 0;
+  bool CollectDue_ = false;
 };
 
 Client::Impl::Impl() : Multi_(curl_multi_init()) {
@@ -183,6 +186,24 @@
   prepare(Easy, *T);
   Transfers_.emplace(Easy, std::move(T));
   ignoreResult(curl_multi_add_handle(Multi_, Easy));
+  // Begin at once; what ends already is collected by the event loop.
+  int Running = 0;
+  ignoreResult(
+      curl_multi_socket_action(Multi_, CURL_SOCKET_TIMEOUT, 0, &Running));
+  if (static_cast<std::size_t>(Running) < Transfers_.size())
+    collectSoon();
+}
+
+void Client::Impl::collectSoon() {
+  if (std::exchange(CollectDue_, true))
+    return;
+  QMetaObject::invokeMethod(
+      this,
+      [this] {
+        CollectDue_ = false;
+        collect();
+      },
+      Qt::QueuedConnection);
 }
 
 int Client::Impl::onTimer(CURLM *, long Ms, void *User) {
