Control knows the demand, who can reach the platform, and its policies

Cause: an entry that lives but can't reach the platform could stand by for a duty that it can't do; move policies had no demand to decide on. Change: heartbeats tell whether the platform answers and the longest queues; a sampler sums the demand; the settings choose wave and move policies; a step follows 50 ms after a write that took effect.

--- a/src/daemon/control-service.cc
+++ b/src/daemon/control-service.cc
@@ -20,6 +20,8 @@
 constexpr int LeaseTickMs = 200;
 /// A step that found nothing to do makes the next one wait this much longer.
 constexpr int IdleFactor = 4;
+/// The pause before the step that follows a write.
+constexpr int StepSoonMs = 50;
 constexpr Millis WorkerAge{4000};
 
 std::string dutyName(const PoolId &Pool) { return "fleet-" + Pool.str(); }
@@ -261,8 +263,8 @@
   S.Workers_ = Feed_.statuses();
   S.Demand_ = Demand_;
   S.Evidence_ = std::exchange(Evidence_, {});
-  const auto Actions = std::visit([&](auto &D) { return D.step(S); }, Duty_);
-  Waves_ = std::visit([](auto &D) { return D.report().Waves_; }, Duty_);
+  const auto Actions = withDuty(Duty_, [&](auto &D) { return D.step(S); });
+  Waves_ = withDuty(Duty_, [](auto &D) { return D.report().Waves_; });
   for (const fleet::Action &A : Actions)
     std::visit([this](const auto &What) { act(What); }, A);
   const bool Waiting = std::ranges::any_of(
@@ -286,8 +288,10 @@
                       : "heathercross_fleet_writes_refused_total",
                  Done ? "Writes of the fleet duty that took effect."
                       : "Writes of the fleet duty that conflicted or failed.");
-    if (Done)
-      Feed_.pollSoon();
+    if (!Done || Stopped_)
+      return;
+    Feed_.pollSoon();
+    StepTimer_.start(StepSoonMs);
   });
 }
 
--- a/src/daemon/control-service.h
+++ b/src/daemon/control-service.h
@@ -4,9 +4,9 @@
 #include "core/duty-lease.h"
 #include "daemon/clock.h"
 #include "daemon/fleet-feed.h"
+#include "daemon/fleet-policy.h"
 #include "daemon/history.h"
 #include "daemon/metrics.h"
-#include "fleet/fleet-duty.h"
 
 #include <QObject>
 #include <QTimer>
@@ -17,7 +17,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace heathercross::daemon {
@@ -29,7 +28,8 @@
   Millis Lease_{4000};
   /// The pause between two steps of the duties that are held.
   Millis Step_{500};
-  bool OneAtATime_ = false;
+  settings::WaveStep Waves_ = settings::WaveStep::LargestStep;
+  settings::Moves Moves_ = settings::Moves::Hysteresis;
   /// The entries that stand by for one duty, its holder included.
   unsigned StandBy_ = 2;
 };
@@ -95,7 +95,7 @@
   std::map<InstanceId, fleet::InstanceEvidence> Evidence_;
   std::map<InstanceId, Instant> AskedAt_;
   std::vector<fleet::WaveReport> Waves_;
-  Duty Duty_;
+  AnyFleetDuty Duty_;
   bool Stepping_ = false;
   bool Stopped_ = false;
   QTimer LeaseTimer_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include "daemon/history.h"
 #include "daemon/job-runner.h"
 #include "daemon/job-service.h"
+#include "daemon/load-sampler.h"
 #include "daemon/metrics.h"
 #include "daemon/peer-service.h"
 #include "daemon/request-service.h"
@@ -122,7 +123,8 @@
   C.Incarnation_ = Incarnation;
   C.Lease_ = S.Control_.Lease_;
   C.Step_ = S.Control_.Step_;
-  C.OneAtATime_ = S.Control_.Wave_ == settings::WaveStep::OneAtATime;
+  C.Waves_ = S.Control_.Wave_;
+  C.Moves_ = S.Control_.Moves_;
   return C;
 }
 
@@ -169,6 +171,9 @@
   Kernel_.add<CutSwitch>(
       "cut", S.Cut_.SwitchFile_,
       [this](const std::set<std::string> &Cut) { applyCut(Cut); });
+  Kernel_.add<LoadSampler>("load", Kernel_.find<RequestService>("requests"),
+                           Feed, Peers,
+                           Kernel_.find<ControlService>("control"));
   Kernel_.add<Api>("api", A, M);
   connectServices();
   addRoutes();
@@ -205,13 +210,14 @@
   auto &Control = Kernel_.find<ControlService>("control");
   Peers.onEntries([&] {
     Feed.setZoneEntries(Peers.zoneEntries());
-    Control.setEntries(Peers.liveEntries());
+    Control.setEntries(Peers.dutyEntries());
   });
   ViewKeeper.start();
   Feed.start();
   Control.start();
   auto &Runner = Kernel_.find<JobRunner>("job-runner");
   Runner.start();
+  Kernel_.find<LoadSampler>("load").start();
   Kernel_.find<JobService>("jobs").onAccepted([&Runner] { Runner.pollSoon(); });
 }
 
--- a/src/daemon/peer-service.cc
+++ b/src/daemon/peer-service.cc
@@ -80,10 +80,19 @@
   Tick_.start(TickMs);
 }
 
-void PeerService::setLoad(std::uint32_t Queued, Slots Busy, Slots Free) {
+void PeerService::setLoad(std::uint32_t Queued,
+                          std::vector<peer::PoolQueue> Longest) {
   Own_.Queued_ = Queued;
-  Own_.Busy_ = Busy;
-  Own_.Free_ = Free;
+  Own_.Queues_ = std::move(Longest);
+}
+
+std::map<PoolId, std::uint32_t> PeerService::queuesElsewhere() const {
+  std::map<PoolId, std::uint32_t> Queued;
+  for (const peer::PeerStatus &P : Members_.peers(Clock_.now()))
+    if (P.Health_ == peer::Health::Live)
+      for (const peer::PoolQueue &Q : P.Last_.Queues_)
+        Queued[Q.Pool_] += Q.Queued_;
+  return Queued;
 }
 
 void PeerService::beginStop() { send(Members_.stop(Clock_.now())); }
@@ -92,13 +101,14 @@
   return Members_.zoneEntries(Clock_.now());
 }
 
-std::vector<EntryId> PeerService::liveEntries() const {
-  return Members_.liveEntries(Clock_.now());
+std::vector<EntryId> PeerService::dutyEntries() const {
+  return Members_.dutyEntries(Clock_.now());
 }
 
 void PeerService::tick() {
   const Instant Now = Clock_.now();
   Own_.Head_ = View_.view().Head_;
+  Own_.PlatformAway_ = View_.platformAway();
   Members_.setOwnState(Own_);
   spreadLeaving();
   send(Members_.tick(Now));
@@ -108,11 +118,13 @@
     if (P.Health_ == peer::Health::Gone)
       View_.peerGone(P.Entry_);
   }
-  std::vector<EntryId> Live = liveEntries();
-  if (Live == LastLive_)
+  std::vector<EntryId> Duty = dutyEntries();
+  std::vector<EntryId> Zone = zoneEntries();
+  if (Duty == LastDuty_ && Zone == LastZone_)
     return;
-  LOG(INFO) << "event=entries live=" << Live.size();
-  LastLive_ = std::move(Live);
+  LOG(INFO) << "event=entries zone=" << Zone.size() << " duty=" << Duty.size();
+  LastDuty_ = std::move(Duty);
+  LastZone_ = std::move(Zone);
   if (OnEntries_)
     OnEntries_();
 }
--- a/src/daemon/peer-service.h
+++ b/src/daemon/peer-service.h
@@ -16,6 +16,7 @@
 #include <QUdpSocket>
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,14 +42,18 @@
   /// Runs when the live entries may have changed.
   void onEntries(std::function<void()> Done) { OnEntries_ = std::move(Done); }
   /// What the next heartbeats say of this entry's load.
-  void setLoad(std::uint32_t Queued, Slots Busy, Slots Free);
+  void setLoad(std::uint32_t Queued, std::vector<peer::PoolQueue> Longest);
+  /// The requests that wait for each pool at the other entries, as far as they
+  /// told.
+  std::map<PoolId, std::uint32_t> queuesElsewhere() const;
   /// Tells peers that a planned stop began.
   void beginStop();
   /// Addresses to which nothing is sent and from which nothing is taken.
   void setCut(std::set<std::string> Addresses) { Cut_ = std::move(Addresses); }
 
   std::vector<EntryId> zoneEntries() const;
-  std::vector<EntryId> liveEntries() const;
+  /// The live entries of all zones that may do control duties.
+  std::vector<EntryId> dutyEntries() const;
   std::uint64_t bytes() const { return Bytes_; }
   std::string dump() const { return Members_.dump(Clock_.now()); }
 
@@ -76,7 +81,8 @@
   peer::Membership Members_;
   peer::OwnState Own_;
   std::set<std::string> Cut_;
-  std::vector<EntryId> LastLive_;
+  std::vector<EntryId> LastDuty_;
+  std::vector<EntryId> LastZone_;
   std::function<void()> OnEntries_;
   std::uint64_t Bytes_ = 0;
   QUdpSocket Udp_;
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -98,6 +98,13 @@
   return W;
 }
 
+wire::PoolQueue toWire(const PoolQueue &Q) {
+  wire::PoolQueue W;
+  W.pool = Q.Pool_.str();
+  W.queued = smallCountFrom(Q.Queued_);
+  return W;
+}
+
 void put(wire::Message &M, const Heartbeat &H) {
   wire::Heartbeat W;
   W.entry = H.Entry_.str();
@@ -114,6 +121,9 @@
     W.leaving.push_back(toWire(L));
   for (const KnownPeer &P : H.Known_)
     W.known.push_back(toWire(P));
+  W.platform_away = H.PlatformAway_;
+  for (const PoolQueue &Q : H.Queues_)
+    W.queues.push_back(toWire(Q));
   M.__set_heartbeat(W);
 }
 
@@ -148,7 +158,12 @@
           addressTo(W.address)};
 }
 
+PoolQueue fromWire(const wire::PoolQueue &W) {
+  return {nameTo<PoolId>(W.pool), smallCountTo(W.queued)};
+}
+
 Heartbeat fromWire(const wire::Heartbeat &W) {
+  requireAtMost(W.queues, MaxPoolQueues);
   requireAtMost(W.leaving, MaxLeavingInstances);
   requireAtMost(W.known, MaxKnownPeers);
   Heartbeat H;
@@ -166,6 +181,9 @@
     H.Leaving_.push_back(fromWire(L));
   for (const wire::KnownPeer &P : W.known)
     H.Known_.push_back(fromWire(P));
+  H.PlatformAway_ = W.platform_away;
+  for (const wire::PoolQueue &Q : W.queues)
+    H.Queues_.push_back(fromWire(Q));
   return H;
 }
 
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -22,6 +22,8 @@
 inline constexpr std::size_t MaxLeavingInstances = 8;
 /// The most other entries in one heartbeat.
 inline constexpr std::size_t MaxKnownPeers = 2;
+/// The most pools whose queues one heartbeat tells.
+inline constexpr std::size_t MaxPoolQueues = 4;
 /// The most rows in one answer.
 inline constexpr std::size_t MaxRows = 10'000;
 /// The length of the signature in front of each message.
@@ -44,6 +46,13 @@
   bool operator==(const KnownPeer &) const = default;
 };
 
+/// How many requests wait for a pool at the sender.
+struct PoolQueue {
+  PoolId Pool_;
+  std::uint32_t Queued_ = 0;
+  bool operator==(const PoolQueue &) const = default;
+};
+
 /// Soft state that an entry tells of itself.
 struct Heartbeat {
   EntryId Entry_;
@@ -62,6 +71,10 @@
   bool Stopping_ = false;
   std::vector<LeavingInstance> Leaving_;
   std::vector<KnownPeer> Known_;
+  /// The platform doesn't answer the sender, so it can do no control duty.
+  bool PlatformAway_ = false;
+  /// The longest queues of the sender.
+  std::vector<PoolQueue> Queues_;
   bool operator==(const Heartbeat &) const = default;
 };
 
--- a/src/peer/gen/messages_types.cpp
+++ b/src/peer/gen/messages_types.cpp
@@ -258,6 +258,118 @@
 }
 
 
+PoolQueue::~PoolQueue() noexcept {
+}
+
+
+void PoolQueue::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void PoolQueue::__set_queued(const int32_t val) {
+  this->queued = val;
+}
+std::ostream& operator<<(std::ostream& out, const PoolQueue& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PoolQueue::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          this->__isset.queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PoolQueue::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PoolQueue");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PoolQueue &a, PoolQueue &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.queued, b.queued);
+  swap(a.__isset, b.__isset);
+}
+
+PoolQueue::PoolQueue(const PoolQueue& other4) {
+  pool = other4.pool;
+  queued = other4.queued;
+  __isset = other4.__isset;
+}
+PoolQueue& PoolQueue::operator=(const PoolQueue& other5) {
+  pool = other5.pool;
+  queued = other5.queued;
+  __isset = other5.__isset;
+  return *this;
+}
+void PoolQueue::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PoolQueue(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "queued=" << to_string(queued);
+  out << ")";
+}
+
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -309,6 +421,14 @@
 void Heartbeat::__set_known(const std::vector<KnownPeer> & val) {
   this->known = val;
 }
+
+void Heartbeat::__set_platform_away(const bool val) {
+  this->platform_away = val;
+}
+
+void Heartbeat::__set_queues(const std::vector<PoolQueue> & val) {
+  this->queues = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -421,14 +541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->leaving.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->leaving.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
             {
-              xfer += this->leaving[_i8].read(iprot);
+              xfer += this->leaving[_i10].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -441,14 +561,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->known.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size11;
+            ::apache::thrift::protocol::TType _etype14;
+            xfer += iprot->readListBegin(_etype14, _size11);
+            this->known.resize(_size11);
+            uint32_t _i15;
+            for (_i15 = 0; _i15 < _size11; ++_i15)
             {
-              xfer += this->known[_i13].read(iprot);
+              xfer += this->known[_i15].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -457,6 +577,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->platform_away);
+          this->__isset.platform_away = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->queues.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->queues.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
+            {
+              xfer += this->queues[_i20].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.queues = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -517,10 +665,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingInstance> ::const_iterator _iter14;
-    for (_iter14 = this->leaving.begin(); _iter14 != this->leaving.end(); ++_iter14)
+    std::vector<LeavingInstance> ::const_iterator _iter21;
+    for (_iter21 = this->leaving.begin(); _iter21 != this->leaving.end(); ++_iter21)
     {
-      xfer += (*_iter14).write(oprot);
+      xfer += (*_iter21).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -529,10 +677,26 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<KnownPeer> ::const_iterator _iter15;
-    for (_iter15 = this->known.begin(); _iter15 != this->known.end(); ++_iter15)
+    std::vector<KnownPeer> ::const_iterator _iter22;
+    for (_iter22 = this->known.begin(); _iter22 != this->known.end(); ++_iter22)
+    {
+      xfer += (*_iter22).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("platform_away", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->platform_away);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
+    std::vector<PoolQueue> ::const_iterator _iter23;
+    for (_iter23 = this->queues.begin(); _iter23 != this->queues.end(); ++_iter23)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter23).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -557,38 +721,44 @@
   swap(a.stopping, b.stopping);
   swap(a.leaving, b.leaving);
   swap(a.known, b.known);
+  swap(a.platform_away, b.platform_away);
+  swap(a.queues, b.queues);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other16) {
-  entry = other16.entry;
-  zone = other16.zone;
-  address = other16.address;
-  incarnation = other16.incarnation;
-  sequence = other16.sequence;
-  head = other16.head;
-  queued = other16.queued;
-  busy_slots = other16.busy_slots;
-  free_slots = other16.free_slots;
-  stopping = other16.stopping;
-  leaving = other16.leaving;
-  known = other16.known;
-  __isset = other16.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other17) {
-  entry = other17.entry;
-  zone = other17.zone;
-  address = other17.address;
-  incarnation = other17.incarnation;
-  sequence = other17.sequence;
-  head = other17.head;
-  queued = other17.queued;
-  busy_slots = other17.busy_slots;
-  free_slots = other17.free_slots;
-  stopping = other17.stopping;
-  leaving = other17.leaving;
-  known = other17.known;
-  __isset = other17.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other24) {
+  entry = other24.entry;
+  zone = other24.zone;
+  address = other24.address;
+  incarnation = other24.incarnation;
+  sequence = other24.sequence;
+  head = other24.head;
+  queued = other24.queued;
+  busy_slots = other24.busy_slots;
+  free_slots = other24.free_slots;
+  stopping = other24.stopping;
+  leaving = other24.leaving;
+  known = other24.known;
+  platform_away = other24.platform_away;
+  queues = other24.queues;
+  __isset = other24.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other25) {
+  entry = other25.entry;
+  zone = other25.zone;
+  address = other25.address;
+  incarnation = other25.incarnation;
+  sequence = other25.sequence;
+  head = other25.head;
+  queued = other25.queued;
+  busy_slots = other25.busy_slots;
+  free_slots = other25.free_slots;
+  stopping = other25.stopping;
+  leaving = other25.leaving;
+  known = other25.known;
+  platform_away = other25.platform_away;
+  queues = other25.queues;
+  __isset = other25.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -606,6 +776,8 @@
   out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "known=" << to_string(known);
+  out << ", " << "platform_away=" << to_string(platform_away);
+  out << ", " << "queues=" << to_string(queues);
   out << ")";
 }
 
@@ -685,13 +857,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewRequest::ViewRequest(const ViewRequest& other18) noexcept {
-  since = other18.since;
-  __isset = other18.__isset;
+ViewRequest::ViewRequest(const ViewRequest& other26) noexcept {
+  since = other26.since;
+  __isset = other26.__isset;
 }
-ViewRequest& ViewRequest::operator=(const ViewRequest& other19) noexcept {
-  since = other19.since;
-  __isset = other19.__isset;
+ViewRequest& ViewRequest::operator=(const ViewRequest& other27) noexcept {
+  since = other27.since;
+  __isset = other27.__isset;
   return *this;
 }
 void ViewRequest::printTo(std::ostream& out) const {
@@ -828,19 +1000,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewRow::ViewRow(const ViewRow& other20) {
-  key = other20.key;
-  version = other20.version;
-  writer = other20.writer;
-  value = other20.value;
-  __isset = other20.__isset;
+ViewRow::ViewRow(const ViewRow& other28) {
+  key = other28.key;
+  version = other28.version;
+  writer = other28.writer;
+  value = other28.value;
+  __isset = other28.__isset;
 }
-ViewRow& ViewRow::operator=(const ViewRow& other21) {
-  key = other21.key;
-  version = other21.version;
-  writer = other21.writer;
-  value = other21.value;
-  __isset = other21.__isset;
+ViewRow& ViewRow::operator=(const ViewRow& other29) {
+  key = other29.key;
+  version = other29.version;
+  writer = other29.writer;
+  value = other29.value;
+  __isset = other29.__isset;
   return *this;
 }
 void ViewRow::printTo(std::ostream& out) const {
@@ -917,14 +1089,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->rows.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->rows.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->rows[_i26].read(iprot);
+              xfer += this->rows[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -961,10 +1133,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ViewRow> ::const_iterator _iter27;
-    for (_iter27 = this->rows.begin(); _iter27 != this->rows.end(); ++_iter27)
+    std::vector<ViewRow> ::const_iterator _iter35;
+    for (_iter35 = this->rows.begin(); _iter35 != this->rows.end(); ++_iter35)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -983,17 +1155,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewAnswer::ViewAnswer(const ViewAnswer& other28) {
-  since = other28.since;
-  head = other28.head;
-  rows = other28.rows;
-  __isset = other28.__isset;
+ViewAnswer::ViewAnswer(const ViewAnswer& other36) {
+  since = other36.since;
+  head = other36.head;
+  rows = other36.rows;
+  __isset = other36.__isset;
 }
-ViewAnswer& ViewAnswer::operator=(const ViewAnswer& other29) {
-  since = other29.since;
-  head = other29.head;
-  rows = other29.rows;
-  __isset = other29.__isset;
+ViewAnswer& ViewAnswer::operator=(const ViewAnswer& other37) {
+  since = other37.since;
+  head = other37.head;
+  rows = other37.rows;
+  __isset = other37.__isset;
   return *this;
 }
 void ViewAnswer::printTo(std::ostream& out) const {
@@ -1121,17 +1293,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other30) {
-  heartbeat = other30.heartbeat;
-  view_request = other30.view_request;
-  view_answer = other30.view_answer;
-  __isset = other30.__isset;
+Message::Message(const Message& other38) {
+  heartbeat = other38.heartbeat;
+  view_request = other38.view_request;
+  view_answer = other38.view_answer;
+  __isset = other38.__isset;
 }
-Message& Message::operator=(const Message& other31) {
-  heartbeat = other31.heartbeat;
-  view_request = other31.view_request;
-  view_answer = other31.view_answer;
-  __isset = other31.__isset;
+Message& Message::operator=(const Message& other39) {
+  heartbeat = other39.heartbeat;
+  view_request = other39.view_request;
+  view_answer = other39.view_answer;
+  __isset = other39.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/peer/gen/messages_types.h
+++ b/src/peer/gen/messages_types.h
@@ -25,6 +25,8 @@
 
 class KnownPeer;
 
+class PoolQueue;
+
 class Heartbeat;
 
 class ViewRequest;
@@ -142,8 +144,58 @@
 
 std::ostream& operator<<(std::ostream& out, const KnownPeer& obj);
 
+typedef struct _PoolQueue__isset {
+  _PoolQueue__isset() : pool(false), queued(false) {}
+  bool pool :1;
+  bool queued :1;
+} _PoolQueue__isset;
+
+class PoolQueue : public virtual ::apache::thrift::TBase {
+ public:
+
+  PoolQueue(const PoolQueue&);
+  PoolQueue& operator=(const PoolQueue&);
+  PoolQueue() noexcept
+            : pool(),
+              queued(0) {
+  }
+
+  virtual ~PoolQueue() noexcept;
+  std::string pool;
+  int32_t queued;
+
+  _PoolQueue__isset __isset;
+
+  void __set_pool(const std::string& val);
+
+  void __set_queued(const int32_t val);
+
+  bool operator == (const PoolQueue & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
+    return true;
+  }
+  bool operator != (const PoolQueue &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PoolQueue & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PoolQueue &a, PoolQueue &b);
+
+std::ostream& operator<<(std::ostream& out, const PoolQueue& obj);
+
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : entry(false), zone(false), address(false), incarnation(false), sequence(false), head(false), queued(false), busy_slots(false), free_slots(false), stopping(false), leaving(false), known(false) {}
+  _Heartbeat__isset() : entry(false), zone(false), address(false), incarnation(false), sequence(false), head(false), queued(false), busy_slots(false), free_slots(false), stopping(false), leaving(false), known(false), platform_away(false), queues(false) {}
   bool entry :1;
   bool zone :1;
   bool address :1;
@@ -156,6 +208,8 @@
   bool stopping :1;
   bool leaving :1;
   bool known :1;
+  bool platform_away :1;
+  bool queues :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -173,7 +227,8 @@
               queued(0),
               busy_slots(0),
               free_slots(0),
-              stopping(0) {
+              stopping(0),
+              platform_away(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -189,6 +244,8 @@
   bool stopping;
   std::vector<LeavingInstance>  leaving;
   std::vector<KnownPeer>  known;
+  bool platform_away;
+  std::vector<PoolQueue>  queues;
 
   _Heartbeat__isset __isset;
 
@@ -216,6 +273,10 @@
 
   void __set_known(const std::vector<KnownPeer> & val);
 
+  void __set_platform_away(const bool val);
+
+  void __set_queues(const std::vector<PoolQueue> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(entry == rhs.entry))
@@ -242,6 +303,10 @@
       return false;
     if (!(known == rhs.known))
       return false;
+    if (!(platform_away == rhs.platform_away))
+      return false;
+    if (!(queues == rhs.queues))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/peer/membership.cc
+++ b/src/peer/membership.cc
@@ -88,6 +88,16 @@
   return live(Now, false);
 }
 
+std::vector<EntryId> Membership::dutyEntries(Instant Now) const {
+  std::vector<EntryId> Result = live(Now, false);
+  std::erase_if(Result, [&](const EntryId &E) {
+    const auto K = Peers_.find(E);
+    return K == Peers_.end() ? State_.PlatformAway_
+                             : K->second.Last_.PlatformAway_;
+  });
+  return Result;
+}
+
 std::vector<EntryId> Membership::live(Instant Now, bool OwnZoneOnly) const {
   std::vector<EntryId> Result;
   if (!Stopping_)
@@ -209,6 +219,8 @@
   H.Stopping_ = Stopping_;
   H.Leaving_ = leavingToTell(Now);
   H.Known_ = peersToIntroduce(Now);
+  H.PlatformAway_ = State_.PlatformAway_;
+  H.Queues_ = State_.Queues_;
   return H;
 }
 
--- a/src/peer/membership.h
+++ b/src/peer/membership.h
@@ -53,6 +53,9 @@
   std::uint32_t Queued_ = 0;
   Slots Busy_;
   Slots Free_;
+  bool PlatformAway_ = false;
+  /// The longest queues, at most MaxPoolQueues.
+  std::vector<PoolQueue> Queues_;
 };
 
 /// Introduced entries were named by another one but not heard yet.
@@ -107,6 +110,9 @@
   std::vector<EntryId> zoneEntries(Instant Now) const;
   /// As zoneEntries, over all zones.
   std::vector<EntryId> liveEntries(Instant Now) const;
+  /// The live entries of all zones that the platform answers; for control
+  /// duties.
+  std::vector<EntryId> dutyEntries(Instant Now) const;
   /// The highest head that a live or suspect entry has said.
   std::optional<HeadAt> highestHead(Instant Now) const;
   /// The instances that any source said are leaving, in order.
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -15,6 +15,12 @@
   3: string address
 }
 
+// Requests that wait for one pool at one entry.
+struct PoolQueue {
+  1: string pool
+  2: i32 queued
+}
+
 struct Heartbeat {
   1: string entry
   2: string zone
@@ -28,6 +34,8 @@
   10: bool stopping
   11: list<LeavingInstance> leaving
   12: list<KnownPeer> known
+  13: bool platform_away
+  14: list<PoolQueue> queues
 }
 
 // Asks for the rows of the view that tickets above this number wrote.
