--- a/test/standin/common/cluster.cc
+++ b/test/standin/common/cluster.cc
@@ -322,22 +322,30 @@
   return LastTicket_;
 }
 
-bool Cluster::ticket(const QJsonArray &Changes, std::size_t Entry) {
-  const EntryProcess &E = Entries_[Entry];
+std::string Cluster::tryTicket(const QJsonArray &Changes, const EntryProcess &E,
+                               int &Number) {
   const QJsonObject View = callEntry(E, "GET", "/v1/view", {}, "ada").Body_;
-  const int Number = ticketNumber(View);
+  if (Number == 0)
+    Number = ticketNumber(View);
   const QJsonObject Body{
       {"number", Number},
       {"text",
        QJsonObject{{"changes", Changes}, {"against", against(Changes, View)}}}};
   const std::string Votes = "/v1/tickets/" + std::to_string(Number) + "/votes";
+  const Reply Submitted = callEntry(E, "POST", "/v1/tickets", Body, "ada");
+  callEntry(E, "POST", Votes, {{"vote", "yes"}}, "ada");
+  const Reply R = callEntry(E, "POST", Votes, {{"vote", "yes"}}, "ben");
+  const std::string State = R.Body_["state"].toString().toStdString();
+  const bool Spent = Submitted.Status_ == 409 || State == "conflicted";
+  if (Spent)
+    Number = 0;
+  return State;
+}
+
+bool Cluster::ticket(const QJsonArray &Changes, std::size_t Entry) {
+  int Number = 0;
   return waitFor(
-      [&] {
-        callEntry(E, "POST", "/v1/tickets", Body, "ada");
-        callEntry(E, "POST", Votes, {{"vote", "yes"}}, "ada");
-        const Reply R = callEntry(E, "POST", Votes, {{"vote", "yes"}}, "ben");
-        return R.Body_["state"].toString() == "accepted";
-      },
+      [&] { return tryTicket(Changes, Entries_[Entry], Number) == "accepted"; },
       StartTimeoutMs);
 }
 
@@ -347,9 +355,9 @@
       .toArray();
 }
 
-int Cluster::activeInstances(const std::string &Pool) {
+int Cluster::activeInstances(const EntryProcess &E, const std::string &Pool) {
   int Count = 0;
-  for (const QJsonValue &I : instances(Entries_.front()))
+  for (const QJsonValue &I : instances(E))
     if (I["pool"].toString().toStdString() == Pool &&
         I["state"].toString() == "active")
       ++Count;
@@ -362,8 +370,12 @@
       QJsonObject{{"pool", QJsonObject{{"name", Name}, {"size", Size}}}},
       QJsonObject{{"budget", QJsonObject{{"pool", Name},
                                          {"min_available", MinAvailable}}}}};
-  return ticket(Changes) &&
-         waitFor([&] { return activeInstances(Pool) >= Size; }, StartTimeoutMs);
+  const auto Filled = [&] {
+    return std::ranges::all_of(Entries_, [&](const EntryProcess &E) {
+      return activeInstances(E, Pool) >= Size;
+    });
+  };
+  return ticket(Changes) && waitFor(Filled, StartTimeoutMs);
 }
 
 std::string Cluster::targets() const {
--- a/test/standin/common/cluster.h
+++ b/test/standin/common/cluster.h
@@ -87,12 +87,13 @@
                    const QJsonObject &Body);
   Reply workerFault(const WorkerAddress &W, const QJsonObject &Fault);
 
-  /// Submits a ticket and votes for it until it is accepted. The objects are
-  /// taken to be at the versions that the entry's view shows.
+  /// Submits a ticket and votes for it until it is accepted, under a new number
+  /// after each conflict, against the versions that the entry's view shows.
   bool ticket(const QJsonArray &Changes, std::size_t Entry = 0);
-  /// Creates a pool with a budget and waits until its instances are active.
+  /// Creates a pool with a budget and waits until its instances are active in
+  /// the eyes of every entry.
   bool makePool(const std::string &Pool, int Size, int MinAvailable);
-  int activeInstances(const std::string &Pool);
+  int activeInstances(const EntryProcess &E, const std::string &Pool);
   QJsonArray instances(const EntryProcess &E);
 
   /// Starts the load tool against all entries with further flags.
@@ -120,6 +121,10 @@
   std::string targets() const;
   QJsonObject against(const QJsonArray &Changes, const QJsonObject &View) const;
   int ticketNumber(const QJsonObject &View);
+  /// One round of submitting and voting; gives the ticket's state. A number of
+  /// 0 is replaced by a new one, and set back when that is spent.
+  std::string tryTicket(const QJsonArray &Changes, const EntryProcess &E,
+                        int &Number);
 
   ClusterOptions Options_;
   QTemporaryDir Folder_;
