--- a/src/daemon/control-service.cc
+++ b/src/daemon/control-service.cc
@@ -59,9 +59,8 @@
                                WorkerClient &Workers, FleetFeed &Feed)
     : Config_(std::move(Config)), Clock_(C), History_(H), Metrics_(M),
       Platform_(Platform), Workers_(Workers),
-      Feed_(Feed), Entries_{Config_.Entry_} {
-  if (Config_.OneAtATime_)
-    Duty_.emplace<1>();
+      Feed_(Feed), Entries_{Config_.Entry_},
+      Duty_(makeFleetDuty(Config_.Waves_, Config_.Moves_)) {
   connect(&LeaseTimer_, &QTimer::timeout, this, [this] { keepLeases(); });
   StepTimer_.setSingleShot(true);
   connect(&StepTimer_, &QTimer::timeout, this, [this] { step(); });
--- a/test/view/codec-test.cc
+++ b/test/view/codec-test.cc
@@ -45,7 +45,7 @@
     const InstanceRow I{InstanceId("i"), PoolId("p"),
                         ZoneId("a"),     RackId("r"),
                         "10.0.0.1:80",   InstanceState::Rebooting,
-                        WaveId("")};
+                        WaveId(""),      ""};
     CPPUNIT_ASSERT(decodeInstanceRow(encode(I)) == I);
   });
   section("a ticket, with its text's digest the same after the journey", [] {
