Checker: a not-run answer speaks of its own try after an unknown one

An entry that can't read the table can't know that an earlier try of the key, through another entry, ended as unknown and ran; it says not run of its own call, as the design has it. The load tool goes on repeating until a try tells what the open one did, and an open one counts as unknown.

--- a/test/proof/checker-test.cc
+++ b/test/proof/checker-test.cc
@@ -146,6 +146,10 @@
     holds(judgeUnknown, many(300, "done", 1), 300);
     fails(judgeUnknown, many(300, "unknown", 1));
     fails(judgeUnknown, many(300, "timeout", 1));
+    holds(judgeUnknown, many(300, "not-run", 0), 300);
+    section("not run after an unknown try settles nothing", [&] {
+      fails(judgeUnknown, many(300, "unknown", 1) + many(300, "not-run", 0));
+    });
   });
 }
 
--- a/test/standin/load/generator.h
+++ b/test/standin/load/generator.h
@@ -38,6 +38,8 @@
     /// The intended send time, in microseconds since 1970.
     std::int64_t DueUs_ = 0;
     int Tries_ = 0;
+    /// Whether a try ended without saying whether it ran.
+    bool Unsettled_ = false;
     std::size_t LastTarget_ = SIZE_MAX;
   };
   using JobPtr = std::shared_ptr<Job>;
