HTTP: a lost request is never called unsent; views wait for readiness

Ruled out: the dispatcher (its judgement follows the result of the try) and the worker's refusals. Change: whether a request may have left is noted when libcurl is about to send it. An entry without a view answers 503 not-ready. Connections over the bound get their refusal before the socket goes.

--- a/src/daemon/api.cc
+++ b/src/daemon/api.cc
@@ -45,6 +45,8 @@
     return NotFound;
   if (dynamic_cast<const FormatError *>(&E))
     return BadRequest;
+  if (dynamic_cast<const NotReady *>(&E))
+    return Unavailable;
   return Conflict;
 }
 
--- a/src/daemon/api.h
+++ b/src/daemon/api.h
@@ -21,6 +21,13 @@
   const char *code() const noexcept override { return "no-such-resource"; }
 };
 
+/// This entry has no view of the fleet yet.
+class NotReady : public Error {
+public:
+  NotReady() : Error("this entry has no view of the fleet yet") {}
+  const char *code() const noexcept override { return "not-ready"; }
+};
+
 /// A call whose path matched, with the parts that the pattern left open.
 struct ApiCall {
   http::Request Request_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -232,6 +232,12 @@
   return !Stopping_ && Kernel_.find<FleetFeed>("fleet").ready();
 }
 
+void Daemon::requireView() const {
+  // Before that, a caller could see an older head than it saw elsewhere.
+  if (!Kernel_.find<FleetFeed>("fleet").ready())
+    raise(NotReady());
+}
+
 http::Response Daemon::dump() const {
   QJsonObject All;
   for (const auto &[Name, Text] : Kernel_.dump())
@@ -269,15 +275,19 @@
                     TeamId(C.Caller_.Name_), PoolId(C.Parts_[0]));
   });
   auto &Fleet = Kernel_.find<FleetApi>("fleet-api");
-  A.add("GET", "/v1/view", access::Right::ReadView, [&Fleet](ApiCall C) {
+  A.add("GET", "/v1/view", access::Right::ReadView, [this, &Fleet](ApiCall C) {
+    requireView();
     C.Responder_.respond(jsonResponse(200, Fleet.view()));
   });
-  A.add("GET", "/v1/pools", access::Right::ReadView, [&Fleet](ApiCall C) {
+  A.add("GET", "/v1/pools", access::Right::ReadView, [this, &Fleet](ApiCall C) {
+    requireView();
     C.Responder_.respond(jsonResponse(200, Fleet.pools()));
   });
-  A.add("GET", "/v1/instances", access::Right::ReadView, [&Fleet](ApiCall C) {
-    C.Responder_.respond(jsonResponse(200, Fleet.instances()));
-  });
+  A.add("GET", "/v1/instances", access::Right::ReadView,
+        [this, &Fleet](ApiCall C) {
+          requireView();
+          C.Responder_.respond(jsonResponse(200, Fleet.instances()));
+        });
   A.add("GET", "/v1/waves", access::Right::ReadView,
         [&Fleet](ApiCall C) { Fleet.waves(C.Responder_); });
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -32,6 +32,8 @@
   void addTicketRoutes();
   void addJobRoutes();
   void applyCut(const std::set<std::string> &Cut);
+  /// Throws NotReady.
+  void requireView() const;
   void watchDrain();
   void exitNow(const char *How, std::size_t Cut);
   void sampleMetrics();
--- a/src/http/http-client.cc
+++ b/src/http/http-client.cc
@@ -33,6 +33,8 @@
   Call Call_;
   Client::Done Done_;
   Reply Reply_;
+  /// Bytes of the request may have left.
+  bool Sending_ = false;
   curl_slist *Headers_ = nullptr;
 };
 
@@ -71,13 +73,12 @@
   return Length;
 }
 
-/// Whether a failed transfer surely left no byte of the request at its goal.
-bool neverSent(CURL *Easy, CURLcode Code) {
-  long Sent = 0;
-  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Sent);
-  if (Code == CURLE_COULDNT_CONNECT)
-    return true;
-  return Sent == 0;
+/// Notes that a connection stands and the request is about to leave. libcurl
+/// may repeat a request that it sent on a kept-alive connection, and then fail
+/// to connect: its last error doesn't tell what left before.
+int noteSending(void *User, char *, char *, int, int) {
+  static_cast<Transfer *>(User)->Sending_ = true;
+  return CURL_PREREQFUNC_OK;
 }
 
 void ignoreResult(CURLMcode) {}
@@ -162,6 +163,8 @@
   curl_easy_setopt(Easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
                    std::max<long>(1, C.Timeout_.count()));
+  curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &noteSending);
+  curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &T);
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &takeBody);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &T);
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &takeHeader);
@@ -285,7 +288,7 @@
   T->Reply_.Status_ = static_cast<int>(Status);
   if (Code == CURLE_OK)
     T->Reply_.Delivery_ = Delivery::Answered;
-  else if (neverSent(Easy, Code))
+  else if (!T->Sending_)
     T->Reply_.Delivery_ = Delivery::NeverSent;
   curl_multi_remove_handle(Multi_, Easy);
   curl_slist_free_all(T->Headers_);
--- a/src/http/http-server.cc
+++ b/src/http/http-server.cc
@@ -67,8 +67,8 @@
     return nullptr;
   if (Connections_.size() >= Limits_.MaxConnections_) {
     ++Refused_;
+    connect(Socket, &QTcpSocket::disconnected, Socket, &QObject::deleteLater);
     refuse(*Socket, "503 Service Unavailable", "too-many-connections");
-    Socket->deleteLater();
     return nullptr;
   }
   const auto Bound = static_cast<qint64>(Limits_.MaxBody_.Count_);
