--- a/src/request/claim-row.cc
+++ b/src/request/claim-row.cc
@@ -44,10 +44,14 @@
   QJsonArray Workers;
   for (const InstanceId &W : R.Workers_)
     Workers.append(text(W.str()));
+  QJsonArray Boots;
+  for (const std::string &Boot : R.Boots_)
+    Boots.append(text(Boot));
   const QJsonObject O{
       {"attempt", text(R.Attempt_.str())},
       {"digest", text(R.Digest_)},
       {"workers", Workers},
+      {"boots", Boots},
       {"state", text(heathercross::detail::nameOf(StateNames, R.State_))},
       {"entry", text(R.Entry_.str())},
       {"answer", text(R.Answer_)},
@@ -76,6 +80,9 @@
   std::ranges::transform(
       O["workers"].toArray(), std::back_inserter(Claim.Row_.Workers_),
       [](const QJsonValue &V) { return InstanceId(text(V)); });
+  std::ranges::transform(O["boots"].toArray(),
+                         std::back_inserter(Claim.Row_.Boots_),
+                         [](const QJsonValue &V) { return text(V); });
   Claim.Body_ = QByteArray::fromBase64(O["body"].toString().toLatin1());
   return Claim;
 }
--- a/src/request/dispatcher.cc
+++ b/src/request/dispatcher.cc
@@ -337,8 +337,10 @@
 }
 
 void Dispatcher::removeFinished() {
-  for (std::size_t I = 0; I != Finished_.size(); ++I) {
-    const OpenRequest &R = Open_.at(Finished_[I]);
+  // Waking the followers of a key may finish further requests.
+  std::size_t Next = 0;
+  while (Next != Finished_.size()) {
+    const OpenRequest &R = Open_.at(Finished_[Next++]);
     if (!R.Spec_.Key_)
       continue;
     const ClaimKey Key(R.Spec_.Team_, *R.Spec_.Key_);
--- a/test/request/claim-test.cc
+++ b/test/request/claim-test.cc
@@ -1,4 +1,5 @@
 // Tests of the claims that keep a request with a key at most once.
+#include "request/claim-row.h"
 #include "request/fixture.h"
 #include "support/story.h"
 
@@ -257,6 +258,21 @@
   });
 }
 
+HEATHERCROSS_STORY(ClaimText, "a claim's row is read as it was written") {
+  StoredClaim Claim;
+  Claim.Row_ = ClaimDesk::other(ClaimState::Failed);
+  Claim.Row_.Boots_ = {"boot1", ""};
+  Claim.Body_ = "whole";
+  const Row Stored{"claim/t/k", RowVersion(7), AttemptId(), claimText(Claim)};
+  const StoredClaim Read = parseClaim(Stored);
+  CPPUNIT_ASSERT(Read.Row_.Attempt_ == Claim.Row_.Attempt_);
+  CPPUNIT_ASSERT(Read.Row_.Workers_ == Claim.Row_.Workers_);
+  CPPUNIT_ASSERT(Read.Row_.Boots_ == Claim.Row_.Boots_);
+  CPPUNIT_ASSERT(Read.Row_.State_ == ClaimState::Failed);
+  CPPUNIT_ASSERT(Read.Row_.Version_ == RowVersion(7));
+  CPPUNIT_ASSERT(Read.Body_ == Claim.Body_);
+}
+
 HEATHERCROSS_STORY(RefusedClaim, "refused by all named workers") {
   section("it is placed again under a new attempt", [] {
     ClaimDesk D;
