--- a/src/request/dispatcher-dump.cc
+++ b/src/request/dispatcher-dump.cc
@@ -10,8 +10,9 @@
 namespace heathercross::request {
 
 namespace {
-/// Entries of each list that the dump shows at most.
-constexpr int MostShown = 64;
+/// Workers and pools that the dump shows at most.
+constexpr qsizetype MostShown = 64;
+constexpr qsizetype MostPoolsShown = 256;
 
 QString text(std::string_view S) {
   return QString::fromUtf8(S.data(), static_cast<qsizetype>(S.size()));
@@ -67,7 +68,7 @@
 std::string Dispatcher::dump() const {
   QJsonArray Pools;
   for (const auto &[Name, P] : Pools_)
-    if (Pools.size() < 4 * MostShown)
+    if (Pools.size() < MostPoolsShown)
       Pools.append(QJsonObject{
           {"pool", text(Name.str())},
           {"queued", number(P.Queue_.size())},
--- a/test/request/load.h
+++ b/test/request/load.h
@@ -40,9 +40,10 @@
 public:
   /// Entries share the fleet; every worker reports to every entry each
   /// ReportEvery and tells its load beside each answer.
-  Load(Fleet F, std::vector<Config> Configs, Micros ReportEvery = Millis(50))
+  Load(Fleet F, const std::vector<Config> &Configs,
+       Micros ReportEvery = Millis(50))
       : Fleet_(std::move(F)) {
-    for (Config &C : Configs)
+    for (const Config &C : Configs)
       Entries_.push_back(std::make_unique<Dispatcher>(C));
     for (const Candidate &C : Fleet_.Candidates_)
       Slots_[C.Worker_.str()] = C.Total_.Count_;
