--- a/src/job/job-duty.cc
+++ b/src/job/job-duty.cc
@@ -157,7 +157,8 @@
   }
   if (Row.Pool_ != Pool_ || isFinal(Row.State_))
     return drop(Row.Job_, Row, Out);
-  take(Now, Jobs_[Row.Job_], std::move(Row), R.Version_);
+  Job &J = Jobs_[Row.Job_];
+  take(Now, J, std::move(Row), R.Version_);
 }
 
 void JobDuty::drop(const JobId &Id, const JobRow &Final, JobEffects &Out) {
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -226,6 +226,10 @@
     raise(KeyTooShort());
 }
 
+std::string signedText(std::string_view Payload, const PeerKey &Key) {
+  return signatureOf(Payload, Key) + std::string(Payload);
+}
+
 std::string encode(const Message &M, const PeerKey &Key, Bytes Limit) {
   wire::Message W;
   std::visit([&](const auto &Known) { put(W, Known); }, M);
@@ -234,7 +238,7 @@
   W.write(&Protocol);
   const std::string Payload = Buffer->getBufferAsString();
   requireWithin(Payload.size() + SignatureSize.Count_, Limit);
-  return signatureOf(Payload, Key) + Payload;
+  return signedText(Payload, Key);
 }
 
 Message decode(std::string_view Bytes, const PeerKey &Key,
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -15,13 +15,13 @@
 namespace heathercross::peer {
 
 /// The largest datagram that is sent or read.
-inline constexpr Bytes MaxDatagram{1200};
+inline constexpr Bytes MaxDatagram{1400};
 /// The largest frame on a stream that is sent or read.
 inline constexpr Bytes MaxFrame = 2_MiB;
 /// The most leaving instances in one heartbeat.
-inline constexpr std::size_t MaxLeavingInstances = 8;
+inline constexpr std::size_t MaxLeavingInstances = 6;
 /// The most other entries in one heartbeat.
-inline constexpr std::size_t MaxKnownPeers = 2;
+inline constexpr std::size_t MaxKnownPeers = 4;
 /// The most rows in one answer.
 inline constexpr std::size_t MaxRows = 10'000;
 /// The length of the signature in front of each message.
@@ -117,6 +117,9 @@
   std::string Secret_;
 };
 
+/// A payload with its signature in front.
+std::string signedText(std::string_view Payload, const PeerKey &Key);
+
 /// The signature and the compact form of a message. Throws Oversized above
 /// Limit.
 std::string encode(const Message &M, const PeerKey &Key, Bytes Limit);
--- a/src/peer/membership.cc
+++ b/src/peer/membership.cc
@@ -31,10 +31,7 @@
   for (std::string &Address : addressesOf(false, Now))
     To.push_back(std::move(Address));
   To.resize(std::min(To.size(), MaxStopNotices));
-  std::vector<Outgoing> Result;
-  for (std::string &Address : To)
-    Result.push_back({std::move(Address), heartbeat(Now)});
-  return Result;
+  return heartbeatsTo(Now, To);
 }
 
 std::vector<Outgoing> Membership::tick(Instant Now) {
@@ -46,9 +43,14 @@
   LastRound_ = Now;
   NextRound_ = Now + Jitter_.between(Settings_.Interval_ * 9 / 10,
                                      Settings_.Interval_ * 11 / 10);
+  return heartbeatsTo(Now, targets(Now));
+}
+
+std::vector<Outgoing>
+Membership::heartbeatsTo(Instant Now, const std::vector<std::string> &To) {
   std::vector<Outgoing> Result;
-  for (std::string &Address : targets(Now))
-    Result.push_back({std::move(Address), heartbeat(Now)});
+  for (const std::string &Address : To)
+    Result.push_back({Address, heartbeat(Now, Address)});
   return Result;
 }
 
@@ -64,7 +66,9 @@
   };
   if (K.Heard_ && OrderOf(H) <= OrderOf(K.Last_))
     return Received::Replayed;
-  K = {H.Zone_, H.Address_, true, Now, H};
+  const Instant FirstHeardAt = K.Heard_ ? K.FirstHeardAt_ : Now;
+  K = {H.Zone_, H.Address_, true, Now, FirstHeardAt, H};
+  recount();
   for (const LeavingInstance &L : H.Leaving_)
     if (L.Age_ < Settings_.LeavingFor_)
       note(Now - L.Age_, L.Instance_);
@@ -120,11 +124,9 @@
   return Result;
 }
 
-std::size_t Membership::countOf(bool OwnZone) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Peers_, [&](const auto &P) {
-        return (P.second.Zone_ == Own_.Zone_) == OwnZone;
-      }));
+void Membership::recount() {
+  ZonePeers_ = static_cast<std::size_t>(std::ranges::count_if(
+      Peers_, [&](const auto &P) { return P.second.Zone_ == Own_.Zone_; }));
 }
 
 Micros Membership::expectedGap(const Known &K) const {
@@ -132,7 +134,8 @@
   const std::size_t FanOut =
       OwnZone ? Settings_.ZoneFanOut_ : Settings_.OtherFanOut_;
   // The sender counts this entry in place of itself, so its group is as large.
-  const std::size_t Rounds = (countOf(OwnZone) + FanOut - 1) / FanOut;
+  const std::size_t Size = OwnZone ? ZonePeers_ : Peers_.size() - ZonePeers_;
+  const std::size_t Rounds = (Size + FanOut - 1) / FanOut;
   return Settings_.Interval_ *
          static_cast<std::int64_t>(std::max<std::size_t>(1, Rounds));
 }
@@ -195,7 +198,7 @@
   return Result;
 }
 
-Heartbeat Membership::heartbeat(Instant Now) {
+Heartbeat Membership::heartbeat(Instant Now, const std::string &To) {
   Heartbeat H;
   H.Entry_ = Own_.Entry_;
   H.Zone_ = Own_.Zone_;
@@ -208,7 +211,7 @@
   H.Free_ = State_.Free_;
   H.Stopping_ = Stopping_;
   H.Leaving_ = leavingToTell(Now);
-  H.Known_ = peersToIntroduce(Now);
+  H.Known_ = peersToIntroduce(Now, To);
   return H;
 }
 
@@ -228,14 +231,34 @@
   return Result;
 }
 
-std::vector<KnownPeer> Membership::peersToIntroduce(Instant Now) {
-  std::vector<KnownPeer> Live;
-  for (const auto &[Entry, K] : Peers_)
-    if (healthOf(K, Now) == Health::Live)
-      Live.push_back({Entry, K.Zone_, K.Address_});
+const Membership::Known *Membership::peerAt(const std::string &Address) const {
+  const auto IsAt = [&](const auto &P) { return P.second.Address_ == Address; };
+  const auto I = std::ranges::find_if(Peers_, IsAt);
+  return I == Peers_.end() ? nullptr : &I->second;
+}
+
+std::vector<KnownPeer> Membership::peersToIntroduce(Instant Now,
+                                                    const std::string &To) {
+  const Known *Receiver = peerAt(To);
+  std::vector<KnownPeer> Any;
+  std::vector<KnownPeer> SameZone;
+  for (const auto &[Entry, K] : Peers_) {
+    if (healthOf(K, Now) != Health::Live || K.Address_ == To)
+      continue;
+    auto &Group = Receiver && K.Zone_ == Receiver->Zone_ ? SameZone : Any;
+    Group.push_back({Entry, K.Zone_, K.Address_});
+  }
+  // Entries of the receiver's own zone are what it needs most. The start is
+  // drawn, so that receivers get different ones.
+  const bool IsNew = !Receiver || !Receiver->Heard_ ||
+                     Now - Receiver->FirstHeardAt_ < Settings_.NewFor_;
+  const std::size_t Each = IsNew ? MaxKnownPeers / 2 : 1;
   std::vector<KnownPeer> Result;
-  for (std::size_t I = 0; I < std::min(MaxKnownPeers, Live.size()); ++I)
-    Result.push_back(Live[IntroduceCursor_++ % Live.size()]);
+  for (const auto *Group : {&SameZone, &Any}) {
+    const std::size_t First = Jitter_.next() % (Group->size() + 1);
+    for (std::size_t I = 0; I < std::min(Each, Group->size()); ++I)
+      Result.push_back((*Group)[(First + I) % Group->size()]);
+  }
   return Result;
 }
 
@@ -260,6 +283,7 @@
   K.Address_ = P.Address_;
   K.HeardAt_ = Now;
   Peers_[P.Entry_] = K;
+  recount();
 }
 
 void Membership::forgetOld(Instant Now) {
@@ -272,6 +296,7 @@
         std::max(Settings_.ForgetAfter_, expectedGap(K) * Settings_.GoneAfter_);
     return Now - K.HeardAt_ >= Kept;
   });
+  recount();
 }
 
 std::string Membership::dump(Instant Now) const {
--- a/src/peer/membership.h
+++ b/src/peer/membership.h
@@ -20,7 +20,7 @@
   /// and to addresses of entries that are gone or were never heard. They bound
   /// the bytes that an entry sends, however large the fleet is.
   std::size_t ZoneFanOut_ = 3;
-  std::size_t OtherFanOut_ = 2;
+  std::size_t OtherFanOut_ = 1;
   std::size_t LostFanOut_ = 1;
   /// An entry is suspect, or gone, after this many times the interval at
   /// which it should have been heard.
@@ -29,6 +29,8 @@
   /// Entries that are gone are remembered this long, so that their old
   /// messages aren't taken for new ones.
   Micros ForgetAfter_ = Seconds(120);
+  /// How long an entry counts as new, and is told of more entries.
+  Micros NewFor_ = Seconds(30);
   /// How long an instance counts as leaving after it was last seen so.
   Micros LeavingFor_ = Seconds(20);
 };
@@ -121,6 +123,7 @@
     std::string Address_;
     bool Heard_ = false;
     Instant HeardAt_;
+    Instant FirstHeardAt_;
     Heartbeat Last_;
   };
   struct LeavingNote {
@@ -131,7 +134,7 @@
 
   Health healthOf(const Known &K, Instant Now) const;
   Micros expectedGap(const Known &K) const;
-  std::size_t countOf(bool OwnZone) const;
+  void recount();
   std::vector<std::string> targets(Instant Now);
   std::vector<std::string> pick(const std::vector<std::string> &From,
                                 std::size_t Count, std::size_t &Cursor);
@@ -139,9 +142,12 @@
   /// Addresses of entries that are gone, and those from the settings under
   /// which none is known. They are tried too, so that cuts heal.
   std::vector<std::string> lostAddresses(Instant Now) const;
-  Heartbeat heartbeat(Instant Now);
+  Heartbeat heartbeat(Instant Now, const std::string &To);
+  std::vector<Outgoing> heartbeatsTo(Instant Now,
+                                     const std::vector<std::string> &To);
   std::vector<LeavingInstance> leavingToTell(Instant Now);
-  std::vector<KnownPeer> peersToIntroduce(Instant Now);
+  std::vector<KnownPeer> peersToIntroduce(Instant Now, const std::string &To);
+  const Known *peerAt(const std::string &Address) const;
   std::vector<EntryId> live(Instant Now, bool OwnZoneOnly) const;
   void note(Instant SeenAt, const InstanceId &Instance);
   void introduce(Instant Now, const KnownPeer &P);
@@ -160,11 +166,11 @@
   bool Urgent_ = true;
 
   Peers Peers_;
+  std::size_t ZonePeers_ = 0;
   std::map<InstanceId, LeavingNote> Leaving_;
   std::size_t ZoneCursor_ = 0;
   std::size_t OtherCursor_ = 0;
   std::size_t LostCursor_ = 0;
-  std::size_t IntroduceCursor_ = 0;
 };
 
 /// The entries that watch a duty's lease: the Count highest by rendezvous
