--- a/src/job/job-duty.cc
+++ b/src/job/job-duty.cc
@@ -4,7 +4,6 @@
 #include "core/json-place.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace heathercross::job {
 
--- a/src/job/job-row.h
+++ b/src/job/job-row.h
@@ -14,7 +14,7 @@
 
 /// The longest result that a row holds, in bytes. The shell puts longer ones
 /// into the object store and the object's name into the row.
-inline constexpr std::size_t MaxResultLength = 64 * 1024;
+inline constexpr std::size_t MaxResultLength = 65'536;
 /// The longest run time that may be declared.
 inline constexpr Millis MaxWork = std::chrono::hours(24 * 7);
 /// The most cores and memory that may be declared.
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -2,7 +2,7 @@
 #include "peer/codec.h"
 
 #include "core/json-place.h"
-#include "peer/gen/messages_types.h"
+#include "peer/wire.h"
 
 #include <QMessageAuthenticationCode>
 
@@ -24,7 +24,7 @@
 /// The longest address that is read.
 constexpr std::size_t MaxAddressLength = 64;
 /// The longest key, writer or value of a row that is read.
-constexpr std::size_t MaxRowText = 256 * 1024;
+constexpr std::size_t MaxRowText = 262'144;
 /// The longest time that an instance is said to have been leaving.
 constexpr Millis MaxLeavingAge = std::chrono::hours(1);
 
--- a/src/peer/membership.cc
+++ b/src/peer/membership.cc
@@ -6,7 +6,6 @@
 #include <QJsonArray>
 
 #include <algorithm>
-#include <ranges>
 
 namespace heathercross::peer {
 
@@ -222,8 +221,9 @@
   const std::size_t Count = std::min(Order.size(), MaxLeavingInstances);
   std::ranges::partial_sort(Order,
                             Order.begin() + static_cast<std::ptrdiff_t>(Count));
+  Order.resize(Count);
   std::vector<LeavingInstance> Result;
-  for (const auto &[Told, Instance] : Order | std::views::take(Count)) {
+  for (const auto &[Told, Instance] : Order) {
     LeavingNote &L = Leaving_[Instance];
     ++L.TimesTold_;
     Result.push_back({Instance, toMillis(Now - L.SeenAt_)});
--- a/src/view/ticket.cc
+++ b/src/view/ticket.cc
@@ -2,7 +2,7 @@
 #include "view/ticket.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 namespace heathercross::view {
 
@@ -185,9 +185,12 @@
   const auto IsSpare = [](const auto &P) {
     return P.second.Spare_ && !P.second.Removed_;
   };
-  auto Spares = V.Pools_ | std::views::filter(IsSpare);
-  if (std::ranges::distance(Spares) > 1)
-    raise(SecondSparePool(std::next(Spares.begin())->first));
+  const auto First = std::ranges::find_if(V.Pools_, IsSpare);
+  if (First != V.Pools_.end()) {
+    const auto Second = std::find_if(std::next(First), V.Pools_.end(), IsSpare);
+    if (Second != V.Pools_.end())
+      raise(SecondSparePool(Second->first));
+  }
   for (const auto &[Name, B] : V.Budgets_) {
     const auto P = V.Pools_.find(Name);
     if (P == V.Pools_.end())
--- a/test/job/job-duty-test.cc
+++ b/test/job/job-duty-test.cc
@@ -98,7 +98,7 @@
   void changeHolder() {
     ++Holder_;
     if (Duty_)
-      Paused_.push_back({std::move(*Duty_), Guard_});
+      Paused_.emplace_back(std::move(*Duty_), Guard_);
     Transaction Take;
     Take.Put_ = {{"lease/job-p", std::to_string(Holder_)}};
     Guard_ = {"lease/job-p", Table_.commit(Take).Version_};
--- a/test/peer/codec-test.cc
+++ b/test/peer/codec-test.cc
@@ -73,7 +73,8 @@
   const std::string Good = encode(largestHeartbeat(), Key, MaxDatagram);
   const auto Property = [&Good](std::size_t Place, char Flip, std::size_t Cut) {
     std::string Bad = Good;
-    Bad[Place % Bad.size()] ^= Flip;
+    Bad[Place % Bad.size()] =
+        static_cast<char>(Good[Place % Good.size()] ^ Flip);
     Bad.resize(Bad.size() - Cut % Bad.size());
     RC_PRE(Bad != Good);
     RC_ASSERT_THROWS_AS(decode(Bad, Key, MaxDatagram), BadSignature);
--- a/test/peer/membership-test.cc
+++ b/test/peer/membership-test.cc
@@ -164,6 +164,7 @@
 HEATHERCROSS_STORY(DutyWatchers,
                    "a duty's watchers stay when others come or go") {
   std::vector<EntryId> Live;
+  Live.reserve(20);
   for (int I = 0; I < 20; ++I)
     Live.push_back(Fleet::name(I));
   int Moved = 0;
