--- a/src/peer/membership.cc
+++ b/src/peer/membership.cc
@@ -18,6 +18,7 @@
 void Membership::setOwnState(const OwnState &State) {
   Urgent_ = Urgent_ || State.Head_ > State_.Head_;
   State_ = State;
+  State_.Queues_.resize(std::min(State_.Queues_.size(), MaxPoolQueues));
 }
 
 void Membership::sawLeaving(Instant Now, const InstanceId &Instance) {
@@ -91,6 +92,16 @@
   return live(Now, false);
 }
 
+std::vector<EntryId> Membership::dutyEntries(Instant Now) const {
+  std::vector<EntryId> Result = live(Now, false);
+  std::erase_if(Result, [&](const EntryId &E) {
+    const auto K = Peers_.find(E);
+    return K == Peers_.end() ? State_.PlatformAway_
+                             : K->second.Last_.PlatformAway_;
+  });
+  return Result;
+}
+
 std::vector<EntryId> Membership::live(Instant Now, bool OwnZoneOnly) const {
   std::vector<EntryId> Result;
   if (!Stopping_)
@@ -211,6 +222,8 @@
   H.Stopping_ = Stopping_;
   H.Leaving_ = leavingToTell(Now);
   H.Known_ = peersToIntroduce(Now, To);
+  H.PlatformAway_ = State_.PlatformAway_;
+  H.Queues_ = State_.Queues_;
   return H;
 }
 
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -65,6 +65,10 @@
   bool Draining_ = false;
   /// The worker's own clock at that moment, in milliseconds.
   std::int64_t ClockMs_ = 0;
+  /// Batch tasks among them that could be checkpointed or stopped.
+  Slots BatchTasks_{};
+  /// Changes when the worker restarts; empty when not known.
+  std::string Boot_{};
 };
 
 /// A worker that may serve a pool, as the fleet view has it now.
@@ -101,6 +105,9 @@
   /// Identifies the stored answer: the shell keeps the body beside it.
   std::string Answer_;
   RowVersion Version_;
+  /// For each named worker its boot when it was named, as far as known. A
+  /// worker that restarted has forgotten what it started and fenced before.
+  std::vector<std::string> Boots_{};
 };
 
 /// What a worker answered to a fence of an attempt.
@@ -146,6 +153,8 @@
   AttemptId Attempt_;
   InstanceId Worker_;
   FenceResult Result_;
+  /// The boot of the worker that answered; empty when not known.
+  std::string Boot_{};
 };
 struct Reported {
   WorkerReport Report_;
@@ -174,6 +183,8 @@
   bool Fresh_ = false;
   /// Give the try up after this long.
   Micros Timeout_{0};
+  /// When not empty, the worker has to refuse unless this is its boot.
+  std::string Boot_{};
 };
 /// Answer the caller. For Done and Failed the answer is the one that came with
 /// the try or the stored claim named here.
@@ -182,9 +193,9 @@
   Outcome Outcome_;
   Reason Reason_ = Reason::None;
   /// The try whose answer is handed on; empty for a stored answer.
-  AttemptId Attempt_;
+  AttemptId Attempt_{};
   /// When not empty, the stored answer to fetch and hand on.
-  std::string Stored_;
+  std::string Stored_{};
 };
 /// Insert (Version_ zero) or replace the claim's row.
 struct WriteClaim {
--- a/test/peer/codec-test.cc
+++ b/test/peer/codec-test.cc
@@ -27,6 +27,9 @@
     H.Leaving_.push_back({InstanceId(Name), Millis(3'600'000)});
   for (std::size_t I = 0; I < MaxKnownPeers; ++I)
     H.Known_.push_back({EntryId(Name), ZoneId(Name), H.Address_});
+  for (std::size_t I = 0; I < MaxPoolQueues; ++I)
+    H.Queues_.push_back({PoolId(Name), 2'000'000'000});
+  H.PlatformAway_ = true;
   return H;
 }
 
