--- a/test/cli/docs-test.cc
+++ b/test/cli/docs-test.cc
@@ -2,11 +2,12 @@
 #include "heathercross/outcome.h"
 #include "support/story.h"
 
+#include <QRegularExpression>
+
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <regex>
 #include <set>
 
 namespace fs = std::filesystem;
@@ -32,11 +33,11 @@
 
 /// What the first group of a pattern matches in a text.
 std::set<std::string> matches(const std::string &Text, const char *Pattern) {
-  const std::regex Wanted(Pattern);
+  const QRegularExpression Wanted(Pattern);
   std::set<std::string> Found;
-  for (std::sregex_iterator I(Text.begin(), Text.end(), Wanted), End; I != End;
-       ++I)
-    Found.insert((*I)[1]);
+  auto Left = Wanted.globalMatch(QString::fromStdString(Text));
+  while (Left.hasNext())
+    Found.insert(Left.next().captured(1).toStdString());
   return Found;
 }
 
