Command line: cancelled jobs that aren't there, narrower lists of tickets

Cause: the first calls against a real daemon showed that an unknown id was left out silently by job cancel, that ticket list was too wide, and that ticket diff took a ticket's own commit for a change by somebody else.

--- a/src/cli/job-commands.cc
+++ b/src/cli/job-commands.cc
@@ -117,20 +117,33 @@
   return Batches;
 }
 
+/// The row of a job after its cancellation; an id that the answer doesn't
+/// name is no job of the team.
+QJsonObject cancelledRow(const QJsonObject &States, const QString &Id) {
+  if (States.contains(Id))
+    return {{"id", Id}, {"state", States[Id]}};
+  return failureRow(
+      Id, CallFailed(ExitCode::Refused, "no-such-job", "there is no such job"));
+}
+
 /// Cancels some jobs with one call and adds a row for each.
 ExitCode cancelBatch(Session &S, IdBatch Ids, QJsonArray &Rows) {
   QJsonArray Names;
   std::ranges::transform(Ids, std::back_inserter(Names), text);
+  ExitCode Worst = ExitCode::Done;
   try {
     const QJsonObject States = S.post("/v1/jobs/cancel", {{"ids", Names}});
-    for (auto I = States.begin(); I != States.end(); ++I)
-      Rows.append(QJsonObject{{"id", I.key()}, {"state", I.value()}});
-    return ExitCode::Done;
+    for (const auto &Id : Names) {
+      Rows.append(cancelledRow(States, Id.toString()));
+      if (!States.contains(Id.toString()))
+        Worst = ExitCode::Refused;
+    }
   } catch (const CallFailed &E) {
     for (const auto &Id : Names)
       Rows.append(failureRow(Id, E));
-    return E.exitCode();
+    Worst = E.exitCode();
   }
+  return Worst;
 }
 
 ExitCode cancel(Session &S, const Arguments &A) {
--- a/src/cli/ticket-commands.cc
+++ b/src/cli/ticket-commands.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-const Columns TicketColumns{"number", "state", "author"};
+const Columns TicketColumns{"number", "state", "author", "votes"};
 
 QByteArray readFileOrInput(const std::string &Name) {
   QFile File(QString::fromStdString(Name));
@@ -52,8 +52,16 @@
 }
 
 ExitCode list(Session &S, const Arguments &) {
-  S.printRows("tickets", arrayAt(S.get("/v1/tickets"), "tickets"),
-              TicketColumns);
+  const QJsonArray Tickets = arrayAt(S.get("/v1/tickets"), "tickets");
+  QJsonArray Rows;
+  for (const auto &Value : Tickets) {
+    QJsonObject Row = Value.toObject();
+    // Too wide for people.
+    if (!S.options().Json_)
+      Row.remove("digest");
+    Rows.append(Row);
+  }
+  S.printRows("tickets", Rows, TicketColumns);
   return ExitCode::Done;
 }
 
@@ -70,15 +78,17 @@
   return Rows;
 }
 
-/// The differences of one change, led by a line if it was written against
-/// another version than the one in force.
-QJsonArray differencesOf(const CurrentView &View, const QJsonObject &Against,
+/// The differences of one change of a ticket, led by a line if it was written
+/// against another version than the one in force.
+QJsonArray differencesOf(const CurrentView &View, const QJsonObject &Ticket,
                          const QString &Kind, const QJsonObject &Wanted) {
+  const QJsonValue Against = Ticket["text"]["against"];
   const std::string Object = objectKey(Kind.toStdString(), Wanted);
   const QString Key = QString::fromStdString(Object);
   QJsonArray Rows;
   const auto Version = static_cast<qint64>(View.versionOf(Object));
-  if (Against[Key].toInteger() != Version)
+  const bool OwnChange = Ticket["number"].toInteger() == Version;
+  if (Against[Key].toInteger() != Version && !OwnChange)
     Rows.append(QJsonObject{{"object", Key},
                             {"field", "(version)"},
                             {"in_force", Version},
@@ -91,14 +101,14 @@
 }
 
 ExitCode diff(Session &S, const Arguments &A) {
-  const QJsonObject Text = S.get(ticketPath(A[0]))["text"].toObject();
+  const QJsonObject Ticket = S.get(ticketPath(A[0]));
   const CurrentView View(S);
   QJsonArray Rows;
-  for (const auto &Value : arrayAt(Text, "changes")) {
+  for (const auto &Value : arrayAt(Ticket["text"].toObject(), "changes")) {
     const QJsonObject Change = Value.toObject();
     for (auto I = Change.begin(); I != Change.end(); ++I)
-      for (const auto &Row : differencesOf(View, Text["against"].toObject(),
-                                           I.key(), I.value().toObject()))
+      for (const auto &Row :
+           differencesOf(View, Ticket, I.key(), I.value().toObject()))
         Rows.append(Row);
   }
   S.printRows("differences", Rows, {"object", "field", "in_force", "ticket"});
--- a/test/cli/cli-test.cc
+++ b/test/cli/cli-test.cc
@@ -278,14 +278,20 @@
                          runAt(E, {"job", "result", "j1"}).Output_);
   });
   section("cancelling from the input goes in batches", [&] {
-    E.answer("POST /v1/jobs/cancel", R"({"j1":"cancelled"})");
-    const std::size_t Before = E.requests().size();
     QByteArray Ids;
-    for (int I = 0; I != 201; ++I)
+    QJsonObject States;
+    for (int I = 0; I != 201; ++I) {
       Ids += "j" + QByteArray::number(I) + "\n";
+      States["j" + QString::number(I)] = "cancelled";
+    }
+    E.answer("POST /v1/jobs/cancel", QJsonDocument(States).toJson());
+    const std::size_t Before = E.requests().size();
     expectExit(0, runAt(E, {"job", "cancel", "-"}, Ids));
     CPPUNIT_ASSERT_EQUAL(Before + 2, E.requests().size());
     CPPUNIT_ASSERT_EQUAL(qsizetype{1}, E.lastBody()["ids"].toArray().size());
+    const Ended Other = runAt(E, {"job", "cancel", "j1", "of-others"});
+    expectExit(1, Other);
+    CPPUNIT_ASSERT(has(Other.Output_, "no-such-job"));
   });
   section("jobs are submitted from JSON lines", [&] {
     E.answer("POST /v1/jobs", R"({"id":"j1","state":"waiting"})", 202);
