Followers of a key read the row; failed claims name no stored answer

Requests that waited for the same key at the same entry were answered from the leader's memory, with a name of the stored answer that the shell replaces when it writes the row: the shell would have found nothing under it. They now read the row once the leader's outcome is recorded.

--- a/src/request/claim.cc
+++ b/src/request/claim.cc
@@ -79,6 +79,11 @@
   write(Step);
 }
 
+void Claim::look(ClaimStep &Step) {
+  OtherMayHaveRun_ = true;
+  read(Step);
+}
+
 void Claim::write(ClaimStep &Step) {
   Phase_ = Phase::Writing;
   Step.Out_.push_back(WriteClaim{Spec_.Request_, Goal_});
@@ -158,6 +163,10 @@
 }
 
 void Claim::rowAbsent(ClaimStep &Step) {
+  if (Goal_.Attempt_.empty()) {
+    Phase_ = Phase::Idle;
+    return;
+  }
   Goal_.Version_ = RowVersion();
   rest(Timings_.TableRetry_, Next::Write, Step);
 }
@@ -353,7 +362,7 @@
   ClaimRow Row = Base;
   Row.State_ = State;
   Row.Entry_ = Entry_;
-  Row.Answer_ = finalState(State) ? Base.Attempt_.str() : std::string();
+  Row.Answer_ = State == ClaimState::Done ? Base.Attempt_.str() : std::string();
   Goal_ = std::move(Row);
   Unsent_ = false;
   write(Step);
@@ -368,7 +377,7 @@
 }
 
 void Claim::answerRecorded(ClaimStep &Step) {
-  Settled_ = Goal_;
+  Recorded_ = finalState(Goal_.State_);
   const Outcome O = outcomeOf(Goal_.State_);
   if (O == Outcome::NotRun)
     return answer({Spec_.Request_, O, Reason::WorkersRefused}, Step);
@@ -376,7 +385,7 @@
 }
 
 void Claim::answerStored(const ClaimRow &Row, ClaimStep &Step) {
-  Settled_ = Row;
+  Recorded_ = true;
   answer({Spec_.Request_, outcomeOf(Row.State_), Reason::None, AttemptId(),
           Row.Answer_},
          Step);
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -35,6 +35,10 @@
   void place(const AttemptId &Attempt, std::vector<InstanceId> Workers,
              std::vector<std::string> Boots, ClaimStep &Step);
 
+  /// Asks the table first what became of the key, which another request of
+  /// this entry had claimed. Ends in the stored answer, or needs a place.
+  void look(ClaimStep &Step);
+
   void onWritten(const ClaimWritten &E, ClaimStep &Step);
   void onRead(const ClaimRead &E, ClaimStep &Step);
   void onTryEnded(const TryEnded &E, ClaimStep &Step);
@@ -52,8 +56,8 @@
   bool holdsSlot() const;
   /// When onTime has to be called next.
   Instant wakeAt() const;
-  /// The row that answered the request, when it ended with a recorded outcome.
-  const std::optional<ClaimRow> &settled() const { return Settled_; }
+  /// Whether it ended with an outcome that is recorded in the table.
+  bool recorded() const { return Recorded_; }
   /// Whether the row of another attempt was settled on the way.
   bool settledForeign() const { return SettledForeign_; }
 
@@ -135,7 +139,7 @@
   AttemptId FetchAttempt_;
   InstanceId FetchWorker_;
   FenceResult FetchWhat_ = FenceResult::Done;
-  std::optional<ClaimRow> Settled_;
+  bool Recorded_ = false;
 };
 
 } // namespace heathercross::request
--- a/src/request/dispatcher.cc
+++ b/src/request/dispatcher.cc
@@ -348,15 +348,14 @@
     if (Leader == Leaders_.end() || Leader->second != R.Sequence_)
       continue;
     Leaders_.erase(Leader);
-    wakeFollowers(Key, R.Claim_ ? R.Claim_->settled() : std::nullopt);
+    wakeFollowers(Key, R.Claim_ && R.Claim_->recorded());
   }
   for (const Sequence S : Finished_)
     Open_.erase(S);
   Finished_.clear();
 }
 
-void Dispatcher::wakeFollowers(const ClaimKey &Key,
-                               const std::optional<ClaimRow> &Row) {
+void Dispatcher::wakeFollowers(const ClaimKey &Key, bool Recorded) {
   auto Node = Followers_.extract(Key);
   if (Node.empty())
     return;
@@ -365,20 +364,19 @@
     if (I == Open_.end() || I->second.Over_)
       continue;
     OpenRequest &R = I->second;
-    const bool Recorded = Row && (Row->State_ == ClaimState::Done ||
-                                  Row->State_ == ClaimState::Failed);
-    if (Recorded && Row->Digest_ != R.Spec_.Digest_)
-      finish(R, {R.Spec_.Request_, Outcome::NotRun, Reason::KeyReused});
-    else if (Recorded)
-      finish(R,
-             {R.Spec_.Request_,
-              Row->State_ == ClaimState::Done ? Outcome::Done : Outcome::Failed,
-              Reason::None, AttemptId(), Row->Answer_});
+    if (Recorded)
+      lookUp(R);
     else if (!joinsLeader(R))
       admit(R);
   }
 }
 
+void Dispatcher::lookUp(OpenRequest &R) {
+  R.Stage_ = Stage::Claiming;
+  R.Claim_.emplace(R.Spec_, Config_.Entry_, Config_.Claim_);
+  stepClaim(R, [](Claim &C, ClaimStep &Step) { C.look(Step); });
+}
+
 void Dispatcher::handle(const CallerLeft &E) {
   OpenRequest *R = find(E.Request_);
   if (!R)
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -158,7 +158,8 @@
   void emitSend(OpenRequest &R, Send S);
   void finish(OpenRequest &R, Answer A);
   void finishUnserved(OpenRequest &R, Reason Why);
-  void wakeFollowers(const ClaimKey &Key, const std::optional<ClaimRow> &Row);
+  void lookUp(OpenRequest &R);
+  void wakeFollowers(const ClaimKey &Key, bool Recorded);
 
   void setTimer(OpenRequest &R, Instant At);
   void runTimers();
--- a/test/request/claim-test.cc
+++ b/test/request/claim-test.cc
@@ -156,8 +156,13 @@
     E.arrive(Other);
     E.ended(TryResult::Answered);
     E.written(CommitStatus::Committed, 6);
+    CPPUNIT_ASSERT(!E.answer("r2") && !E.answer("r3"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, E.last<ReadClaim>().size());
+    const ClaimRow Row = ClaimDesk::other(ClaimState::Done);
+    E.give(ClaimRead{RequestId("r2"), Row});
+    E.give(ClaimRead{RequestId("r3"), Row});
     CPPUNIT_ASSERT(E.answer("r2")->Outcome_ == Outcome::Done);
-    CPPUNIT_ASSERT(!E.answer("r2")->Stored_.empty());
+    CPPUNIT_ASSERT(E.answer("r2")->Stored_ == "stored");
     CPPUNIT_ASSERT(E.answer("r3")->Reason_ == Reason::KeyReused);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, E.all<Send>().size());
   });
