--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -2,7 +2,7 @@
 #include "peer/codec.h"
 
 #include "core/json-place.h"
-#include "peer/gen/messages_types.h"
+#include "peer/wire.h"
 
 #include <QMessageAuthenticationCode>
 
@@ -24,7 +24,7 @@
 /// The longest address that is read.
 constexpr std::size_t MaxAddressLength = 64;
 /// The longest key, writer or value of a row that is read.
-constexpr std::size_t MaxRowText = 256 * 1024;
+constexpr std::size_t MaxRowText = 262'144;
 /// The longest time that an instance is said to have been leaving.
 constexpr Millis MaxLeavingAge = std::chrono::hours(1);
 
@@ -244,6 +244,10 @@
     raise(KeyTooShort());
 }
 
+std::string signedText(std::string_view Payload, const PeerKey &Key) {
+  return signatureOf(Payload, Key) + std::string(Payload);
+}
+
 std::string encode(const Message &M, const PeerKey &Key, Bytes Limit) {
   wire::Message W;
   std::visit([&](const auto &Known) { put(W, Known); }, M);
@@ -252,7 +256,7 @@
   W.write(&Protocol);
   const std::string Payload = Buffer->getBufferAsString();
   requireWithin(Payload.size() + SignatureSize.Count_, Limit);
-  return signatureOf(Payload, Key) + Payload;
+  return signedText(Payload, Key);
 }
 
 Message decode(std::string_view Bytes, const PeerKey &Key,
