--- a/test/fleet/fleet-property-test.cc
+++ b/test/fleet/fleet-property-test.cc
@@ -76,10 +76,11 @@
   void apply(const Happens &H) {
     happen(H);
     for (std::size_t I = 0; I < Holders_.size(); ++I) {
-      if (I == Paused_)
+      if (I == Paused_ || (I + 1 == Holders_.size() && Waits_ > 0))
         continue;
       Holders_[I]->step();
     }
+    Waits_ -= Waits_ > 0 ? 1 : 0;
     Fleet_.pass(Seconds(1));
   }
 
@@ -222,6 +223,7 @@
       return;
     case Happening::ActionsDelayed:
       newest().think();
+      Waits_ = 3;
       return newest().delay();
     case Happening::ActionsArrive:
       return newest().arrive();
@@ -233,6 +235,8 @@
   ModelFleet Fleet_;
   std::vector<std::unique_ptr<ModelHolder<>>> Holders_;
   std::size_t Paused_ = NoHolder;
+  /// How many steps the newest holder still waits for an answer.
+  unsigned Waits_ = 0;
   unsigned Left_ = 0;
 };
 
--- a/test/fleet/model-fleet.h
+++ b/test/fleet/model-fleet.h
@@ -192,7 +192,7 @@
       if (!W.BackAt_ || *W.BackAt_ > Now_)
         continue;
       W.BackAt_.reset();
-      W.Up_ = true;
+      W.Up_ = !W.Gone_;
       ++W.Boot_;
     }
   }
--- a/test/fleet/wave-test.cc
+++ b/test/fleet/wave-test.cc
@@ -212,6 +212,24 @@
   });
 }
 
+HEATHERCROSS_STORY(WaveLateWrite, "a late write doesn't spend a budget twice") {
+  WaveSetting T;
+  section("a holder gets no answer, and picks others in its next step", [&] {
+    T.Holder_.think();
+    T.Holder_.delay();
+    for (unsigned I = 0; I < 5; ++I)
+      T.worker(I).Busy_ = 1;
+    T.Holder_.step();
+    CPPUNIT_ASSERT_EQUAL(3U, T.disrupted());
+  });
+  section("the first write, when it comes after all, is refused", [&] {
+    T.Holder_.arrive();
+    CPPUNIT_ASSERT(T.Holder_.last() == CommitStatus::Conflict);
+    CPPUNIT_ASSERT_EQUAL(3U, T.disrupted());
+    assertNoFaults(T.Fleet_);
+  });
+}
+
 HEATHERCROSS_STORY(WaveModes, "operators pause, abort and reissue a wave") {
   WaveSetting T;
   T.run(Seconds(40));
