--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -15,7 +15,7 @@
 namespace heathercross::peer {
 
 /// The largest datagram that is sent or read.
-inline constexpr Bytes MaxDatagram{1440};
+inline constexpr Bytes MaxDatagram{1472};
 /// The largest frame on a stream that is sent or read.
 inline constexpr Bytes MaxFrame = 2_MiB;
 /// The most leaving instances in one heartbeat.
--- a/test/peer/membership-test.cc
+++ b/test/peer/membership-test.cc
@@ -95,7 +95,9 @@
     });
   });
   section("the highest head is known with its entry", [&] {
-    F[2].setOwnState({TicketNumber(7), 0, Slots{}, Slots{}});
+    OwnState State;
+    State.Head_ = TicketNumber(7);
+    F[2].setOwnState(State);
     F.run(Seconds(4));
     CPPUNIT_ASSERT(F[6].highestHead(at(F.Now_))->Head_ == TicketNumber(7));
     CPPUNIT_ASSERT(F[6].highestHead(at(F.Now_))->Entry_ == F.name(2));
