--- a/src/peer/membership.cc
+++ b/src/peer/membership.cc
@@ -49,6 +49,7 @@
 std::vector<Outgoing>
 Membership::heartbeatsTo(Instant Now, const std::vector<std::string> &To) {
   std::vector<Outgoing> Result;
+  Result.reserve(To.size());
   for (const std::string &Address : To)
     Result.push_back({Address, heartbeat(Now, Address)});
   return Result;
