--- a/test/proof-health/health-proof-test.cc
+++ b/test/proof-health/health-proof-test.cc
@@ -41,7 +41,8 @@
         CPPUNIT_ASSERT_MESSAGE(W.Name_ + " got " +
                                    std::to_string(Starts[W.Name_]),
                                Starts[W.Name_] > 3000 / 10 / 4);
-    for (const QJsonValue &I : C.instances(C.entries()[1]))
+    const QJsonArray Instances = C.instances(C.entries()[1]);
+    for (const QJsonValue &I : Instances)
       if (I["id"].toString().toStdString() != Bad)
         CPPUNIT_ASSERT_EQUAL(std::string("active"),
                              I["state"].toString().toStdString());
--- a/test/standin/common/cluster.cc
+++ b/test/standin/common/cluster.cc
@@ -373,7 +373,8 @@
 
 int Cluster::activeInstances(const EntryProcess &E, const std::string &Pool) {
   int Count = 0;
-  for (const QJsonValue &I : instances(E))
+  const QJsonArray Instances = instances(E);
+  for (const QJsonValue &I : Instances)
     if (I["pool"].toString().toStdString() == Pool &&
         I["state"].toString() == "active")
       ++Count;
