--- a/test/proof-health/health-proof-test.cc
+++ b/test/proof-health/health-proof-test.cc
@@ -42,7 +42,7 @@
                                    std::to_string(Starts[W.Name_]),
                                Starts[W.Name_] > 3000 / 10 / 4);
     const QJsonArray Instances = C.instances(C.entries()[1]);
-    for (const QJsonValue &I : Instances)
+    for (const QJsonValue I : Instances)
       if (I["id"].toString().toStdString() != Bad)
         CPPUNIT_ASSERT_EQUAL(std::string("active"),
                              I["state"].toString().toStdString());
--- a/test/standin/common/cluster.cc
+++ b/test/standin/common/cluster.cc
@@ -320,7 +320,7 @@
                              const QJsonObject &View) const {
   const QJsonObject Versions = View["versions"].toObject();
   QJsonObject Against;
-  for (const QJsonValue &Change : Changes)
+  for (const auto &Change : Changes)
     for (const QString &Kind : Change.toObject().keys()) {
       const QJsonObject Object = Change[Kind].toObject();
       const char *Name = Kind == "budget"  ? "pool"
@@ -351,7 +351,7 @@
   const Reply Submitted = callEntry(E, "POST", "/v1/tickets", Body, "ada");
   callEntry(E, "POST", Votes, {{"vote", "yes"}}, "ada");
   const Reply R = callEntry(E, "POST", Votes, {{"vote", "yes"}}, "ben");
-  const std::string State = R.Body_["state"].toString().toStdString();
+  std::string State = R.Body_["state"].toString().toStdString();
   const bool Spent = Submitted.Status_ == 409 || State == "conflicted";
   if (Spent)
     Number = 0;
@@ -374,7 +374,7 @@
 int Cluster::activeInstances(const EntryProcess &E, const std::string &Pool) {
   int Count = 0;
   const QJsonArray Instances = instances(E);
-  for (const QJsonValue &I : Instances)
+  for (const QJsonValue I : Instances)
     if (I["pool"].toString().toStdString() == Pool &&
         I["state"].toString() == "active")
       ++Count;
