Units: the clock's standard name is exempt from the naming rule

Cause: clang-tidy asked for another name of is_steady, which std::chrono needs. Change: one exemption on that line.

--- a/include/heathercross/units.h
+++ b/include/heathercross/units.h
@@ -18,7 +18,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<LocalClock>;
-  static constexpr bool is_steady = true;
+  // The name is the standard library's.
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 };
 
 /// A moment on the local time line. Decisions get it with each event.
