--- /dev/null
+++ b/test/standin/bench/capacity.cc
@@ -0,0 +1,147 @@
+// Watches idle clusters of growing sizes.
+#include "capacity.h"
+
+#include "kernels.h"
+#include "process-usage.h"
+#include "standin/common/cluster.h"
+#include "table.h"
+
+#include <algorithm>
+#include <iostream>
+#include <optional>
+
+namespace heathercross::bench {
+namespace {
+
+using standin::Cluster;
+using standin::ClusterOptions;
+
+constexpr int PoolSize = 9;
+constexpr int SettleMs = 5000;
+constexpr int FillTimeoutMs = 60'000;
+constexpr double KbPerMb = 1024;
+
+struct Size {
+  int Workers_;
+  int Zones_;
+  int EntriesEach_;
+  int entries() const { return Zones_ * EntriesEach_; }
+};
+
+constexpr Size Sizes[] = {{50, 3, 2},   {200, 3, 2}, {600, 3, 2},
+                          {1200, 3, 2}, {50, 4, 6},  {50, 5, 12}};
+
+bool makePools(Cluster &C, int Workers) {
+  QJsonArray Changes;
+  const int Pools = Workers / PoolSize;
+  for (int I = 0; I < Pools; ++I) {
+    const QString Name = 'p' + QString::number(I);
+    Changes.append(
+        QJsonObject{{"pool", QJsonObject{{"name", Name}, {"size", PoolSize}}}});
+    Changes.append(QJsonObject{
+        {"budget", QJsonObject{{"pool", Name}, {"min_available", 6}}}});
+  }
+  return C.ticket(Changes) &&
+         Cluster::waitFor(
+             [&] {
+               return C.instances(C.entries().front()).size() >=
+                      Pools * PoolSize;
+             },
+             FillTimeoutMs);
+}
+
+/// What was seen of all entries over a while without load.
+struct IdleFigures {
+  double MeanCpu_ = 0;
+  double MostCpu_ = 0;
+  double MeanResidentMb_ = 0;
+  double MostResidentMb_ = 0;
+  double ReadsPerSecond_ = 0;
+  double WritesPerSecond_ = 0;
+};
+
+std::vector<ProcessUsage> usages(Cluster &C) {
+  std::vector<ProcessUsage> All;
+  for (const auto &E : C.entries())
+    All.push_back(usageOf(E.Process_->processId()));
+  return All;
+}
+
+IdleFigures watchIdle(Cluster &C, int Seconds) {
+  Cluster::sleepMs(SettleMs);
+  const auto Before = usages(C);
+  const QJsonObject StatsBefore = C.platformStats().Body_;
+  Cluster::sleepMs(Seconds * 1000);
+  const QJsonObject StatsAfter = C.platformStats().Body_;
+  const auto After = usages(C);
+  IdleFigures F;
+  const auto Count = static_cast<double>(After.size());
+  for (std::size_t I = 0; I < After.size(); ++I) {
+    const double Cpu = (After[I].CpuSeconds_ - Before[I].CpuSeconds_) / Seconds;
+    const double Mb = static_cast<double>(After[I].ResidentKb_) / KbPerMb;
+    F.MeanCpu_ += Cpu / Count;
+    F.MostCpu_ = std::max(F.MostCpu_, Cpu);
+    F.MeanResidentMb_ += Mb / Count;
+    F.MostResidentMb_ = std::max(F.MostResidentMb_, Mb);
+  }
+  const auto PerSecond = [&](const char *Name) {
+    return (StatsAfter[Name].toDouble() - StatsBefore[Name].toDouble()) /
+           Seconds;
+  };
+  F.ReadsPerSecond_ = PerSecond("reads");
+  F.WritesPerSecond_ = PerSecond("writes");
+  return F;
+}
+
+std::optional<IdleFigures> measure(const Size &S, int Seconds) {
+  ClusterOptions O;
+  O.Zones_.clear();
+  for (int I = 0; I < S.Zones_; ++I)
+    O.Zones_.emplace_back(1, static_cast<char>('a' + I));
+  O.EntriesEach_ = S.EntriesEach_;
+  O.WorkersEach_ = (S.Workers_ + S.Zones_ - 1) / S.Zones_;
+  O.Histories_ = false;
+  Cluster C(O);
+  if (!C.start() || !makePools(C, S.Workers_))
+    return std::nullopt;
+  return watchIdle(C, Seconds);
+}
+
+std::vector<std::string> rowOf(const Size &S, const IdleFigures &F) {
+  return {std::to_string(S.Workers_) + ", " + std::to_string(S.entries()),
+          fixed(100 * F.MeanCpu_, 1),
+          fixed(100 * F.MostCpu_, 1),
+          fixed(F.MeanResidentMb_, 1),
+          fixed(F.MostResidentMb_, 1),
+          fixed(F.ReadsPerSecond_, 1),
+          fixed(F.ReadsPerSecond_ / S.entries(), 2),
+          fixed(F.WritesPerSecond_, 1),
+          fixed(F.WritesPerSecond_ / S.entries(), 2)};
+}
+
+} // namespace
+
+bool runCapacity(int Seconds) {
+  std::cout << format(heartbeatBytes()) << '\n'
+            << format(fleetStepCost()) << '\n'
+            << format(viewApplyCost()) << '\n'
+            << std::flush;
+  Table T{"idle clusters, pools of 9, " + std::to_string(Seconds) + " s each",
+          {{"workers, entries", "cpu %", "most", "resident MB", "most",
+            "reads/s", "per entry", "writes/s", "per entry"}}};
+  bool All = true;
+  for (const Size &S : Sizes) {
+    const auto F = measure(S, Seconds);
+    All = All && F;
+    if (F)
+      T.Rows_.push_back(rowOf(S, *F));
+    else
+      T.Rows_.push_back(
+          {std::to_string(S.Workers_) + ", " + std::to_string(S.entries()),
+           "didn't come up"});
+  }
+  std::cout << format(T) << std::flush;
+  return All;
+}
+
+} // namespace heathercross::bench
--- /dev/null
+++ b/test/standin/bench/main.cc
@@ -0,0 +1,74 @@
+// standin-bench: measures heathercross with real processes on loopback.
+#include "capacity.h"
+#include "policy.h"
+#include "speed.h"
+
+#include <QCoreApplication>
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_string(deployment, "chipledger", "policy: chipledger or tallinn");
+DEFINE_string(policy, "combined",
+              "policy: static-buffer, threshold-moves, overflow, hysteresis, "
+              "combined, random, least-loaded or shared-slots");
+DEFINE_uint64(seed, 1, "policy: seed of the load");
+DEFINE_int32(seconds, 0, "length of a run; 0 for the usual one");
+DEFINE_bool(rack_loss, false, "policy: a rack dies at the middle of the run");
+DEFINE_bool(frozen_entry, false,
+            "policy: one entry is frozen after a third of the run");
+DEFINE_bool(new_entry, false,
+            "policy: one entry only starts at the middle of the run");
+DEFINE_double(declared_spread, 4,
+              "policy: declared run times are off by up to this factor");
+
+namespace {
+
+using namespace heathercross::bench;
+
+constexpr int PolicySeconds = 30;
+constexpr int SpeedSeconds = 5;
+constexpr int CapacitySeconds = 10;
+constexpr int UsageError = 2;
+
+int secondsOr(int Usual) { return FLAGS_seconds > 0 ? FLAGS_seconds : Usual; }
+
+int policy() {
+  const auto D = findDeployment(FLAGS_deployment);
+  const auto P = findPolicy(FLAGS_policy);
+  if (!D || !P) {
+    std::cerr << "standin-bench: unknown --deployment or --policy\n";
+    return UsageError;
+  }
+  PolicyRun Run{*D, *P};
+  Run.Seed_ = FLAGS_seed;
+  Run.Seconds_ = secondsOr(PolicySeconds);
+  Run.RackLoss_ = FLAGS_rack_loss;
+  Run.FrozenEntry_ = FLAGS_frozen_entry;
+  Run.NewEntry_ = FLAGS_new_entry;
+  Run.DeclaredSpread_ = FLAGS_declared_spread;
+  return runPolicy(Run) ? 0 : 1;
+}
+
+int run(const std::string &What) {
+  if (What == "policy")
+    return policy();
+  if (What == "speed")
+    return runSpeed(secondsOr(SpeedSeconds)) ? 0 : 1;
+  if (What == "capacity")
+    return runCapacity(secondsOr(CapacitySeconds)) ? 0 : 1;
+  std::cerr << "usage: standin-bench policy|speed|capacity [--flags]\n";
+  return UsageError;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  QCoreApplication Application(Argc, Argv);
+  const int Code = run(Argc > 1 ? Argv[1] : "");
+  if (Code == 1)
+    std::cerr << "standin-bench: some processes didn't come up\n";
+  return Code;
+}
--- a/test/standin/common/cluster.cc
+++ b/test/standin/common/cluster.cc
@@ -125,6 +125,10 @@
   return Folder_.filePath(QString::fromStdString(Name)).toStdString();
 }
 
+std::string Cluster::historyOf(const std::string &Name) const {
+  return Options_.Histories_ ? path(Name + ".history") : "";
+}
+
 std::unique_ptr<QProcess>
 Cluster::launch(const std::string &Program,
                 const std::vector<std::string> &Arguments,
@@ -177,7 +181,7 @@
       << "\npoll_ms = 500\ntimeout_ms = 500\n[access]\ntokens_file = "
       << path("tokens")
       << "\n[committee]\nmembers = ada, ben, cleo\nchair = ben\n"
-      << "[history]\nfile = " << path(E.Name_ + ".history")
+      << "[history]\nfile = " << historyOf(E.Name_)
       << "\n[cut]\nswitch_file = " << path(E.Name_ + ".cut") << '\n'
       << Options_.MoreSettings_;
   return Out.str();
@@ -201,13 +205,12 @@
 
 bool Cluster::startWorkers(const std::string &Zone) {
   const std::string Name = "workers-" + Zone;
-  WorkerProcesses_.push_back(
-      launch("standin-worker",
-             {"--platform", "127.0.0.1:" + std::to_string(PlatformPort_),
-              "--count", std::to_string(Options_.WorkersEach_), "--zone", Zone,
-              "--reboot_ms", std::to_string(Options_.RebootMs_), "--history",
-              path(Name + ".history")},
-             Name));
+  WorkerProcesses_.push_back(launch(
+      "standin-worker",
+      {"--platform", "127.0.0.1:" + std::to_string(PlatformPort_), "--count",
+       std::to_string(Options_.WorkersEach_), "--zone", Zone, "--reboot_ms",
+       std::to_string(Options_.RebootMs_), "--history", historyOf(Name)},
+      Name));
   std::vector<int> Ports;
   const bool Ready = waitFor(
       [&] {
@@ -381,7 +384,7 @@
                                "--token",
                                Tokens_["team"],
                                "--history",
-                               path(Name + ".history"),
+                               historyOf(Name),
                                "--name",
                                Name,
                                "--json",
--- a/test/standin/common/cluster.h
+++ b/test/standin/common/cluster.h
@@ -28,6 +28,8 @@
   /// Lines added to each entry's settings, as "[section]\nkey = value\n".
   std::string MoreSettings_;
   std::uint64_t Seed_ = 1;
+  /// Whether entries, workers and loads write histories.
+  bool Histories_ = true;
 };
 
 /// What a call came to; status 0 when there was no whole answer.
@@ -117,6 +119,8 @@
   void makeSecrets();
   std::string settingsOf(const EntryProcess &E) const;
   std::string path(const std::string &Name) const;
+  /// The file of a process's history; empty when none is written.
+  std::string historyOf(const std::string &Name) const;
   std::string targets() const;
   QJsonObject against(const QJsonArray &Changes, const QJsonObject &View) const;
   int ticketNumber(const QJsonObject &View);
--- a/test/standin/load/generator.cc
+++ b/test/standin/load/generator.cc
@@ -5,6 +5,7 @@
 #include <QTimer>
 
 #include <algorithm>
+#include <cmath>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -89,6 +90,12 @@
   finishIfDone();
 }
 
+int Generator::drawDeclared() {
+  std::uniform_real_distribution<> Exponent(-1, 1);
+  const double Factor = std::pow(Options_.DeclaredSpread_, Exponent(Random_));
+  return static_cast<int>(std::lround(Options_.WorkMs_ * Factor));
+}
+
 Generator::JobPtr Generator::makeJob(const Arrival &A) {
   auto J = std::make_shared<Job>();
   const std::string Number = std::to_string(Sequence_++);
@@ -100,6 +107,11 @@
     J->Key_ = "key-" + J->Id_ + '-' + std::to_string(StartUs_);
   if (Uniform(Random_) < Options_.PoisonShare_)
     J->Body_ = "poison ";
+  J->DeclaredMs_ = Options_.WorkMs_;
+  if (Options_.DeclaredSpread_ > 1) {
+    J->Body_ += "run-ms=" + QByteArray::number(Options_.WorkMs_) + ' ';
+    J->DeclaredMs_ = drawDeclared();
+  }
   J->Body_ += bytes(J->Id_ + '@' + std::to_string(StartUs_) + ' ');
   const auto Size = static_cast<qsizetype>(Options_.BodyBytes_);
   J->Body_ = J->Body_.leftJustified(Size, '.');
@@ -146,10 +158,9 @@
            "\r\nX-Urgency: " + bytes(Options_.Urgency_);
   if (!J.Key_.empty())
     Out += "\r\nIdempotency-Key: " + bytes(J.Key_);
-  Out +=
-      "\r\nHost: entry\r\nX-Work-Ms: " + QByteArray::number(Options_.WorkMs_) +
-      "\r\nContent-Length: " + QByteArray::number(J.Body_.size()) + "\r\n\r\n" +
-      J.Body_;
+  Out += "\r\nHost: entry\r\nX-Work-Ms: " + QByteArray::number(J.DeclaredMs_) +
+         "\r\nContent-Length: " + QByteArray::number(J.Body_.size()) +
+         "\r\n\r\n" + J.Body_;
   return Out;
 }
 
--- a/test/standin/load/generator.h
+++ b/test/standin/load/generator.h
@@ -33,6 +33,7 @@
     std::string Id_;
     std::string Key_;
     QByteArray Body_;
+    int DeclaredMs_ = 0;
     QByteArray Digest_;
     std::size_t Pool_ = 0;
     /// The intended send time, in microseconds since 1970.
@@ -45,6 +46,8 @@
   void wake();
   void arm();
   JobPtr makeJob(const Arrival &A);
+  /// A declared run time, off by up to the options' factor.
+  int drawDeclared();
   /// Sends a job now, or lets it wait for an idle channel.
   void submit(const JobPtr &J);
   void send(const JobPtr &J, Channel &C, std::size_t Target);
--- a/test/standin/load/main.cc
+++ b/test/standin/load/main.cc
@@ -20,6 +20,8 @@
 DEFINE_double(poison_share, 0, "share of requests whose work fails");
 DEFINE_int32(window_ms, 1000, "window of a request, in milliseconds");
 DEFINE_int32(work_ms, 0, "run time of a request, in milliseconds");
+DEFINE_double(declared_spread, 1,
+              "declared run times are off by up to this factor, either way");
 DEFINE_string(urgency, "normal", "urgent, normal or batch");
 DEFINE_bool(direct, false, "send to workers in place of entry instances");
 DEFINE_bool(bursts, false, "pools take turns at 5 times their mean");
@@ -58,6 +60,7 @@
   O.PoisonShare_ = FLAGS_poison_share;
   O.WindowMs_ = FLAGS_window_ms;
   O.WorkMs_ = FLAGS_work_ms;
+  O.DeclaredSpread_ = FLAGS_declared_spread;
   O.Direct_ = FLAGS_direct;
   O.Bursts_ = FLAGS_bursts;
   O.BurstSeconds_ = FLAGS_burst_seconds;
--- a/test/standin/load/options.h
+++ b/test/standin/load/options.h
@@ -23,6 +23,9 @@
   double PoisonShare_ = 0;
   int WindowMs_ = 1000;
   int WorkMs_ = 0;
+  /// The declared run time is off by up to this factor, up or down; 1 for
+  /// declarations that are right.
+  double DeclaredSpread_ = 1;
   /// Send straight to a worker's /run in place of an entry instance.
   bool Direct_ = false;
   /// Pools take turns at 5 times their mean, then at a twentieth of it.
--- a/test/standin/worker/worker.cc
+++ b/test/standin/worker/worker.cc
@@ -10,6 +10,8 @@
 constexpr int AnnounceTimeoutMs = 1000;
 constexpr int AnnounceRetryMs = 200;
 constexpr int GoDownDelayMs = 20;
+constexpr QByteArrayView PoisonMark = "poison ";
+constexpr QByteArrayView RunMark = "run-ms=";
 
 QByteArray compact(const QJsonObject &Object) {
   return QJsonDocument(Object).toJson(QJsonDocument::Compact);
@@ -152,6 +154,18 @@
   return Response;
 }
 
+/// How long the request runs: what its body says as "run-ms=N ", which may
+/// stand after "poison ", else the declared time.
+int Worker::runMs(const HttpRequest &Request) {
+  QByteArray Body = Request.Body_;
+  if (Body.startsWith(PoisonMark))
+    Body = Body.mid(PoisonMark.size());
+  if (!Body.startsWith(RunMark))
+    return Request.header("x-work-ms").toInt();
+  const qsizetype From = RunMark.size();
+  return Body.mid(From, Body.indexOf(' ') - From).toInt();
+}
+
 void Worker::run(const HttpRequest &Request, const Responder &Answer) {
   const std::string Id = Request.header("x-request").toStdString();
   const std::string Attempt = Request.header("x-attempt").toStdString();
@@ -183,7 +197,7 @@
       .text("key", Request.header("x-key").toStdString())
       .number("keyed", R.Keyed_ ? 1 : 0);
   History_.write(Line);
-  begin(R, Request.header("x-work-ms").toInt(), Answer);
+  begin(R, runMs(Request), Answer);
 }
 
 void Worker::begin(const Run &R, int WorkMs, const Responder &Answer) {
--- a/test/standin/worker/worker.h
+++ b/test/standin/worker/worker.h
@@ -55,6 +55,7 @@
   void handle(const HttpRequest &Request, const Responder &Answer);
   HttpResponse serve(const HttpRequest &Request);
   void run(const HttpRequest &Request, const Responder &Answer);
+  static int runMs(const HttpRequest &Request);
   void begin(const Run &R, int WorkMs, const Responder &Answer);
   void end(const Run &R, const Responder &Answer);
   HttpResponse answerOf(const Run &R) const;
