--- a/test/standin/bench/capacity.cc
+++ b/test/standin/bench/capacity.cc
@@ -58,6 +58,8 @@
   double MostResidentMb_ = 0;
   double ReadsPerSecond_ = 0;
   double WritesPerSecond_ = 0;
+  /// Paths and bodies to and from the platform, without headers.
+  double PlatformBytesPerSecond_ = 0;
 };
 
 std::vector<ProcessUsage> usages(Cluster &C) {
@@ -90,6 +92,7 @@
   };
   F.ReadsPerSecond_ = PerSecond("reads");
   F.WritesPerSecond_ = PerSecond("writes");
+  F.PlatformBytesPerSecond_ = PerSecond("bytes_in") + PerSecond("bytes_out");
   return F;
 }
 
@@ -116,7 +119,8 @@
           fixed(F.ReadsPerSecond_, 1),
           fixed(F.ReadsPerSecond_ / S.entries(), 2),
           fixed(F.WritesPerSecond_, 1),
-          fixed(F.WritesPerSecond_ / S.entries(), 2)};
+          fixed(F.WritesPerSecond_ / S.entries(), 2),
+          fixed(F.PlatformBytesPerSecond_ / S.entries(), 0)};
 }
 
 } // namespace
@@ -126,9 +130,10 @@
             << format(fleetStepCost()) << '\n'
             << format(viewApplyCost()) << '\n'
             << std::flush;
-  Table T{"idle clusters, pools of 9, " + std::to_string(Seconds) + " s each",
-          {{"workers, entries", "cpu %", "most", "resident MB", "most",
-            "reads/s", "per entry", "writes/s", "per entry"}}};
+  Table T{
+      "idle clusters, pools of 9, " + std::to_string(Seconds) + " s each",
+      {{"workers, entries", "cpu %", "most", "resident MB", "most", "reads/s",
+        "per entry", "writes/s", "per entry", "table bytes/s per entry"}}};
   bool All = true;
   for (const Size &S : Sizes) {
     const auto F = measure(S, Seconds);
--- a/test/standin/platform/platform.cc
+++ b/test/standin/platform/platform.cc
@@ -80,6 +80,7 @@
   if (isControl(Request))
     return Answer(serve(Request));
   (isWrite(Request) ? Writes_ : Reads_).count(nowMicros());
+  BytesIn_ += Request.Path_.size() + Request.Body_.size();
   const Verdict V = Faults_.judge(Request.header("x-zone").toStdString());
   const auto Finish = [this, V, Request, Answer] {
     HttpResponse Response;
@@ -89,6 +90,7 @@
       Response = serve(Request);
     if (V.Cut_ || V.LoseAnswer_)
       Response.Spoil_ = Spoil::CloseUnanswered;
+    BytesOut_ += Response.Body_.size();
     Answer(Response);
   };
   if (V.DelayMs_ == 0)
@@ -214,6 +216,8 @@
   return jsonResponse(compact(
       {{"reads", static_cast<qint64>(Reads_.total())},
        {"writes", static_cast<qint64>(Writes_.total())},
+       {"bytes_in", static_cast<qint64>(BytesIn_)},
+       {"bytes_out", static_cast<qint64>(BytesOut_)},
        {"reads_per_s_max", static_cast<qint64>(Reads_.maxPerSecond())},
        {"writes_per_s_max", static_cast<qint64>(Writes_.maxPerSecond())}}));
 }
--- a/test/standin/platform/platform.h
+++ b/test/standin/platform/platform.h
@@ -53,6 +53,9 @@
   std::map<QByteArray, QByteArray> Objects_;
   RateMeter Reads_;
   RateMeter Writes_;
+  /// Bytes of paths and bodies that came and went, without headers.
+  std::int64_t BytesIn_ = 0;
+  std::int64_t BytesOut_ = 0;
   HttpServer Server_;
 };
 
