--- a/test/standin/bench/capacity.cc
+++ b/test/standin/bench/capacity.cc
@@ -105,8 +105,15 @@
   O.WorkersEach_ = (S.Workers_ + S.Zones_ - 1) / S.Zones_;
   O.Histories_ = false;
   Cluster C(O);
-  if (!C.start() || !makePools(C, S.Workers_))
+  if (!C.start()) {
+    std::cerr << S.Workers_ << ", " << S.entries() << ": not all started\n";
     return std::nullopt;
+  }
+  if (!makePools(C, S.Workers_)) {
+    std::cerr << S.Workers_ << ", " << S.entries() << ": the pools had "
+              << C.instances(C.entries().front()).size() << " instances\n";
+    return std::nullopt;
+  }
   return watchIdle(C, Seconds);
 }
 
--- a/test/standin/bench/speed.cc
+++ b/test/standin/bench/speed.cc
@@ -30,6 +30,8 @@
   double P99Us_ = 0;
   double P999Us_ = 0;
   std::int64_t NotDone_ = 0;
+  /// The share of one processor that the entry used meanwhile.
+  double EntryCpu_ = 0;
 };
 
 std::string workerTargets(Cluster &C) {
@@ -48,14 +50,19 @@
                                  "--seconds",     std::to_string(Seconds),
                                  "--window_ms",   std::to_string(WindowMs)};
   Flags.insert(Flags.end(), More.begin(), More.end());
+  const auto Pid = C.entries().front().Process_->processId();
+  const double CpuBefore = usageOf(Pid).CpuSeconds_;
   const auto Began = std::chrono::steady_clock::now();
   C.startLoad(Flags);
   const QJsonObject R = C.finishLoad();
   const std::chrono::duration<double> Took =
       std::chrono::steady_clock::now() - Began;
-  return {R["done"].toDouble() / Took.count(), R["p50_us"].toDouble(),
-          R["p99_us"].toDouble(), R["p999_us"].toDouble(),
-          R["requests"].toInteger() - R["done"].toInteger()};
+  return {R["done"].toDouble() / Took.count(),
+          R["p50_us"].toDouble(),
+          R["p99_us"].toDouble(),
+          R["p999_us"].toDouble(),
+          R["requests"].toInteger() - R["done"].toInteger(),
+          (usageOf(Pid).CpuSeconds_ - CpuBefore) / Took.count()};
 }
 
 std::vector<std::string> latencyRow(const std::string &Name,
@@ -99,7 +106,8 @@
 Table mostRequests(Cluster &C, int Seconds) {
   Table T{"most requests a second, offered " + std::to_string(TooHighRate) +
               "/s for " + std::to_string(Seconds) + " s",
-          {{"connections", "direct done/s", "entry done/s", "entry not done"}}};
+          {{"connections", "direct done/s", "entry done/s", "entry not done",
+            "entry cpu %"}}};
   for (const int Connections : {1, 32, 256}) {
     const auto Direct = runLoad(C, {"--direct", "--targets", workerTargets(C)},
                                 TooHighRate, Connections, Seconds);
