--- a/test/standin/bench/outcome-figures.cc
+++ b/test/standin/bench/outcome-figures.cc
@@ -38,8 +38,10 @@
     ++F.Requests_;
     auto &[Offered, Good] = F.GoodByEntry_[Answer->number("port")];
     ++Offered;
-    if (Answer->text("outcome") != "done")
+    if (Answer->text("outcome") != "done") {
+      ++F.NotDone_[Answer->text("outcome") + '/' + Answer->text("reason")];
       continue;
+    }
     const auto Runs = Completed.find(Answer->text("request"));
     const bool Once = Runs != Completed.end() && Runs->second == 1;
     F.Twice_ += Once ? 0 : 1;
--- a/test/standin/bench/outcome-figures.h
+++ b/test/standin/bench/outcome-figures.h
@@ -17,6 +17,8 @@
   std::int64_t Good_ = 0;
   /// Done, but the work ran to its end more than once.
   std::int64_t Twice_ = 0;
+  /// Requests that aren't done, by "outcome/reason".
+  std::map<std::string, std::int64_t> NotDone_;
   /// Time beyond the work's own run time, of those that are done.
   std::vector<std::int64_t> WaitsUs_;
   /// The same by entry (port of the last try).
--- a/test/standin/bench/policy.cc
+++ b/test/standin/bench/policy.cc
@@ -201,6 +201,8 @@
               fixed(share(Spare.Good_, Spare.Requests_), 4)},
              {"spare pool's own, wait p99 ms",
               millis(quantile(Spare.WaitsUs_, 0.99))}};
+  for (const auto &[Ending, Count] : F.NotDone_)
+    T.Rows_.push_back({"  not done: " + Ending, std::to_string(Count)});
   return T;
 }
 
--- a/test/standin/bench/speed.cc
+++ b/test/standin/bench/speed.cc
@@ -114,7 +114,8 @@
     const auto Entry = runLoad(C, {}, TooHighRate, Connections, Seconds);
     T.Rows_.push_back(
         {std::to_string(Connections), fixed(Direct.DonePerSecond_, 0),
-         fixed(Entry.DonePerSecond_, 0), std::to_string(Entry.NotDone_)});
+         fixed(Entry.DonePerSecond_, 0), std::to_string(Entry.NotDone_),
+         fixed(100 * Entry.EntryCpu_, 0)});
   }
   return T;
 }
