--- a/test/standin/bench/policy.cc
+++ b/test/standin/bench/policy.cc
@@ -79,6 +79,15 @@
       {"pool", QJsonObject{{"name", Name}, {"size", Size}, {"spare", Spare}}}};
 }
 
+/// How many active instances an entry has in its view of the fleet.
+int activeAt(Cluster &C, const standin::EntryProcess &E) {
+  return static_cast<int>(
+      std::ranges::count_if(C.instances(E), [](const QJsonValue &I) {
+        return !I["pool"].toString().isEmpty() &&
+               I["state"].toString() == "active";
+      }));
+}
+
 bool makePools(Cluster &C, int Size) {
   QJsonArray Changes{poolChange("spare", SpareSize, true)};
   for (const char *Name : Pools) {
@@ -88,13 +97,13 @@
   }
   if (!C.ticket(Changes))
     return false;
+  const int Wanted = PoolCount * Size + SpareSize;
   return Cluster::waitFor(
       [&] {
-        const auto Full = [&](const char *Name) {
-          return C.activeInstances(Name) >= Size;
-        };
-        return std::ranges::all_of(Pools, Full) &&
-               C.activeInstances("spare") >= SpareSize;
+        return std::ranges::all_of(C.entries(),
+                                   [&](const standin::EntryProcess &E) {
+                                     return activeAt(C, E) >= Wanted;
+                                   });
       },
       FillTimeoutMs);
 }
