--- a/include/heathercross/units.h
+++ b/include/heathercross/units.h
@@ -18,8 +18,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<LocalClock>;
-  // The name is the standard library's.
-  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming): the standard's name.
+  static constexpr bool is_steady = true;
 };
 
 /// A moment on the local time line. Decisions get it with each event.
