--- a/src/core/json-place.cc
+++ b/src/core/json-place.cc
@@ -108,7 +108,7 @@
   if (static_cast<std::size_t>(Array.size()) > MaxCount)
     fail("more than " + std::to_string(MaxCount) + " elements");
   std::vector<JsonPlace> Result;
-  for (const QJsonValue &Item : Array)
+  for (const QJsonValue Item : Array)
     Result.emplace_back(Item,
                         Path_ + "[" + std::to_string(Result.size()) + "]");
   return Result;
--- a/src/daemon/api.cc
+++ b/src/daemon/api.cc
@@ -17,12 +17,10 @@
 
 std::vector<std::string> partsOf(std::string_view Path) {
   std::vector<std::string> Parts;
-  for (const auto Part : Path | std::views::split('/')) {
-    const std::string Text(Part.begin(), Part.end());
-    if (!Text.empty())
-      Parts.push_back(QUrl::fromPercentEncoding(QByteArray::fromStdString(Text))
-                          .toStdString());
-  }
+  const QByteArray Whole(Path.data(), static_cast<qsizetype>(Path.size()));
+  for (const QByteArray &Part : Whole.split('/'))
+    if (!Part.isEmpty())
+      Parts.push_back(QUrl::fromPercentEncoding(Part).toStdString());
   return Parts;
 }
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -41,7 +41,6 @@
 
 namespace {
 
-constexpr Millis MetricsInterval{1000};
 constexpr int DrainCheckMs = 50;
 
 /// Tells two starts of one entry apart.
@@ -179,11 +178,11 @@
   addRoutes();
   addTicketRoutes();
   addJobRoutes();
-  auto &Api_ = Kernel_.find<Api>("api");
+  auto &Routes = Kernel_.find<Api>("api");
   auto &Server = Kernel_.add<http::Server>(
       "http-server", serverLimits(S),
-      [&Api_](http::Request &&R, http::Responder &&To) {
-        Api_.serve(std::move(R), std::move(To));
+      [&Routes](http::Request &&R, http::Responder &&To) {
+        Routes.serve(std::move(R), std::move(To));
       });
   Server.listen(QHostAddress(QString::fromStdString(S.Entry_.Listen_.Host_)),
                 S.Entry_.Listen_.Port_);
@@ -295,41 +294,45 @@
 void Daemon::addTicketRoutes() {
   auto &A = Kernel_.find<Api>("api");
   auto &Tickets = Kernel_.find<TicketService>("tickets");
-  A.add("POST", "/v1/tickets", access::Right::Change, [&Tickets](ApiCall C) {
-    Tickets.submit(std::move(C.Request_), C.Responder_,
-                   OperatorId(C.Caller_.Name_));
-  });
+  A.add("POST", "/v1/tickets", access::Right::Change,
+        [&Tickets](const ApiCall &C) {
+          Tickets.submit(C.Request_, C.Responder_, OperatorId(C.Caller_.Name_));
+        });
   A.add("POST", "/v1/tickets/*/votes", access::Right::Change,
-        [&Tickets](ApiCall C) {
-          Tickets.vote(ticketNumber(C.Parts_[0]), std::move(C.Request_),
-                       C.Responder_, OperatorId(C.Caller_.Name_));
+        [&Tickets](const ApiCall &C) {
+          Tickets.vote(ticketNumber(C.Parts_[0]), C.Request_, C.Responder_,
+                       OperatorId(C.Caller_.Name_));
+        });
+  A.add("GET", "/v1/tickets/*", access::Right::ReadView,
+        [&Tickets](const ApiCall &C) {
+          Tickets.show(ticketNumber(C.Parts_[0]), C.Responder_);
         });
-  A.add("GET", "/v1/tickets/*", access::Right::ReadView, [&Tickets](ApiCall C) {
-    Tickets.show(ticketNumber(C.Parts_[0]), C.Responder_);
-  });
   A.add("GET", "/v1/tickets", access::Right::ReadView,
-        [&Tickets](ApiCall C) { Tickets.list(C.Responder_); });
+        [&Tickets](const ApiCall &C) { Tickets.list(C.Responder_); });
 }
 
 void Daemon::addJobRoutes() {
   auto &A = Kernel_.find<Api>("api");
   auto &Jobs = Kernel_.find<JobService>("jobs");
-  A.add("POST", "/v1/jobs", access::Right::Call, [&Jobs](ApiCall C) {
+  A.add("POST", "/v1/jobs", access::Right::Call, [&Jobs](const ApiCall &C) {
     Jobs.submit(C.Request_, C.Responder_, TeamId(C.Caller_.Name_));
   });
-  A.add("POST", "/v1/jobs/cancel", access::Right::Call, [&Jobs](ApiCall C) {
-    Jobs.cancel(C.Request_, C.Responder_, TeamId(C.Caller_.Name_));
-  });
-  A.add("GET", "/v1/jobs", access::Right::Call, [&Jobs](ApiCall C) {
+  A.add("POST", "/v1/jobs/cancel", access::Right::Call,
+        [&Jobs](const ApiCall &C) {
+          Jobs.cancel(C.Request_, C.Responder_, TeamId(C.Caller_.Name_));
+        });
+  A.add("GET", "/v1/jobs", access::Right::Call, [&Jobs](const ApiCall &C) {
     const std::string State = C.Request_.parameter("state").toStdString();
     Jobs.list(State, C.Responder_, TeamId(C.Caller_.Name_));
   });
-  A.add("GET", "/v1/jobs/*", access::Right::Call, [&Jobs](ApiCall C) {
+  A.add("GET", "/v1/jobs/*", access::Right::Call, [&Jobs](const ApiCall &C) {
     Jobs.show(JobId(C.Parts_[0]), C.Responder_, TeamId(C.Caller_.Name_));
   });
-  A.add("GET", "/v1/jobs/*/result", access::Right::Call, [&Jobs](ApiCall C) {
-    Jobs.result(JobId(C.Parts_[0]), C.Responder_, TeamId(C.Caller_.Name_));
-  });
+  A.add("GET", "/v1/jobs/*/result", access::Right::Call,
+        [&Jobs](const ApiCall &C) {
+          Jobs.result(JobId(C.Parts_[0]), C.Responder_,
+                      TeamId(C.Caller_.Name_));
+        });
 }
 
 void Daemon::sampleMetrics() {
--- a/src/daemon/fleet-feed.cc
+++ b/src/daemon/fleet-feed.cc
@@ -29,7 +29,7 @@
 
 std::vector<fleet::BatchTask> tasksIn(const QJsonObject &Status) {
   std::vector<fleet::BatchTask> Tasks;
-  for (const QJsonValue &V : Status["tasks"].toArray()) {
+  for (const QJsonValue V : Status["tasks"].toArray()) {
     const QJsonObject O = V.toObject();
     Tasks.push_back({JobId(O["job"].toString().toStdString()),
                      Epoch(static_cast<std::uint64_t>(O["epoch"].toDouble()))});
@@ -77,9 +77,10 @@
     Failures_ = Answered ? 0 : Failures_ + 1;
     // Half to one and a half intervals, longer after failures.
     const unsigned Doublings = std::min(Failures_, 3U);
-    const Millis Base = std::min(Config_.Poll_ * (1U << Doublings), MaxBackoff);
+    const Millis Base =
+        std::min(Config_.Poll_ * (std::int64_t{1} << Doublings), MaxBackoff);
     const auto Half = static_cast<unsigned>(Base.count() / 2);
-    PollTimer_.start(static_cast<int>(Half + Random_() % (2 * Half)));
+    PollTimer_.start(static_cast<int>(Half + Random_() % (2UL * Half)));
   });
 }
 
@@ -275,9 +276,11 @@
 }
 
 std::string FleetFeed::dump() const {
-  constexpr std::size_t MaxListed = 2000;
+  constexpr qsizetype MaxListed = 2000;
   QJsonArray Instances;
-  for (const auto &[Name, Record] : Instances_ | std::views::take(MaxListed)) {
+  for (const auto &[Name, Record] : Instances_) {
+    if (Instances.size() >= MaxListed)
+      break;
     const auto S = Statuses_.find(Name);
     QJsonObject O = view::toJson(Record.Row_);
     O["version"] = static_cast<qint64>(Record.Version_.value());
--- a/src/daemon/job-runner.cc
+++ b/src/daemon/job-runner.cc
@@ -205,6 +205,8 @@
   History_.write("task-start", E.Job_.str(),
                  {{"worker", text(E.Worker_.str())},
                   {"epoch", static_cast<qint64>(E.Epoch_.value())}});
+  Metrics_.add("heathercross_tasks_started_total",
+               "Tasks of jobs that workers were asked to start.");
   QJsonObject Body = taskBody(E);
   Body["attempt"] = text(E.Attempt_.str());
   Body["lease_ms"] = static_cast<qint64>(E.Lease_.count());
@@ -238,7 +240,7 @@
   Control_.suspect(E.Worker_);
 }
 
-void JobRunner::replied(const PoolId &Pool, job::TaskReply Reply) {
+void JobRunner::replied(const PoolId &Pool, const job::TaskReply &Reply) {
   if (Reply.Result_.size() > job::MaxResultLength)
     return storeResult(Pool, Reply);
   const auto It = Duties_.find(Pool);
--- a/src/daemon/job-runner.h
+++ b/src/daemon/job-runner.h
@@ -43,7 +43,7 @@
   void carryOut(const PoolId &Pool, const job::StopTask &E);
   void carryOut(const PoolId &Pool, const job::CheckpointTask &E);
   void carryOut(const PoolId &Pool, const job::SuspectWorker &E);
-  void replied(const PoolId &Pool, job::TaskReply Reply);
+  void replied(const PoolId &Pool, const job::TaskReply &Reply);
   /// Puts a long result into the object store before the duty sees it.
   void storeResult(const PoolId &Pool, const job::TaskReply &Reply);
   std::vector<job::JobWorker> workersOf(const PoolId &Pool) const;
--- a/src/daemon/job-service.cc
+++ b/src/daemon/job-service.cc
@@ -20,7 +20,7 @@
 constexpr int RetryMs = 60;
 constexpr int Accepted = 202;
 constexpr int GatewayTimeout = 504;
-constexpr std::size_t MaxListed = 1000;
+constexpr qsizetype MaxListed = 1000;
 
 /// The table didn't confirm the write; the same submission may be repeated.
 class JobUncertain : public Error {
@@ -197,24 +197,27 @@
 
 void JobService::list(const std::string &State, http::Responder To,
                       const TeamId &Team) {
-  Index_.refresh(
-      [this, State, Team, To](bool Read, const std::vector<Row> &) mutable {
-        if (!Read) {
-          To.respond(errorResponse(Unavailable, PlatformAway()));
-          return;
-        }
-        const auto Wanted = [&](const auto &One) {
-          return One.second.Team_ == Team &&
-                 (State.empty() || job::name(One.second.State_) == State);
-        };
-        QJsonArray Jobs;
-        for (const auto &[Id, E] : Index_.jobs() | std::views::filter(Wanted) |
-                                       std::views::take(MaxListed))
-          Jobs.append(QJsonObject{{"id", text(Id.str())},
-                                  {"pool", text(E.Pool_.str())},
-                                  {"state", text(job::name(E.State_))}});
-        To.respond(jsonResponse(200, {{"jobs", Jobs}}));
-      });
+  Index_.refresh([this, State, Team, To](bool Read,
+                                         const std::vector<Row> &) mutable {
+    if (!Read) {
+      To.respond(errorResponse(Unavailable, PlatformAway()));
+      return;
+    }
+    const auto Wanted = [&](const auto &One) {
+      return One.second.Team_ == Team &&
+             (State.empty() || job::name(One.second.State_) == State);
+    };
+    QJsonArray Jobs;
+    for (const auto &One : Index_.jobs()) {
+      if (Jobs.size() >= MaxListed)
+        break;
+      if (Wanted(One))
+        Jobs.append(QJsonObject{{"id", text(One.first.str())},
+                                {"pool", text(One.second.Pool_.str())},
+                                {"state", text(job::name(One.second.State_))}});
+    }
+    To.respond(jsonResponse(200, {{"jobs", Jobs}}));
+  });
 }
 
 void JobService::cancel(const http::Request &R, http::Responder To,
--- a/src/daemon/peer-service.cc
+++ b/src/daemon/peer-service.cc
@@ -65,10 +65,9 @@
   connect(&Udp_, &QUdpSocket::readyRead, this, [this] { readDatagrams(); });
   connect(&Streams_, &QTcpServer::newConnection, this, [this] { accept(); });
   connect(&Tick_, &QTimer::timeout, this, [this] { tick(); });
-  View_.setAskPeer([this](const EntryId &Peer, TicketNumber Since,
-                          ViewService::PeerAnswer Done) {
-    ask(Peer, Since, std::move(Done));
-  });
+  View_.setAskPeer(
+      [this](const EntryId &Peer, TicketNumber Since,
+             const ViewService::PeerAnswer &Done) { ask(Peer, Since, Done); });
 }
 
 void PeerService::listen(const QHostAddress &Address, std::uint16_t Port) {
@@ -233,7 +232,7 @@
 }
 
 void PeerService::ask(const EntryId &Peer, TicketNumber Since,
-                      ViewService::PeerAnswer Done) {
+                      const ViewService::PeerAnswer &Done) {
   const std::string Address = addressOf(Peer);
   const auto To = settings::parseEndpoint(Address);
   if (!To || Cut_.contains(Address))
--- a/src/daemon/peer-service.h
+++ b/src/daemon/peer-service.h
@@ -67,7 +67,7 @@
   void serve(QTcpSocket *Socket);
   QByteArray answerTo(const peer::ViewRequest &R);
   void ask(const EntryId &Peer, TicketNumber Since,
-           ViewService::PeerAnswer Done);
+           const ViewService::PeerAnswer &Done);
   void takeAnswer(const peer::ViewAnswer &A,
                   const ViewService::PeerAnswer &Done);
   std::string addressOf(const EntryId &Peer) const;
--- a/src/daemon/request-service.cc
+++ b/src/daemon/request-service.cc
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::uint64_t InlineAnswerBytes = 32 * 1024;
+constexpr std::uint64_t InlineAnswerBytes = std::uint64_t{32} * 1024;
 
 /// Headers of a caller's request that the worker gets as they are.
 constexpr const char *PassedHeaders[] = {"X-Fail", "Content-Type"};
--- a/src/daemon/ticket-service.cc
+++ b/src/daemon/ticket-service.cc
@@ -49,7 +49,7 @@
     : Incarnation_(std::move(Incarnation)), Members_(std::move(Members)),
       History_(H), Platform_(Platform), View_(View) {}
 
-void TicketService::submit(http::Request R, http::Responder To,
+void TicketService::submit(const http::Request &R, http::Responder To,
                            const OperatorId &Author) {
   const view::Submission S = view::decodeSubmission(textOf(R.Body_));
   History_.write("ticket-submit", std::to_string(S.Number_.value()),
@@ -61,7 +61,7 @@
         });
 }
 
-void TicketService::vote(TicketNumber Number, http::Request R,
+void TicketService::vote(TicketNumber Number, const http::Request &R,
                          http::Responder To, const OperatorId &Voter) {
   const view::Vote Cast = view::decodeVote(textOf(R.Body_));
   begin(Number, std::move(To),
--- a/src/daemon/ticket-service.h
+++ b/src/daemon/ticket-service.h
@@ -38,8 +38,9 @@
   TicketService(std::string Incarnation, view::Committee Members, History &H,
                 platform::Client &Platform, ViewService &View);
 
-  void submit(http::Request R, http::Responder To, const OperatorId &Author);
-  void vote(TicketNumber Number, http::Request R, http::Responder To,
+  void submit(const http::Request &R, http::Responder To,
+              const OperatorId &Author);
+  void vote(TicketNumber Number, const http::Request &R, http::Responder To,
             const OperatorId &Voter);
   void show(TicketNumber Number, http::Responder To);
   void list(http::Responder To);
--- a/src/fleet/health.cc
+++ b/src/fleet/health.cc
@@ -93,6 +93,7 @@
   std::ranges::stable_sort(Failing, std::ranges::greater(),
                            &std::pair<std::uint32_t, const Member *>::first);
   std::vector<const Member *> Result;
+  Result.reserve(Failing.size());
   for (const auto &[Count, M] : Failing)
     Result.push_back(M);
   return Result;
@@ -107,8 +108,9 @@
     else if (!Plan.touches(M.id()))
       readmit(S, M, H, Plan);
   }
-  const auto Most = static_cast<std::uint32_t>(Limits_.MaxEjectedShare_ *
-                                               Picture.Members_.size());
+  const auto Members = static_cast<double>(Picture.Members_.size());
+  const auto Most =
+      static_cast<std::uint32_t>(Limits_.MaxEjectedShare_ * Members);
   auto Ejected = ejectedIn(Picture);
   for (const Member *M : failingMembers(S, Picture)) {
     if (Ejected >= Most || Plan.touches(M->id()))
--- a/src/fleet/transfers.cc
+++ b/src/fleet/transfers.cc
@@ -37,8 +37,10 @@
 } // namespace
 
 std::set<InstanceId> TransferDesk::reserved() const {
-  const auto Names = std::views::keys(Destinations_);
-  return {Names.begin(), Names.end()};
+  std::set<InstanceId> Names;
+  for (const auto &[Name, Destination] : Destinations_)
+    Names.insert(Name);
+  return Names;
 }
 
 void TransferDesk::advance(const Snapshot &S, const PoolPicture &Picture,
--- a/src/fleet/wave.cc
+++ b/src/fleet/wave.cc
@@ -193,10 +193,10 @@
       continue;
     const auto State = M.row().State_;
     const bool Wanted = Current && owes(M, *Current);
-    if (State == InstanceState::Rebooting &&
-        M.Status_->Boot_ != M.row().Boot_) {
-      Plan.settle(M, withState(M, InstanceState::Active));
-    } else if (State == InstanceState::Draining && !Wanted) {
+    const bool Back =
+        State == InstanceState::Rebooting && M.Status_->Boot_ != M.row().Boot_;
+    const bool NotNeeded = State == InstanceState::Draining && !Wanted;
+    if (Back || NotNeeded) {
       Plan.settle(M, withState(M, InstanceState::Active));
     } else if (State == InstanceState::Draining && Drains.idleTwice(M.id())) {
       auto Reboot = withState(M, InstanceState::Rebooting);
--- a/src/http/http-server.cc
+++ b/src/http/http-server.cc
@@ -31,7 +31,7 @@
 namespace {
 
 constexpr qint64 HeaderPeekBytes = 8192;
-constexpr qint64 HeaderAllowanceBytes = 64 * 1024;
+constexpr qint64 HeaderAllowanceBytes = qint64{64} * 1024;
 
 /// The length that a request's head declares, or -1 without one.
 qint64 declaredLength(QTcpSocket &Socket) {
--- a/test/standin/bench/kernels.cc
+++ b/test/standin/bench/kernels.cc
@@ -193,6 +193,7 @@
 HeartbeatFigures heartbeats(int Entries, bool News) {
   const peer::PeerKey Key(std::string(32, 'k'));
   std::vector<peer::Membership> Members;
+  Members.reserve(static_cast<std::size_t>(Entries));
   for (int I = 0; I < Entries; ++I)
     Members.push_back(makeMember(I, Entries));
   HeartbeatFigures F;
