--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -288,7 +288,7 @@
           C.Responder_.respond(jsonResponse(200, Fleet.instances()));
         });
   A.add("GET", "/v1/waves", access::Right::ReadView,
-        [&Fleet](ApiCall C) { Fleet.waves(C.Responder_); });
+        [&Fleet](const ApiCall &C) { Fleet.waves(C.Responder_); });
 }
 
 void Daemon::addTicketRoutes() {
