--- a/src/daemon/api.h
+++ b/src/daemon/api.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "access/access.h"
-#include "daemon/metrics.h"
 #include "heathercross/kernel.h"
 #include "http/http-server.h"
+#include "process/metrics.h"
 
 #include <functional>
 #include <string>
@@ -42,7 +42,7 @@
 public:
   using Handler = std::function<void(ApiCall)>;
 
-  Api(const access::Access &Access, Metrics &M)
+  Api(const access::Access &Access, process::Metrics &M)
       : Access_(Access), Metrics_(M) {}
 
   /// A path that needs a right.
@@ -63,7 +63,7 @@
   void call(const Route &R, ApiCall Call);
 
   const access::Access &Access_;
-  Metrics &Metrics_;
+  process::Metrics &Metrics_;
   std::vector<Route> Routes_;
 };
 
--- a/src/daemon/control-service.cc
+++ b/src/daemon/control-service.cc
@@ -54,8 +54,9 @@
 
 } // namespace
 
-ControlService::ControlService(ControlConfig Config, Clock &C, History &H,
-                               Metrics &M, platform::Client &Platform,
+ControlService::ControlService(ControlConfig Config, process::Clock &C,
+                               History &H, process::Metrics &M,
+                               platform::Client &Platform,
                                WorkerClient &Workers, FleetFeed &Feed)
     : Config_(std::move(Config)), Clock_(C), History_(H), Metrics_(M),
       Platform_(Platform), Workers_(Workers),
--- a/src/daemon/control-service.h
+++ b/src/daemon/control-service.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "core/duty-lease.h"
-#include "daemon/clock.h"
 #include "daemon/fleet-feed.h"
 #include "daemon/fleet-policy.h"
 #include "daemon/history.h"
-#include "daemon/metrics.h"
+#include "process/clock.h"
+#include "process/metrics.h"
 
 #include <QObject>
 #include <QTimer>
@@ -39,9 +39,9 @@
 /// their writes safe, and carries out their actions.
 class ControlService : public QObject {
 public:
-  ControlService(ControlConfig Config, Clock &C, History &H, Metrics &M,
-                 platform::Client &Platform, WorkerClient &Workers,
-                 FleetFeed &Feed);
+  ControlService(ControlConfig Config, process::Clock &C, History &H,
+                 process::Metrics &M, platform::Client &Platform,
+                 WorkerClient &Workers, FleetFeed &Feed);
 
   void start();
   /// Gives up the leases and begins nothing more.
@@ -83,9 +83,9 @@
   void afterStep(bool Busy);
 
   ControlConfig Config_;
-  Clock &Clock_;
+  process::Clock &Clock_;
   History &History_;
-  Metrics &Metrics_;
+  process::Metrics &Metrics_;
   platform::Client &Platform_;
   WorkerClient &Workers_;
   FleetFeed &Feed_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -4,7 +4,6 @@
 #include "access/access.h"
 #include "access/secret-file.h"
 #include "daemon/api.h"
-#include "daemon/clock.h"
 #include "daemon/control-service.h"
 #include "daemon/cut-switch.h"
 #include "daemon/error-response.h"
@@ -14,7 +13,6 @@
 #include "daemon/job-runner.h"
 #include "daemon/job-service.h"
 #include "daemon/load-sampler.h"
-#include "daemon/metrics.h"
 #include "daemon/peer-service.h"
 #include "daemon/request-service.h"
 #include "daemon/ticket-service.h"
@@ -23,6 +21,8 @@
 #include "http/http-client.h"
 #include "http/http-server.h"
 #include "platform/platform-client.h"
+#include "process/clock.h"
+#include "process/metrics.h"
 #include "view/codec.h"
 
 #include <QCoreApplication>
@@ -132,9 +132,9 @@
 Daemon::Daemon(const settings::Settings &S) : Settings_(S) {
   const std::uint64_t Incarnation = newIncarnation();
   const std::string Name = S.Entry_.Id_.str();
-  auto &C = Kernel_.add<Clock>("clock");
+  auto &C = Kernel_.add<process::Clock>("clock");
   auto &H = Kernel_.add<History>("history", S.History_.File_, Name);
-  auto &M = Kernel_.add<Metrics>("metrics");
+  auto &M = Kernel_.add<process::Metrics>("metrics");
   auto &A = Kernel_.add<access::Access>(
       "access", access::loadTokens(S.Access_.TokensFile_));
   auto &Http = Kernel_.add<http::Client>("http-client");
@@ -251,7 +251,7 @@
 void Daemon::addRoutes() {
   auto &A = Kernel_.find<Api>("api");
   auto &Requests = Kernel_.find<RequestService>("requests");
-  auto &M = Kernel_.find<Metrics>("metrics");
+  auto &M = Kernel_.find<process::Metrics>("metrics");
   A.addOpen("GET", "/livez", [](ApiCall C) {
     C.Responder_.respond(jsonResponse(200, {{"live", true}}));
   });
@@ -336,7 +336,7 @@
 }
 
 void Daemon::sampleMetrics() {
-  auto &M = Kernel_.find<Metrics>("metrics");
+  auto &M = Kernel_.find<process::Metrics>("metrics");
   const auto &Requests = Kernel_.find<RequestService>("requests");
   const auto &Feed = Kernel_.find<FleetFeed>("fleet");
   const auto &Platform = Kernel_.find<platform::Client>("platform");
--- a/src/daemon/fleet-api.h
+++ b/src/daemon/fleet-api.h
@@ -16,7 +16,7 @@
 /// Answers GET /v1/view, /v1/pools, /v1/instances and /v1/waves.
 class FleetApi {
 public:
-  FleetApi(Clock &C, platform::Client &Platform, ViewService &View,
+  FleetApi(process::Clock &C, platform::Client &Platform, ViewService &View,
            FleetFeed &Feed)
       : Clock_(C), Platform_(Platform), View_(View), Feed_(Feed) {}
 
@@ -35,7 +35,7 @@
                    const std::shared_ptr<fleet::Snapshot> &S,
                    http::Responder To);
 
-  Clock &Clock_;
+  process::Clock &Clock_;
   platform::Client &Platform_;
   ViewService &View_;
   FleetFeed &Feed_;
--- a/src/daemon/fleet-feed.cc
+++ b/src/daemon/fleet-feed.cc
@@ -39,7 +39,7 @@
 
 } // namespace
 
-FleetFeed::FleetFeed(FeedConfig Config, Clock &C, History &H,
+FleetFeed::FleetFeed(FeedConfig Config, process::Clock &C, History &H,
                      platform::Client &Platform, WorkerClient &Workers,
                      ViewService &View)
     : Config_(std::move(Config)), Clock_(C), History_(H), Platform_(Platform),
--- a/src/daemon/fleet-feed.h
+++ b/src/daemon/fleet-feed.h
@@ -1,7 +1,6 @@
 // Follows the instances' rows and the workers of the zone.
 #pragma once
 
-#include "daemon/clock.h"
 #include "daemon/history.h"
 #include "daemon/view-service.h"
 #include "daemon/worker-client.h"
@@ -9,6 +8,7 @@
 #include "heathercross/fleet-model.h"
 #include "job/job-row.h"
 #include "platform/platform-client.h"
+#include "process/clock.h"
 #include "request/events.h"
 
 #include <QObject>
@@ -37,8 +37,9 @@
 /// rows with jitter, and tells the others when something changed.
 class FleetFeed : public QObject {
 public:
-  FleetFeed(FeedConfig Config, Clock &C, History &H, platform::Client &Platform,
-            WorkerClient &Workers, ViewService &View);
+  FleetFeed(FeedConfig Config, process::Clock &C, History &H,
+            platform::Client &Platform, WorkerClient &Workers,
+            ViewService &View);
 
   void start();
   /// Reads changed rows soon, for example since a peer is ahead.
@@ -96,7 +97,7 @@
   void publish();
 
   FeedConfig Config_;
-  Clock &Clock_;
+  process::Clock &Clock_;
   History &History_;
   platform::Client &Platform_;
   WorkerClient &Workers_;
--- a/src/daemon/job-runner.cc
+++ b/src/daemon/job-runner.cc
@@ -86,9 +86,10 @@
 
 } // namespace
 
-JobRunner::JobRunner(std::string Incarnation, Clock &C, History &H, Metrics &M,
-                     platform::Client &Platform, WorkerClient &Workers,
-                     FleetFeed &Feed, ControlService &Control, JobIndex &Index)
+JobRunner::JobRunner(std::string Incarnation, process::Clock &C, History &H,
+                     process::Metrics &M, platform::Client &Platform,
+                     WorkerClient &Workers, FleetFeed &Feed,
+                     ControlService &Control, JobIndex &Index)
     : Incarnation_(std::move(Incarnation)), Clock_(C), History_(H), Metrics_(M),
       Platform_(Platform), Workers_(Workers), Feed_(Feed), Control_(Control),
       Index_(Index) {
--- a/src/daemon/job-runner.h
+++ b/src/daemon/job-runner.h
@@ -1,11 +1,11 @@
 // Runs the jobs of the pools whose duty this entry holds.
 #pragma once
 
-#include "daemon/clock.h"
 #include "daemon/control-service.h"
 #include "daemon/job-index.h"
 #include "daemon/worker-client.h"
 #include "job/job-duty.h"
+#include "process/clock.h"
 
 #include <QObject>
 #include <QTimer>
@@ -22,9 +22,10 @@
 /// instances are ejected.
 class JobRunner : public QObject {
 public:
-  JobRunner(std::string Incarnation, Clock &C, History &H, Metrics &M,
-            platform::Client &Platform, WorkerClient &Workers, FleetFeed &Feed,
-            ControlService &Control, JobIndex &Index);
+  JobRunner(std::string Incarnation, process::Clock &C, History &H,
+            process::Metrics &M, platform::Client &Platform,
+            WorkerClient &Workers, FleetFeed &Feed, ControlService &Control,
+            JobIndex &Index);
 
   void start();
   /// Reads changed rows soon, since a job was accepted here.
@@ -49,9 +50,9 @@
   std::vector<job::JobWorker> workersOf(const PoolId &Pool) const;
 
   std::string Incarnation_;
-  Clock &Clock_;
+  process::Clock &Clock_;
   History &History_;
-  Metrics &Metrics_;
+  process::Metrics &Metrics_;
   platform::Client &Platform_;
   WorkerClient &Workers_;
   FleetFeed &Feed_;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,6 +1,7 @@
 // heathercrossd: one entry instance.
 #include "daemon/daemon.h"
-#include "daemon/signals.h"
+#include "entry/entry.h"
+#include "process/signals.h"
 
 #include <QCoreApplication>
 #include <QNetworkProxyFactory>
@@ -11,6 +12,8 @@
 #include <iostream>
 
 DEFINE_string(settings, "", "The settings file (INI).");
+DEFINE_string(deployment, "",
+              "The settings file (INI) of an entry instance on the platform.");
 DEFINE_bool(check, false, "Check the settings file and exit.");
 DEFINE_bool(settings_help, false, "Print every settings key and exit.");
 
@@ -27,7 +30,21 @@
 
 int run(const heathercross::settings::Settings &S, QCoreApplication &App) {
   heathercross::daemon::Daemon Entry(S);
-  const heathercross::daemon::Signals Signals([&Entry] { Entry.stop(); });
+  const heathercross::process::Signals Signals([&Entry] { Entry.stop(); });
+  return App.exec();
+}
+
+int runOnPlatform(const std::string &File, int &Argc, char **Argv) {
+  auto S = heathercross::entry::loadEntrySettings(File);
+  if (FLAGS_check)
+    return 0;
+  startLogs(Argv[0], heathercross::settings::LogLevel::Warning);
+  qputenv("QT_NO_GLIB", "1");
+  QCoreApplication App(Argc, Argv);
+  QNetworkProxyFactory::setUseSystemConfiguration(false);
+  heathercross::entry::Entry Entry(std::move(S), File);
+  const heathercross::process::Signals Signals([&Entry] { Entry.stop(); },
+                                               [&Entry] { Entry.reload(); });
   return App.exec();
 }
 
@@ -35,13 +52,16 @@
 
 int main(int Argc, char **Argv) {
   gflags::SetUsageMessage("One entry instance of heathercross.\n"
-                          "heathercrossd --settings FILE [--check]");
+                          "heathercrossd --settings FILE [--check]\n"
+                          "heathercrossd --deployment FILE [--check]");
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
   if (FLAGS_settings_help) {
     std::cout << heathercross::settings::settingsHelp();
     return 0;
   }
   try {
+    if (!FLAGS_deployment.empty())
+      return runOnPlatform(FLAGS_deployment, Argc, Argv);
     const auto S = heathercross::settings::load(FLAGS_settings);
     if (FLAGS_check)
       return 0;
--- a/src/daemon/peer-service.cc
+++ b/src/daemon/peer-service.cc
@@ -57,8 +57,9 @@
 
 } // namespace
 
-PeerService::PeerService(PeerConfig Config, peer::PeerKey Key, Clock &C,
-                         Metrics &M, ViewService &View, FleetFeed &Feed)
+PeerService::PeerService(PeerConfig Config, peer::PeerKey Key,
+                         process::Clock &C, process::Metrics &M,
+                         ViewService &View, FleetFeed &Feed)
     : Config_(std::move(Config)), Key_(std::move(Key)), Clock_(C), Metrics_(M),
       View_(View), Feed_(Feed), Members_(C.now(), Config_.Self_, Config_.Seeds_,
                                          Config_.Seed_, Config_.Membership_) {
--- a/src/daemon/peer-service.h
+++ b/src/daemon/peer-service.h
@@ -1,12 +1,12 @@
 // Datagrams and streams between entry instances.
 #pragma once
 
-#include "daemon/clock.h"
 #include "daemon/fleet-feed.h"
-#include "daemon/metrics.h"
 #include "daemon/view-service.h"
 #include "peer/codec.h"
 #include "peer/membership.h"
+#include "process/clock.h"
+#include "process/metrics.h"
 
 #include <QHostAddress>
 #include <QObject>
@@ -34,8 +34,8 @@
 /// signed. Everything it brings is soft state.
 class PeerService : public QObject {
 public:
-  PeerService(PeerConfig Config, peer::PeerKey Key, Clock &C, Metrics &M,
-              ViewService &View, FleetFeed &Feed);
+  PeerService(PeerConfig Config, peer::PeerKey Key, process::Clock &C,
+              process::Metrics &M, ViewService &View, FleetFeed &Feed);
 
   /// Throws http::ListenFailed.
   void listen(const QHostAddress &Address, std::uint16_t Port);
@@ -74,8 +74,8 @@
 
   PeerConfig Config_;
   peer::PeerKey Key_;
-  Clock &Clock_;
-  Metrics &Metrics_;
+  process::Clock &Clock_;
+  process::Metrics &Metrics_;
   ViewService &View_;
   FleetFeed &Feed_;
   peer::Membership Members_;
--- a/src/daemon/request-service.h
+++ b/src/daemon/request-service.h
@@ -1,12 +1,12 @@
 // Carries out what the request decisions say.
 #pragma once
 
-#include "daemon/clock.h"
 #include "daemon/history.h"
-#include "daemon/metrics.h"
 #include "daemon/worker-client.h"
 #include "http/http-server.h"
 #include "platform/platform-client.h"
+#include "process/clock.h"
+#include "process/metrics.h"
 #include "request/claim-batch.h"
 #include "request/claim-row.h"
 #include "request/dispatcher.h"
@@ -22,9 +22,9 @@
 
 /// The services that requests need; all outlive the request service.
 struct RequestParts {
-  Clock &Clock_;
+  process::Clock &Clock_;
   History &History_;
-  Metrics &Metrics_;
+  process::Metrics &Metrics_;
   platform::Client &Platform_;
   WorkerClient &Workers_;
 };
--- a/src/daemon/view-service.cc
+++ b/src/daemon/view-service.cc
@@ -35,7 +35,7 @@
 
 } // namespace
 
-ViewService::ViewService(ViewConfig Config, Clock &C, History &H,
+ViewService::ViewService(ViewConfig Config, process::Clock &C, History &H,
                          platform::Client &Platform)
     : Clock_(C), History_(H), Platform_(Platform),
       Sync_(C.now(), Config.Seed_, syncSettings(Config.Poll_)) {
--- a/src/daemon/view-service.h
+++ b/src/daemon/view-service.h
@@ -1,9 +1,9 @@
 // Keeps the agreed view in force at this entry.
 #pragma once
 
-#include "daemon/clock.h"
 #include "daemon/history.h"
 #include "platform/platform-client.h"
+#include "process/clock.h"
 #include "view/sync.h"
 #include "view/view-store.h"
 
@@ -31,7 +31,7 @@
   using AskPeer =
       std::function<void(const EntryId &, TicketNumber, PeerAnswer)>;
 
-  ViewService(ViewConfig Config, Clock &C, History &H,
+  ViewService(ViewConfig Config, process::Clock &C, History &H,
               platform::Client &Platform);
 
   void start();
@@ -64,7 +64,7 @@
   view::Applied apply(const std::vector<Row> &Rows, TicketNumber Head);
   void changed(TicketNumber Before);
 
-  Clock &Clock_;
+  process::Clock &Clock_;
   History &History_;
   platform::Client &Platform_;
   view::ViewSync Sync_;
--- /dev/null
+++ b/src/entry/context.h
@@ -0,0 +1,54 @@
+// What the services of an entry instance share.
+#pragma once
+
+#include "entry/entry-settings.h"
+#include "http/http-client.h"
+#include "platform/machines.h"
+#include "platform/store.h"
+#include "platform/workers.h"
+#include "process/clock.h"
+#include "process/event-log.h"
+#include "process/metrics.h"
+
+#include <QPointer>
+
+#include <utility>
+
+namespace heathercross::entry {
+
+struct Context {
+  const EntrySettings &Settings_;
+  /// The name of this start of the entry, unlike any other.
+  EntryId Incarnation_;
+  process::Clock &Clock_;
+  process::EventLog &Log_;
+  process::Metrics &Metrics_;
+  platform_api::Store &Store_;
+  platform_api::Workers &Workers_;
+  platform_api::Machines &Machines_;
+  /// For calls to other entries.
+  http::Client &Peers_;
+};
+
+/// A callback that does nothing once its owner is gone.
+template <class Owner, class Function> auto guarded(Owner *O, Function F) {
+  return [Guard = QPointer<Owner>(O), F = std::move(F)](auto &&...Args) {
+    if (Guard)
+      F(std::forward<decltype(Args)>(Args)...);
+  };
+}
+
+/// The tables of heathercross in the store; the partition is the pool.
+inline constexpr const char *HolderTable = "holders";
+inline constexpr const char *HolderKey = "holder";
+inline constexpr const char *JobTable = "jobs";
+inline constexpr const char *ProgressTable = "progress";
+inline constexpr const char *RosterTable = "rosters";
+inline constexpr const char *RosterKey = "roster";
+inline constexpr const char *WaveTable = "waves";
+
+/// The partition and duty of machine orders. No pool has this name: names of
+/// pools hold no asterisk.
+inline const PoolId FleetDuty("*fleet*");
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/duties.cc
@@ -0,0 +1,140 @@
+// The duties that this entry holds.
+#include "entry/duties.h"
+
+#include "entry/rows.h"
+
+#include <utility>
+
+namespace heathercross::entry {
+
+namespace {
+
+using platform_api::StoreOutcome;
+using platform_api::StoreReply;
+
+constexpr Millis ClaimTimeout{1500};
+
+} // namespace
+
+Duties::Duties(Context &C, Knowledge &K) : Context_(C), Knowledge_(K) {}
+Duties::~Duties() = default;
+
+std::size_t Duties::held() const { return Holders_.size() + (Fleet_ ? 1 : 0); }
+
+PoolHolder *Duties::holder(const PoolId &Pool) const {
+  const auto It = Holders_.find(Pool);
+  return It == Holders_.end() ? nullptr : It->second.get();
+}
+
+void Duties::onConfiguration() {
+  for (auto &[Pool, H] : Holders_)
+    H->setConfiguration(*Knowledge_.configuration());
+}
+
+void Duties::onWorkers() {
+  for (auto &[Pool, H] : Holders_)
+    H->setWorkers(Knowledge_.workers());
+}
+
+void Duties::onDuties() {
+  if (Stopping_ || Claiming_)
+    return;
+  // A claim without an answer shows in the rows.
+  for (const PoolId &P : Knowledge_.duties().pools()) {
+    const auto Known = Knowledge_.duties().holder(P);
+    const bool Running =
+        P == FleetDuty ? Fleet_ != nullptr : Holders_.contains(P);
+    if (Known && Known->Row_.Holder_ == Context_.Incarnation_ && !Running)
+      begin(P, Known->Row_, Known->Version_);
+  }
+  if (const auto C = Knowledge_.duties().due(held(), Context_.Clock_.now()))
+    claim(*C);
+}
+
+void Duties::claim(const schedule::Claim &C) {
+  Claiming_ = true;
+  const schedule::HolderRow Self{Context_.Incarnation_,
+                                 Context_.Settings_.Peers_.str(), C.Epoch_, 0};
+  const platform_api::RowPlace Place{HolderTable, C.Pool_.str(), HolderKey};
+  Context_.Store_.transact(
+      {{{Place, C.Version_}}, {{Place, encodeHolder(Self)}}}, ClaimTimeout,
+      guarded(this, [this, C, Self](const StoreReply &R) {
+        Claiming_ = false;
+        Context_.Log_.write(
+            "duty-claimed",
+            {{"pool", C.Pool_.str().c_str()},
+             {"epoch", static_cast<qint64>(C.Epoch_.value())},
+             {"row_version", static_cast<qint64>(C.Version_.value())},
+             {"cause", C.Cause_},
+             {"outcome", platform_api::outcomeName(R.Outcome_)}});
+        const Instant Now = Context_.Clock_.now();
+        if (R.Outcome_ == StoreOutcome::Conflict) {
+          for (const auto &Row : R.Rows_)
+            if (const auto H = decodeHolder(Row.Value_); H && !Row.Removed_)
+              Knowledge_.duties().saw(C.Pool_, {*H, Row.Version_}, Now);
+          return;
+        }
+        if (R.Outcome_ != StoreOutcome::Ok)
+          return Knowledge_.hurryDuties();
+        Knowledge_.duties().saw(C.Pool_, {Self, R.Version_}, Now);
+        begin(C.Pool_, Self, R.Version_);
+      }));
+}
+
+void Duties::begin(const PoolId &Pool, const schedule::HolderRow &Self,
+                   RowVersion Guard) {
+  if (Stopping_)
+    return;
+  Knowledge_.followWorkers(true);
+  Context_.Metrics_.add("heathercross_duties_taken_total",
+                        "Duties that this entry took.");
+  const auto OnLost = [this, Pool] {
+    QMetaObject::invokeMethod(
+        this, [this, Pool] { ended(Pool); }, Qt::QueuedConnection);
+  };
+  if (Pool == FleetDuty) {
+    Fleet_ = std::make_unique<FleetKeeper>(
+        Context_, Knowledge_, Self, Guard,
+        [this](const PoolId &P) { return holder(P); }, OnLost);
+    return;
+  }
+  auto H = std::make_unique<PoolHolder>(Context_, Pool, Self, Guard, OnLost);
+  H->setConfiguration(*Knowledge_.configuration());
+  H->setWorkers(Knowledge_.workers());
+  Holders_[Pool] = std::move(H);
+}
+
+void Duties::ended(const PoolId &Pool) {
+  if (Pool == FleetDuty)
+    Fleet_.reset();
+  else
+    Holders_.erase(Pool);
+  Knowledge_.hurryDuties();
+}
+
+void Duties::stop(std::function<void()> OnDone) {
+  Stopping_ = true;
+  OnStopped_ = std::move(OnDone);
+  Leaving_ = held() + 1;
+  const auto Done = [this] { handedOver(); };
+  for (auto &[Pool, H] : Holders_)
+    H->handOver(Done);
+  if (Fleet_)
+    Fleet_->handOver(Done);
+  handedOver();
+}
+
+void Duties::handedOver() {
+  if (--Leaving_ == 0 && OnStopped_)
+    std::exchange(OnStopped_, nullptr)();
+}
+
+QJsonObject Duties::dump() const {
+  QJsonObject Pools;
+  for (const auto &[Pool, H] : Holders_)
+    Pools[QString::fromStdString(Pool.str())] = H->dump();
+  return {{"pools", Pools},
+          {"fleet", Fleet_ ? QJsonValue(Fleet_->dump()) : QJsonValue()}};
+}
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/entry.cc
@@ -0,0 +1,187 @@
+// An entry instance on the platform: its services, put together.
+#include "entry/entry.h"
+
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QJsonDocument>
+#include <QTimer>
+
+#include <unistd.h>
+#include <utility>
+
+namespace heathercross::entry {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Unavailable = 503;
+
+/// Connections of one kind to one worker or peer; more calls wait in line.
+constexpr long WorkerConnections = 4;
+constexpr long PeerConnections = 16;
+/// The balancer asks each second and stops sending after two misses.
+constexpr Millis BalancerDelay{2600};
+constexpr int StopCheckMs = 50;
+/// The process ends by itself this long before it would be killed.
+constexpr Millis KillMargin{500};
+
+http::ServerLimits limits() {
+  http::ServerLimits L;
+  L.MaxBody_ = 1_MiB;
+  L.MaxConnections_ = 2000;
+  return L;
+}
+
+EntryId incarnation(const EntrySettings &S, const process::Clock &C) {
+  return EntryId(S.Name_.str() + "/" +
+                 std::to_string(C.wall().time_since_epoch().count()));
+}
+
+} // namespace
+
+Entry::Entry(EntrySettings S, std::string SettingsFile)
+    : Settings_(std::move(S)), SettingsFile_(std::move(SettingsFile)) {
+  auto &Clock = Kernel_.add<process::Clock>("clock");
+  auto &Log = Kernel_.add<process::EventLog>("event-log", STDOUT_FILENO);
+  auto &Metrics = Kernel_.add<process::Metrics>("metrics");
+  auto &StoreHttp = Kernel_.add<http::Client>("store-http");
+  auto &WorkerHttp =
+      Kernel_.add<http::Client>("worker-http", WorkerConnections);
+  auto &PeerHttp = Kernel_.add<http::Client>("peer-http", PeerConnections);
+  auto &Store = Kernel_.add<platform_api::Store>("store", StoreHttp,
+                                                 Settings_.Store_.str());
+  auto &Workers = Kernel_.add<platform_api::Workers>("workers", WorkerHttp);
+  auto &Machines = Kernel_.add<platform_api::Machines>(
+      "machines", StoreHttp, Settings_.Machines_.str());
+  Context_ = std::make_unique<Context>(
+      Context{Settings_, incarnation(Settings_, Clock), Clock, Log, Metrics,
+              Store, Workers, Machines, PeerHttp});
+  Knowledge::Handlers Handlers;
+  Handlers.OnConfiguration_ = [this] {
+    Kernel_.find<Duties>("duties").onConfiguration();
+  };
+  Handlers.OnWorkers_ = [this] { Kernel_.find<Duties>("duties").onWorkers(); };
+  Handlers.OnWaves_ = [] {};
+  Handlers.OnDuties_ = [this] { Kernel_.find<Duties>("duties").onDuties(); };
+  auto &Known =
+      Kernel_.add<Knowledge>("knowledge", *Context_, std::move(Handlers));
+  auto &Held = Kernel_.add<Duties>("duties", *Context_, Known);
+  Kernel_.add<Front>("front", *Context_, Known, Held);
+  listen();
+  Known.start();
+  Log.write("start", {{"entry", Context_->Incarnation_.str().c_str()},
+                      {"zone", Settings_.Zone_.str().c_str()},
+                      {"front", Settings_.Front_.str().c_str()},
+                      {"store", Settings_.Store_.str().c_str()}});
+}
+
+Entry::~Entry() = default;
+
+void Entry::listen() {
+  const auto Add = [this](const char *Name, const settings::Endpoint &At,
+                          http::Server::Handler Handler) {
+    Kernel_.add<http::Server>(Name, limits(), std::move(Handler))
+        .listen(QHostAddress(QString::fromStdString(At.Host_)), At.Port_);
+  };
+  auto &F = Kernel_.find<Front>("front");
+  Add("front-server", Settings_.Front_,
+      [&F](auto &&R, auto &&To) { F.serve(std::move(R), std::move(To)); });
+  Add("ready-server", Settings_.Ready_,
+      [this](auto &&R, auto &&To) { serveReady(std::move(R), std::move(To)); });
+  Add("peer-server", Settings_.Peers_,
+      [this](auto &&R, auto &&To) { servePeers(std::move(R), std::move(To)); });
+}
+
+bool Entry::ready() const {
+  return !Stopping_ &&
+         Kernel_.find<Knowledge>("knowledge").configuration().has_value();
+}
+
+void Entry::serveReady(http::Request &&, http::Responder &&To) {
+  http::Response R;
+  R.Status_ = ready() ? Ok : Unavailable;
+  R.Body_ = "{}";
+  To.respond(R);
+}
+
+std::string Entry::metricsText() {
+  auto &M = Kernel_.find<process::Metrics>("metrics");
+  const auto &S = Kernel_.find<platform_api::Store>("store").counters();
+  M.set("heathercross_store_reads", "Reads sent to the store.",
+        static_cast<double>(S.Reads_));
+  M.set("heathercross_store_writes", "Transactions sent to the store.",
+        static_cast<double>(S.Writes_));
+  for (const auto &[Outcome, Count] : S.Outcomes_) {
+    std::string Name = platform_api::outcomeName(Outcome);
+    std::ranges::replace(Name, '-', '_');
+    M.set("heathercross_store_" + Name, "Calls to the store that ended so.",
+          static_cast<double>(Count));
+  }
+  M.set("heathercross_log_lines_dropped", "Log lines that were left out.",
+        static_cast<double>(
+            Kernel_.find<process::EventLog>("event-log").dropped()));
+  M.set("heathercross_calls_pending", "Calls of callers without an answer.",
+        static_cast<double>(Kernel_.find<Front>("front").pending()));
+  const auto &C = Kernel_.find<Knowledge>("knowledge").configuration();
+  M.set("heathercross_configuration_version", "The configuration in force.",
+        C ? static_cast<double>(C->Version_) : 0);
+  return M.text();
+}
+
+void Entry::servePeers(http::Request &&R, http::Responder &&To) {
+  http::Response Out;
+  if (R.Path_ == "/metrics") {
+    Out.Type_ = "text/plain; version=0.0.4";
+    Out.Body_ = QByteArray::fromStdString(metricsText());
+    To.respond(Out);
+    return;
+  }
+  if (R.Path_ == "/dump") {
+    QJsonObject All = Kernel_.find<Duties>("duties").dump();
+    All["entry"] = Context_->Incarnation_.str().c_str();
+    All["ready"] = ready();
+    All["stopping"] = Stopping_;
+    Out.Body_ = QJsonDocument(All).toJson(QJsonDocument::Compact);
+    To.respond(Out);
+    return;
+  }
+  Kernel_.find<Front>("front").servePeer(std::move(R), std::move(To));
+}
+
+void Entry::stop() {
+  if (std::exchange(Stopping_, true))
+    return;
+  StopAt_ = Context_->Clock_.now();
+  Context_->Log_.write(
+      "stop-began", {{"pending", static_cast<qint64>(
+                                     Kernel_.find<Front>("front").pending())}});
+  Kernel_.find<Duties>("duties").stop([this] { HandedOver_ = true; });
+  auto *Check = new QTimer(this);
+  connect(Check, &QTimer::timeout, this, [this] { watchStop(); });
+  Check->start(StopCheckMs);
+}
+
+void Entry::watchStop() {
+  const Micros Since = Context_->Clock_.now() - StopAt_;
+  const auto Pending = Kernel_.find<Front>("front").pending();
+  const bool Drained = HandedOver_ && Pending == 0 && Since > BalancerDelay;
+  if (!Drained && Since < Settings_.StopGrace_ - KillMargin)
+    return;
+  Context_->Log_.write(
+      "stop", {{"pending", static_cast<qint64>(Pending)},
+               {"took_ms", static_cast<qint64>(toMillis(Since).count())}});
+  Context_->Log_.flush();
+  QCoreApplication::exit(0);
+}
+
+void Entry::reload() {
+  try {
+    const EntrySettings New = loadEntrySettings(SettingsFile_);
+    Settings_.Advice_ = New.Advice_;
+    Context_->Log_.write("reload", {{"outcome", "applied"}});
+  } catch (const settings::SettingsError &E) {
+    Context_->Log_.write("reload", {{"outcome", "kept"}, {"error", E.what()}});
+  }
+}
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/fleet-keeper.cc
@@ -0,0 +1,332 @@
+// Machine orders: upkeep waves, while this entry holds the fleet's duty.
+#include "entry/fleet-keeper.h"
+
+#include "entry/peer-calls.h"
+#include "platform/documents.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include <utility>
+
+namespace heathercross::entry {
+
+namespace {
+
+using platform_api::MachineOutcome;
+using platform_api::StoreOutcome;
+using platform_api::StoreReply;
+using schedule::Machine;
+using schedule::MachineId;
+using schedule::MachineState;
+
+constexpr int TickMs = 150;
+constexpr Millis CallTimeout{900};
+/// Between lists of all machines while there is a wave.
+constexpr Millis ListPause{500};
+/// An order without an answer is given again after this long.
+constexpr Millis OrderRetry{300};
+/// A holder whose row wasn't renewed for this long gives no orders: another
+/// one may have taken the duty.
+constexpr Millis MaxRenewalAge{1500};
+/// Vacating is asked for again on each tick, and ends by itself after this.
+constexpr Millis VacateFor{1500};
+/// Room for clocks and calls on top of the platform's order lease.
+constexpr Millis OrderLeaseMargin{300};
+
+QString text(const std::string &T) { return QString::fromStdString(T); }
+
+std::string encodeMachines(const std::map<MachineId, Instant> &Begun) {
+  QJsonArray A;
+  for (const auto &[Id, At] : Begun)
+    A.append(text(Id.str()));
+  return QJsonDocument(A).toJson(QJsonDocument::Compact).toStdString();
+}
+
+std::set<MachineId> decodeMachines(const std::string &Text) {
+  std::set<MachineId> Ids;
+  const auto A =
+      QJsonDocument::fromJson(QByteArray::fromStdString(Text)).array();
+  for (const QJsonValue &V : A)
+    Ids.insert(MachineId(V.toString().toStdString()));
+  return Ids;
+}
+
+} // namespace
+
+FleetKeeper::FleetKeeper(Context &C, const Knowledge &K,
+                         schedule::HolderRow Self, RowVersion Guard,
+                         LocalHolder Local, std::function<void()> OnLost)
+    : Context_(C), Knowledge_(K), Local_(std::move(Local)),
+      OnLost_(std::move(OnLost)),
+      Writer_(C, FleetDuty, std::move(Self), Guard,
+              {[] {}, [this] { lose("row-taken"); }}),
+      Since_(C.Clock_.now()) {
+  connect(&Tick_, &QTimer::timeout, this, [this] { tick(); });
+  Tick_.start(TickMs);
+  load();
+}
+
+void FleetKeeper::load() {
+  Context_.Store_.read(
+      WaveTable, FleetDuty.str(), "", CallTimeout,
+      guarded(this, [this](const StoreReply &R) {
+        if (R.Outcome_ != StoreOutcome::Ok) {
+          QTimer::singleShot(OrderRetry, this, [this] { load(); });
+          return;
+        }
+        for (const auto &Row : R.Rows_)
+          Stored_[std::strtoull(Row.Place_.Key_.c_str(), nullptr, 10)] =
+              decodeMachines(Row.Value_);
+        Loaded_ = true;
+        Context_.Log_.write(
+            "duty-loaded",
+            {{"pool", text(FleetDuty.str())},
+             {"epoch",
+              static_cast<qint64>(Writer_.journal().self().Epoch_.value())},
+             {"waves", static_cast<qint64>(Stored_.size())}});
+      }));
+}
+
+void FleetKeeper::lose(const char *Cause) {
+  if (std::exchange(Lost_, true))
+    return;
+  Tick_.stop();
+  Context_.Log_.write(
+      "duty-lost",
+      {{"pool", text(FleetDuty.str())},
+       {"epoch", static_cast<qint64>(Writer_.journal().self().Epoch_.value())},
+       {"cause", Cause}});
+  OnLost_();
+}
+
+bool FleetKeeper::mayOrder() const {
+  const Instant Now = Context_.Clock_.now();
+  const bool First = Writer_.journal().self().Epoch_ == Epoch(1);
+  const Millis Wait =
+      First ? Millis(0) : Context_.Settings_.OrderLease_ + OrderLeaseMargin;
+  return Loaded_ && !Leaving_ && Now - Since_ >= Wait &&
+         Now - Writer_.journal().renewedAt() < MaxRenewalAge;
+}
+
+void FleetKeeper::tick() {
+  if (Lost_)
+    return;
+  Writer_.pump();
+  auto &J = Writer_.journal();
+  if (Leaving_ && OnHandedOver_ && !J.inFlight() && J.waiting() == 0)
+    return std::exchange(OnHandedOver_, nullptr)();
+  if (!Loaded_ || Leaving_)
+    return;
+  findWaves();
+  const bool Active = std::ranges::any_of(
+      Waves_, [](const auto &E) { return !E.second.CompleteWritten_; });
+  if (!Active)
+    return;
+  if (!ListInFlight_ && Context_.Clock_.now() >= NextList_) {
+    Listing_.clear();
+    listMachines("");
+  }
+  Vacating_.clear();
+  for (auto &[Number, W] : Waves_)
+    if (!W.CompleteWritten_)
+      runWave(W);
+  askHolders();
+}
+
+void FleetKeeper::findWaves() {
+  for (const auto &[Number, Wave] : Knowledge_.waves()) {
+    if (Waves_.contains(Number))
+      continue;
+    const Instant Now = Context_.Clock_.now();
+    WaveState W{schedule::WavePlan(Wave, Now)};
+    if (const auto S = Stored_.find(Number); S != Stored_.end())
+      W.Plan_.restore(S->second, Now);
+    W.StoredCount_ = W.Plan_.begun().size();
+    Context_.Log_.write(
+        "wave-seen",
+        {{"wave", static_cast<qint64>(Number)},
+         {"machines", static_cast<qint64>(Wave.Machines_.size())},
+         {"max_at_once", static_cast<int>(Wave.MaxAtOnce_)},
+         {"within_ms", static_cast<qint64>(Wave.Within_.count())}});
+    Waves_.emplace(Number, std::move(W));
+  }
+}
+
+void FleetKeeper::listMachines(const std::string &Token) {
+  ListInFlight_ = true;
+  Context_.Machines_.list(
+      Token, CallTimeout,
+      guarded(this, [this](const std::optional<platform_api::MachinePage> &P) {
+        ListInFlight_ = false;
+        NextList_ = Context_.Clock_.now() + ListPause;
+        if (!P)
+          return;
+        for (const Machine &M : P->Machines_)
+          Listing_[M.Id_] = M;
+        if (!P->Next_.empty())
+          return listMachines(P->Next_);
+        Machines_ = Listing_;
+      }));
+}
+
+std::map<MachineId, schedule::MachineLoad> FleetKeeper::loads() const {
+  std::map<MachineId, schedule::MachineLoad> Loads;
+  for (const auto &[Id, M] : Machines_) {
+    schedule::MachineLoad L;
+    const auto P = Pictures_.find(M.Pool_);
+    const bool Unscheduled = !Knowledge_.duties().pools().contains(M.Pool_);
+    if (Unscheduled || M.Instance_.empty()) {
+      L.Known_ = true;
+      L.Vacating_ = true;
+    } else if (P != Pictures_.end()) {
+      const auto Found = P->second.Loads_.find(M.Instance_);
+      if (Found != P->second.Loads_.end())
+        L = {Found->second.Runs_, Found->second.Lasting_,
+             Found->second.Vacating_, true};
+    }
+    Loads[Id] = L;
+  }
+  return Loads;
+}
+
+void FleetKeeper::runWave(WaveState &W) {
+  if (!W.ActiveWritten_ && !W.WriteInFlight_)
+    writeStatus(W, false);
+  const auto Step = W.Plan_.step(Machines_, loads(), Context_.Settings_.Upkeep_,
+                                 Context_.Clock_.now());
+  for (const MachineId &Id : Step.Vacate_) {
+    const Machine &M = Machines_.at(Id);
+    if (!M.Instance_.empty())
+      Vacating_[M.Pool_].insert(M.Instance_);
+  }
+  if (mayOrder())
+    for (const MachineId &Id : Step.Order_) {
+      W.Plan_.ordered(Id);
+      orderUpkeep(W.Plan_.wave().Number_, Id);
+    }
+  storeWave(W);
+  if (Step.Complete_ && W.ActiveWritten_ && !W.WriteInFlight_ &&
+      Writer_.journal().durable() >= W.Ticket_)
+    writeStatus(W, true);
+}
+
+void FleetKeeper::orderUpkeep(std::uint64_t Wave, const MachineId &Id) {
+  if (Lost_ || !mayOrder()) {
+    if (const auto W = Waves_.find(Wave); W != Waves_.end() && !Lost_)
+      QTimer::singleShot(OrderRetry, this,
+                         [this, Wave, Id] { orderUpkeep(Wave, Id); });
+    return;
+  }
+  Context_.Machines_.upkeep(
+      {Context_.Incarnation_, Writer_.journal().self().Epoch_}, Id, Wave,
+      CallTimeout, guarded(this, [this, Wave, Id](MachineOutcome O) {
+        ordered(Wave, Id, O);
+      }));
+}
+
+void FleetKeeper::ordered(std::uint64_t Wave, const MachineId &Id,
+                          MachineOutcome O) {
+  Context_.Log_.write(
+      "upkeep-answered",
+      {{"wave", static_cast<qint64>(Wave)},
+       {"machine", text(Id.str())},
+       {"epoch", static_cast<qint64>(Writer_.journal().self().Epoch_.value())},
+       {"outcome", platform_api::outcomeName(O)}});
+  if (Lost_)
+    return;
+  WaveState &W = Waves_.at(Wave);
+  switch (O) {
+  case MachineOutcome::Ok:
+    W.Plan_.began(Id, Context_.Clock_.now());
+    break;
+  case MachineOutcome::Fenced:
+    return lose("fenced-by-machine");
+  case MachineOutcome::Busy:
+  case MachineOutcome::Rejected:
+  case MachineOutcome::Refused:
+    W.Plan_.refused(Id);
+    break;
+  case MachineOutcome::Unknown:
+    QTimer::singleShot(OrderRetry, this,
+                       [this, Wave, Id] { orderUpkeep(Wave, Id); });
+    break;
+  }
+}
+
+void FleetKeeper::storeWave(WaveState &W) {
+  if (W.Plan_.begun().size() == W.StoredCount_)
+    return;
+  W.StoredCount_ = W.Plan_.begun().size();
+  W.Ticket_ = Writer_.journal().put({schedule::RowKind::Wave,
+                                     std::to_string(W.Plan_.wave().Number_),
+                                     encodeMachines(W.Plan_.begun())},
+                                    true, Context_.Clock_.now());
+}
+
+void FleetKeeper::writeStatus(WaveState &W, bool Complete) {
+  W.WriteInFlight_ = true;
+  const std::uint64_t Number = W.Plan_.wave().Number_;
+  Context_.Store_.transact(
+      {{},
+       {{{platform_api::StatusTable, "", platform_api::waveStatusKey(Number)},
+         platform_api::waveStatusText(Number, Complete)}}},
+      CallTimeout, guarded(this, [this, Number, Complete](const StoreReply &R) {
+        WaveState &State = Waves_.at(Number);
+        State.WriteInFlight_ = false;
+        if (R.Outcome_ != StoreOutcome::Ok)
+          return;
+        State.ActiveWritten_ = true;
+        State.CompleteWritten_ = Complete;
+        Context_.Log_.write("wave-status",
+                            {{"wave", static_cast<qint64>(Number)},
+                             {"state", Complete ? "complete" : "active"}});
+      }));
+}
+
+void FleetKeeper::askHolders() {
+  std::set<PoolId> Pools;
+  for (const auto &[Id, M] : Machines_)
+    if (Knowledge_.duties().pools().contains(M.Pool_))
+      Pools.insert(M.Pool_);
+  for (const PoolId &P : Pools) {
+    const std::set<InstanceId> &Workers = Vacating_[P];
+    if (PoolHolder *H = Local_(P)) {
+      if (!Workers.empty())
+        H->vacate(Workers, VacateFor);
+      Pictures_[P] = H->picture();
+      continue;
+    }
+    const auto Known = Knowledge_.duties().holder(P);
+    if (!Known || Asking_.contains(P))
+      continue;
+    Asking_.insert(P);
+    callVacate(Context_, Known->Row_.Address_, P, Workers, CallTimeout,
+               guarded(this, [this, P](std::optional<PoolPicture> Picture) {
+                 Asking_.erase(P);
+                 if (Picture)
+                   Pictures_[P] = std::move(*Picture);
+                 else
+                   Pictures_.erase(P);
+               }));
+  }
+}
+
+void FleetKeeper::handOver(std::function<void()> OnDone) {
+  Leaving_ = true;
+  OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
+    Writer_.giveBack(guarded(this, [this, OnDone] {
+      lose("handed-over");
+      OnDone();
+    }));
+  };
+}
+
+QJsonObject FleetKeeper::dump() const {
+  return {
+      {"epoch", static_cast<qint64>(Writer_.journal().self().Epoch_.value())},
+      {"machines", static_cast<qint64>(Machines_.size())},
+      {"waves", static_cast<qint64>(Waves_.size())}};
+}
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/fleet-keeper.h
@@ -0,0 +1,77 @@
+// Machine orders: upkeep waves, while this entry holds the fleet's duty.
+#pragma once
+
+#include "entry/journal-writer.h"
+#include "entry/knowledge.h"
+#include "entry/pool-holder.h"
+#include "schedule/wave-plan.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace heathercross::entry {
+
+class FleetKeeper : public QObject {
+public:
+  using LocalHolder = std::function<PoolHolder *(const PoolId &)>;
+
+  FleetKeeper(Context &C, const Knowledge &K, schedule::HolderRow Self,
+              RowVersion Guard, LocalHolder Local,
+              std::function<void()> OnLost);
+
+  void handOver(std::function<void()> OnDone);
+  QJsonObject dump() const;
+
+private:
+  struct WaveState {
+    schedule::WavePlan Plan_;
+    bool ActiveWritten_ = false;
+    bool CompleteWritten_ = false;
+    bool WriteInFlight_ = false;
+    std::size_t StoredCount_ = 0;
+    schedule::PoolJournal::Ticket Ticket_ = 0;
+  };
+
+  void load();
+  void tick();
+  void findWaves();
+  void listMachines(const std::string &Token);
+  void askHolders();
+  void runWave(WaveState &W);
+  void orderUpkeep(std::uint64_t Wave, const schedule::MachineId &Id);
+  void ordered(std::uint64_t Wave, const schedule::MachineId &Id,
+               platform_api::MachineOutcome O);
+  void storeWave(WaveState &W);
+  void writeStatus(WaveState &W, bool Complete);
+  bool mayOrder() const;
+  std::map<schedule::MachineId, schedule::MachineLoad> loads() const;
+  void lose(const char *Cause);
+
+  Context &Context_;
+  const Knowledge &Knowledge_;
+  LocalHolder Local_;
+  std::function<void()> OnLost_;
+  JournalWriter Writer_;
+  Instant Since_;
+  bool Loaded_ = false;
+  bool Lost_ = false;
+  bool Leaving_ = false;
+  std::function<void()> OnHandedOver_;
+  std::map<std::uint64_t, std::set<schedule::MachineId>> Stored_;
+  std::map<std::uint64_t, WaveState> Waves_;
+  std::map<schedule::MachineId, schedule::Machine> Machines_;
+  std::map<schedule::MachineId, schedule::Machine> Listing_;
+  bool ListInFlight_ = false;
+  Instant NextList_;
+  std::map<PoolId, PoolPicture> Pictures_;
+  std::set<PoolId> Asking_;
+  /// Instances that shall become empty, by pool.
+  std::map<PoolId, std::set<InstanceId>> Vacating_;
+  QTimer Tick_;
+};
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/front.cc
@@ -0,0 +1,262 @@
+// Requests of callers: each goes to the holder of its pool.
+#include "entry/front.h"
+
+#include "platform/ingress.h"
+
+#include <QJsonDocument>
+#include <QTimer>
+
+#include <algorithm>
+#include <utility>
+
+namespace heathercross::entry {
+
+namespace {
+
+using Kind = JobCall::Kind;
+using AnswerKind = JobAnswer::Kind;
+
+constexpr int Ok = 200;
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int MethodNotAllowed = 405;
+constexpr int Gone = 410;
+constexpr int BodyTooLarge = 413;
+constexpr int TooManyRequests = 429;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+/// Until a request is offered to a holder again.
+constexpr Millis RetryPause{70};
+/// A submission waits this long for a pool without a reachable holder; its
+/// caller comes again when the duty has been taken over.
+constexpr Millis HolderPatience{1200};
+/// An answer is sent this long before the caller stops to wait.
+constexpr Millis AnswerMargin{150};
+/// A call to another entry that takes longer is repeated; ids make it safe.
+constexpr Millis PeerTimeout{1600};
+/// Without a deadline of the caller.
+constexpr Millis DefaultDeadline{3000};
+constexpr Millis RetryAfterTakeover{1000};
+constexpr std::int64_t MsPerSecond = 1000;
+
+const char *kindName(Kind K) {
+  switch (K) {
+  case Kind::Submit:
+    return "submit";
+  case Kind::State:
+    return "state";
+  case Kind::Cancel:
+    return "cancel";
+  case Kind::Queued:
+    return "queued";
+  }
+  return "unknown";
+}
+
+QString text(const std::string &T) { return QString::fromStdString(T); }
+
+} // namespace
+
+Front::Front(Context &C, const Knowledge &K, Duties &D)
+    : Context_(C), Knowledge_(K), Duties_(D) {}
+
+void Front::serve(http::Request &&R, http::Responder &&To) {
+  auto C = std::make_shared<Call>();
+  C->To_ = std::move(To);
+  C->Arrived_ = Context_.Clock_.now();
+  ++Pending_;
+  const auto &Configuration = Knowledge_.configuration();
+  if (!Configuration)
+    return answer(C, Unavailable, {}, "no-configuration", RetryAfterTakeover);
+  C->ConfigurationVersion_ = Configuration->Version_;
+  const auto Read = platform_api::readCall(R, *Configuration);
+  C->Deadline_ = C->Arrived_ + Read.Patience_.value_or(DefaultDeadline);
+  if (!Read.Route_)
+    return answer(C, NotFound, {}, "no-route");
+  C->Job_.Pool_ = Read.Route_->Settings_.Pool_;
+  C->Job_.Queue_ = Read.Route_->Queue_;
+  C->Job_.Job_ = Read.Job_;
+  switch (Read.Verb_) {
+  case platform_api::CallVerb::Submit:
+    C->Job_.Kind_ = Kind::Submit;
+    break;
+  case platform_api::CallVerb::State:
+    C->Job_.Kind_ = Read.Job_.empty() ? Kind::Queued : Kind::State;
+    break;
+  case platform_api::CallVerb::Cancel:
+    C->Job_.Kind_ = Kind::Cancel;
+    break;
+  case platform_api::CallVerb::Other:
+    return answer(C, MethodNotAllowed, {}, "method");
+  }
+  const bool NeedsJob = C->Job_.Kind_ != Kind::Queued;
+  if (NeedsJob && !platform_api::isJobId(Read.Job_))
+    return answer(C, NotFound, {}, "malformed-id");
+  if (Configuration->MaxBodyBytes_ > 0 &&
+      static_cast<std::uint64_t>(R.Body_.size()) > Configuration->MaxBodyBytes_)
+    return answer(C, BodyTooLarge, {}, "body-too-large");
+  if (C->Job_.Kind_ == Kind::Submit)
+    C->Job_.Body_ = std::move(R.Body_);
+  attempt(C);
+}
+
+void Front::attempt(const CallPtr &C) {
+  if (C->Answered_)
+    return;
+  ++C->Attempts_;
+  const auto Known = Knowledge_.duties().holder(C->Job_.Pool_);
+  PoolHolder *Local = Duties_.holder(C->Job_.Pool_);
+  C->Holder_ = Known ? Known->Row_.Holder_.str() : std::string();
+  if (Local)
+    return askLocal(
+        *Local, C->Job_,
+        guarded(this, [this, C](const JobAnswer &A) { take(C, A); }));
+  if (!Known || Known->Row_.Holder_ == Context_.Incarnation_)
+    return again(C);
+  askHolder(C, Known->Row_.Address_);
+}
+
+void Front::askLocal(PoolHolder &H, const JobCall &Job,
+                     PoolHolder::Answer OnAnswer) {
+  switch (Job.Kind_) {
+  case Kind::Submit:
+    return H.submit(Job.Job_, Job.Queue_, Job.Body_, std::move(OnAnswer));
+  case Kind::State:
+    return H.state(Job.Job_, OnAnswer);
+  case Kind::Cancel:
+    return H.cancel(Job.Job_, std::move(OnAnswer));
+  case Kind::Queued:
+    return H.queued(Job.Queue_, OnAnswer);
+  }
+}
+
+void Front::askHolder(const CallPtr &C, const std::string &Address) {
+  const Millis Left = toMillis(C->Deadline_ - Context_.Clock_.now());
+  const Millis Timeout =
+      std::max(AnswerMargin, std::min(PeerTimeout, Left - AnswerMargin));
+  callPeer(Context_, Address, C->Job_, Timeout,
+           guarded(this, [this, C](const PeerReply &R) {
+             switch (R.Kind_) {
+             case PeerReply::Kind::Answered:
+               return take(C, R.Answer_);
+             case PeerReply::Kind::Unknown:
+               C->Uncertain_ = true;
+               return again(C);
+             case PeerReply::Kind::Unreachable:
+               return again(C);
+             }
+           }));
+}
+
+void Front::take(const CallPtr &C, const JobAnswer &A) {
+  switch (A.Kind_) {
+  case AnswerKind::Accepted:
+    return answer(C, Ok, {}, "stored");
+  case AnswerKind::Rejected:
+    return answer(C, A.Cause_ == "store-away" ? Unavailable : TooManyRequests,
+                  {}, A.Cause_, A.RetryAfter_);
+  case AnswerKind::NotHolder:
+    // What was submitted to a holder that lost its duty may be stored.
+    C->Uncertain_ = true;
+    return again(C);
+  case AnswerKind::Known:
+    if (C->Job_.Kind_ == Kind::Queued)
+      return answer(C, Ok, platform_api::queuedBody(A.Queued_), "");
+    return answer(C, Ok, platform_api::stateBody(A.State_), "");
+  case AnswerKind::NoSuchJob:
+    return answer(C, Gone, {}, "no-such-job");
+  case AnswerKind::Malformed:
+    return answer(C, BadRequest, {}, "malformed");
+  }
+}
+
+void Front::again(const CallPtr &C) {
+  const Instant Now = Context_.Clock_.now();
+  const bool Impatient = C->Job_.Kind_ == Kind::Submit && !C->Uncertain_ &&
+                         Now - C->Arrived_ > HolderPatience;
+  if (Impatient || Now + RetryPause + AnswerMargin > C->Deadline_)
+    return giveUp(C);
+  QTimer::singleShot(RetryPause, this, [this, C] { attempt(C); });
+}
+
+void Front::giveUp(const CallPtr &C) {
+  if (C->Uncertain_)
+    return answer(C, GatewayTimeout, {}, "outcome-unknown");
+  answer(C, Unavailable, {}, "no-holder", RetryAfterTakeover);
+}
+
+void Front::answer(const CallPtr &C, int Status, const QJsonObject &Body,
+                   const std::string &Cause, Millis RetryAfter) {
+  if (std::exchange(C->Answered_, true))
+    return;
+  --Pending_;
+  http::Response R;
+  R.Status_ = Status;
+  R.Body_ = QJsonDocument(Body).toJson(QJsonDocument::Compact);
+  if (RetryAfter.count() > 0)
+    R.Headers_.push_back(
+        {"Retry-After",
+         QByteArray::number(static_cast<qlonglong>(
+             (RetryAfter.count() + MsPerSecond - 1) / MsPerSecond))});
+  const bool Delivered = C->To_.respond(R);
+  const Micros Took = Context_.Clock_.now() - C->Arrived_;
+  Context_.Metrics_.observe("heathercross_call_duration_seconds",
+                            "Time from a call's arrival to its answer.", Took);
+  Context_.Metrics_.add("heathercross_calls_" + std::to_string(Status) +
+                            "_total",
+                        "Calls answered with this status.");
+  QJsonObject F{
+      {"kind", kindName(C->Job_.Kind_)},
+      {"job", text(C->Job_.Job_.str())},
+      {"queue", text(C->Job_.Queue_.str())},
+      {"pool", text(C->Job_.Pool_.str())},
+      {"status", Status},
+      {"took_ms", static_cast<qint64>(toMillis(Took).count())},
+      {"attempts", static_cast<qint64>(C->Attempts_)},
+      {"holder", text(C->Holder_)},
+      {"configuration", static_cast<qint64>(C->ConfigurationVersion_)}};
+  if (!Cause.empty())
+    F["cause"] = text(Cause);
+  if (RetryAfter.count() > 0)
+    F["retry_after_ms"] = static_cast<qint64>(RetryAfter.count());
+  if (!Delivered)
+    F["caller_gone"] = true;
+  Context_.Log_.write("call-answered", F,
+                      Status == Ok ? process::LineClass::Routine
+                                   : process::LineClass::Decision);
+}
+
+void Front::servePeer(http::Request &&R, http::Responder &&To) {
+  auto Shared = std::make_shared<http::Responder>(std::move(To));
+  if (const auto Vacate = parseVacateCall(R)) {
+    PoolHolder *H = Duties_.holder(Vacate->Pool_);
+    if (!H) {
+      http::Response None;
+      None.Status_ = NotFound;
+      Shared->respond(None);
+      return;
+    }
+    constexpr Millis VacateFor{1500};
+    if (!Vacate->Workers_.empty())
+      H->vacate(Vacate->Workers_, VacateFor);
+    Shared->respond(pictureResponse(H->picture()));
+    return;
+  }
+  const auto Job = parseJobCall(R);
+  if (!Job) {
+    http::Response None;
+    None.Status_ = NotFound;
+    Shared->respond(None);
+    return;
+  }
+  PoolHolder *H = Duties_.holder(Job->Pool_);
+  if (!H) {
+    Shared->respond(peerResponse(AnswerKind::NotHolder));
+    return;
+  }
+  askLocal(*H, *Job,
+           [Shared](const JobAnswer &A) { Shared->respond(peerResponse(A)); });
+}
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/front.h
@@ -0,0 +1,60 @@
+// Requests of callers: each goes to the holder of its pool.
+#pragma once
+
+#include "entry/duties.h"
+#include "entry/knowledge.h"
+#include "entry/peer-calls.h"
+#include "http/http-server.h"
+
+#include <QObject>
+
+#include <cstdint>
+#include <memory>
+
+namespace heathercross::entry {
+
+class Front : public QObject {
+public:
+  Front(Context &C, const Knowledge &K, Duties &D);
+
+  /// A request of a caller.
+  void serve(http::Request &&R, http::Responder &&To);
+  /// A request of another entry.
+  void servePeer(http::Request &&R, http::Responder &&To);
+
+  /// Requests of callers without an answer.
+  std::size_t pending() const { return Pending_; }
+
+private:
+  /// One request until it is answered.
+  struct Call {
+    JobCall Job_;
+    http::Responder To_;
+    Instant Arrived_;
+    /// When the caller stops to wait.
+    Instant Deadline_;
+    /// An attempt may have been carried out without an answer.
+    bool Uncertain_ = false;
+    std::uint32_t Attempts_ = 0;
+    std::uint64_t ConfigurationVersion_ = 0;
+    std::string Holder_;
+    bool Answered_ = false;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  void attempt(const CallPtr &C);
+  void askLocal(PoolHolder &H, const JobCall &Job, PoolHolder::Answer OnAnswer);
+  void askHolder(const CallPtr &C, const std::string &Address);
+  void take(const CallPtr &C, const JobAnswer &A);
+  void again(const CallPtr &C);
+  void giveUp(const CallPtr &C);
+  void answer(const CallPtr &C, int Status, const QJsonObject &Body,
+              const std::string &Cause, Millis RetryAfter = Millis(0));
+
+  Context &Context_;
+  const Knowledge &Knowledge_;
+  Duties &Duties_;
+  std::size_t Pending_ = 0;
+};
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/peer-calls.cc
@@ -0,0 +1,181 @@
+// What entries ask each other: requests for a duty that another one holds.
+#include "entry/peer-calls.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include <array>
+
+namespace heathercross::entry {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr std::string_view CallPath = "/call";
+constexpr std::string_view VacatePath = "/vacate";
+constexpr std::array<const char *, 4> KindNames{"submit", "state", "cancel",
+                                                "queued"};
+constexpr std::array<const char *, 6> AnswerNames{
+    "accepted", "rejected", "not-holder", "known", "no-such-job", "malformed"};
+
+QString text(const std::string &T) { return QString::fromStdString(T); }
+std::string str(const QJsonValue &V) { return V.toString().toStdString(); }
+
+template <std::size_t N>
+std::optional<std::size_t> indexOf(const std::array<const char *, N> &Names,
+                                   const std::string &Name) {
+  const auto It = std::ranges::find(Names, Name);
+  if (It == Names.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(It - Names.begin());
+}
+
+http::Call post(const std::string &Address, std::string_view Path,
+                const QJsonObject &Body, Millis Timeout) {
+  http::Call C;
+  C.Method_ = "POST";
+  C.Url_ = "http://" + Address + std::string(Path);
+  C.Headers_ = {"Content-Type: application/json"};
+  C.Body_ = QJsonDocument(Body).toJson(QJsonDocument::Compact);
+  C.Timeout_ = Timeout;
+  return C;
+}
+
+std::optional<QJsonObject> objectOf(const QByteArray &Body) {
+  const QJsonDocument D = QJsonDocument::fromJson(Body);
+  if (!D.isObject())
+    return std::nullopt;
+  return D.object();
+}
+
+std::optional<JobAnswer> parseAnswer(const QByteArray &Body) {
+  const auto O = objectOf(Body);
+  const auto Kind =
+      O ? indexOf(AnswerNames, str(O->value("answer"))) : std::nullopt;
+  if (!Kind)
+    return std::nullopt;
+  JobAnswer A;
+  A.Kind_ = static_cast<JobAnswer::Kind>(*Kind);
+  A.State_ = static_cast<schedule::JobState>(O->value("state").toInt());
+  A.Queued_ = static_cast<std::uint32_t>(O->value("queued").toInt());
+  A.RetryAfter_ = Millis(O->value("retry_after_ms").toInt());
+  A.Cause_ = str(O->value("cause"));
+  return A;
+}
+
+std::optional<PoolPicture> parsePicture(const QByteArray &Body) {
+  const auto O = objectOf(Body);
+  if (!O || !O->value("loads").isObject())
+    return std::nullopt;
+  PoolPicture P;
+  P.Demand_ = {
+      O->value("running").toDouble(), O->value("waiting_in_time").toDouble(),
+      O->value("waiting_late").toDouble(), O->value("lasting").toDouble()};
+  P.Cores_ = O->value("cores").toDouble();
+  const QJsonObject Loads = O->value("loads").toObject();
+  for (auto It = Loads.begin(); It != Loads.end(); ++It) {
+    const QJsonArray A = It.value().toArray();
+    P.Loads_[InstanceId(It.key().toStdString())] = {
+        static_cast<std::uint32_t>(A.at(0).toInt()),
+        static_cast<std::uint32_t>(A.at(1).toInt()), A.at(2).toBool()};
+  }
+  return P;
+}
+
+http::Response jsonResponse(const QJsonObject &Body) {
+  http::Response R;
+  R.Status_ = Ok;
+  R.Body_ = QJsonDocument(Body).toJson(QJsonDocument::Compact);
+  return R;
+}
+
+} // namespace
+
+void callPeer(Context &C, const std::string &Address, const JobCall &Call,
+              Millis Timeout, std::function<void(const PeerReply &)> OnDone) {
+  const QJsonObject Body{
+      {"kind", KindNames[static_cast<std::size_t>(Call.Kind_)]},
+      {"pool", text(Call.Pool_.str())},
+      {"queue", text(Call.Queue_.str())},
+      {"job", text(Call.Job_.str())},
+      {"body", QString::fromUtf8(Call.Body_)}};
+  C.Peers_.send(post(Address, CallPath, Body, Timeout),
+                [OnDone = std::move(OnDone)](const http::Reply &R) {
+                  PeerReply Reply;
+                  if (R.Delivery_ == http::Delivery::NeverSent)
+                    Reply.Kind_ = PeerReply::Kind::Unreachable;
+                  if (R.Delivery_ == http::Delivery::Answered &&
+                      R.Status_ == Ok)
+                    if (const auto A = parseAnswer(R.Body_)) {
+                      Reply.Kind_ = PeerReply::Kind::Answered;
+                      Reply.Answer_ = *A;
+                    }
+                  OnDone(Reply);
+                });
+}
+
+std::optional<JobCall> parseJobCall(const http::Request &R) {
+  if (R.Path_ != QByteArrayView(CallPath.data(), CallPath.size()))
+    return std::nullopt;
+  const auto O = objectOf(R.Body_);
+  const auto Kind =
+      O ? indexOf(KindNames, str(O->value("kind"))) : std::nullopt;
+  if (!Kind)
+    return std::nullopt;
+  return JobCall{
+      static_cast<JobCall::Kind>(*Kind), PoolId(str(O->value("pool"))),
+      schedule::QueueId(str(O->value("queue"))), JobId(str(O->value("job"))),
+      O->value("body").toString().toUtf8()};
+}
+
+http::Response peerResponse(const JobAnswer &A) {
+  return jsonResponse(
+      {{"answer", AnswerNames[static_cast<std::size_t>(A.Kind_)]},
+       {"state", static_cast<int>(A.State_)},
+       {"queued", static_cast<int>(A.Queued_)},
+       {"retry_after_ms", static_cast<int>(A.RetryAfter_.count())},
+       {"cause", text(A.Cause_)}});
+}
+
+void callVacate(Context &C, const std::string &Address, const PoolId &Pool,
+                const std::set<InstanceId> &Workers, Millis Timeout,
+                std::function<void(std::optional<PoolPicture>)> OnDone) {
+  QJsonArray Ids;
+  for (const InstanceId &Id : Workers)
+    Ids.append(text(Id.str()));
+  C.Peers_.send(post(Address, VacatePath,
+                     {{"pool", text(Pool.str())}, {"workers", Ids}}, Timeout),
+                [OnDone = std::move(OnDone)](const http::Reply &R) {
+                  const bool Good = R.Delivery_ == http::Delivery::Answered &&
+                                    R.Status_ == Ok;
+                  OnDone(Good ? parsePicture(R.Body_) : std::nullopt);
+                });
+}
+
+std::optional<VacateCall> parseVacateCall(const http::Request &R) {
+  if (R.Path_ != QByteArrayView(VacatePath.data(), VacatePath.size()))
+    return std::nullopt;
+  const auto O = objectOf(R.Body_);
+  if (!O || !O->value("pool").isString())
+    return std::nullopt;
+  VacateCall Call;
+  Call.Pool_ = PoolId(str(O->value("pool")));
+  for (const QJsonValue &V : O->value("workers").toArray())
+    Call.Workers_.insert(InstanceId(str(V)));
+  return Call;
+}
+
+http::Response pictureResponse(const PoolPicture &P) {
+  QJsonObject Loads;
+  for (const auto &[Id, L] : P.Loads_)
+    Loads[text(Id.str())] = QJsonArray{
+        static_cast<int>(L.Runs_), static_cast<int>(L.Lasting_), L.Vacating_};
+  return jsonResponse({{"running", P.Demand_.Running_},
+                       {"waiting_in_time", P.Demand_.WaitingInTime_},
+                       {"waiting_late", P.Demand_.WaitingLate_},
+                       {"lasting", P.Demand_.Lasting_},
+                       {"cores", P.Cores_},
+                       {"loads", Loads}});
+}
+
+} // namespace heathercross::entry
--- /dev/null
+++ b/src/entry/peer-calls.h
@@ -0,0 +1,56 @@
+// What entries ask each other: requests for a duty that another one holds.
+#pragma once
+
+#include "entry/context.h"
+#include "entry/pool-holder.h"
+#include "http/http-server.h"
+
+#include <functional>
+#include <string>
+
+namespace heathercross::entry {
+
+/// What a caller wants of a queue or one of its jobs.
+struct JobCall {
+  enum class Kind : std::uint8_t { Submit, State, Cancel, Queued };
+  Kind Kind_ = Kind::State;
+  PoolId Pool_;
+  schedule::QueueId Queue_;
+  JobId Job_;
+  QByteArray Body_;
+};
+
+/// How a call to another entry went.
+struct PeerReply {
+  enum class Kind : std::uint8_t {
+    Answered,
+    /// The call never left.
+    Unreachable,
+    /// The call may have been carried out.
+    Unknown,
+  };
+  Kind Kind_ = Kind::Unknown;
+  JobAnswer Answer_;
+};
+
+/// Sends a call to the entry at an address.
+void callPeer(Context &C, const std::string &Address, const JobCall &Call,
+              Millis Timeout, std::function<void(const PeerReply &)> OnDone);
+
+/// The call in a peer's request; nothing for another request.
+std::optional<JobCall> parseJobCall(const http::Request &R);
+http::Response peerResponse(const JobAnswer &A);
+
+/// Asks the holder of a pool to empty workers, and for a picture of the pool.
+void callVacate(Context &C, const std::string &Address, const PoolId &Pool,
+                const std::set<InstanceId> &Workers, Millis Timeout,
+                std::function<void(std::optional<PoolPicture>)> OnDone);
+
+struct VacateCall {
+  PoolId Pool_;
+  std::set<InstanceId> Workers_;
+};
+std::optional<VacateCall> parseVacateCall(const http::Request &R);
+http::Response pictureResponse(const PoolPicture &P);
+
+} // namespace heathercross::entry
--- a/src/http/http-client.cc
+++ b/src/http/http-client.cc
@@ -87,7 +87,7 @@
 
 class Client::Impl : public QObject {
 public:
-  Impl();
+  explicit Impl(long MaxPerHost);
   ~Impl() override;
 
   void start(Call C, Done OnDone);
@@ -116,7 +116,7 @@
   bool CollectDue_ = false;
 };
 
-Client::Impl::Impl() : Multi_(curl_multi_init()) {
+Client::Impl::Impl(long MaxPerHost) : Multi_(curl_multi_init()) {
   if (!Multi_)
     raise(ClientSetupFailed());
   constexpr long CachedConnections = 1024;
@@ -125,6 +125,7 @@
   curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
   curl_multi_setopt(Multi_, CURLMOPT_TIMERDATA, this);
   curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, CachedConnections);
+  curl_multi_setopt(Multi_, CURLMOPT_MAX_HOST_CONNECTIONS, MaxPerHost);
   Timer_.setSingleShot(true);
   Timer_.setTimerType(Qt::PreciseTimer);
   connect(&Timer_, &QTimer::timeout, this,
@@ -296,7 +297,7 @@
   T->Done_(T->Reply_);
 }
 
-Client::Client() : Impl_(std::make_unique<Impl>()) {}
+Client::Client(long MaxPerHost) : Impl_(std::make_unique<Impl>(MaxPerHost)) {}
 Client::~Client() = default;
 void Client::send(Call C, Done OnDone) {
   Impl_->start(std::move(C), std::move(OnDone));
--- a/src/http/http-client.h
+++ b/src/http/http-client.h
@@ -65,8 +65,9 @@
 public:
   using Done = std::function<void(const Reply &)>;
 
-  /// Throws ClientSetupFailed.
-  Client();
+  /// MaxPerHost bounds the connections to one address, beyond which calls wait
+  /// in line; 0 is no bound. Throws ClientSetupFailed.
+  explicit Client(long MaxPerHost = 0);
   ~Client();
   Client(const Client &) = delete;
   Client &operator=(const Client &) = delete;
--- a/src/daemon/metrics.cc
+++ b/src/process/metrics.cc
@@ -1,20 +1,24 @@
 // The daemon's metrics, as Prometheus reads them.
-#include "daemon/metrics.h"
+#include "process/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
-namespace heathercross::daemon {
+namespace heathercross::process {
 
 namespace {
 
+/// In seconds.
+prometheus::Histogram::BucketBoundaries latencyBuckets() {
+  return {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+          0.1,    0.2,   0.5,   1,     2,    5,    10};
+}
+
 prometheus::Histogram &makeLatency(prometheus::Registry &Registry) {
   auto &Family = prometheus::BuildHistogram()
                      .Name("heathercross_request_duration_seconds")
                      .Help("Time from a request's arrival to its answer.")
                      .Register(Registry);
-  return Family.Add({}, prometheus::Histogram::BucketBoundaries{
-                            0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
-                            0.2, 0.5, 1, 2, 5, 10});
+  return Family.Add({}, latencyBuckets());
 }
 
 } // namespace
@@ -55,8 +59,20 @@
   G->Set(Value);
 }
 
+void Metrics::observe(const std::string &Name, const std::string &Help,
+                      Micros Took) {
+  prometheus::Histogram *&H = Histograms_[Name];
+  if (!H)
+    H = &prometheus::BuildHistogram()
+             .Name(Name)
+             .Help(Help)
+             .Register(Registry_)
+             .Add({}, latencyBuckets());
+  H->Observe(std::chrono::duration<double>(Took).count());
+}
+
 std::string Metrics::text() const {
   return prometheus::TextSerializer().Serialize(Registry_.Collect());
 }
 
-} // namespace heathercross::daemon
+} // namespace heathercross::process
--- a/src/daemon/metrics.h
+++ b/src/process/metrics.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <utility>
 
-namespace heathercross::daemon {
+namespace heathercross::process {
 
 /// Holds every metric of the process. Names carry their units.
 class Metrics {
@@ -27,6 +27,9 @@
   void add(const std::string &Name, const std::string &Help, double By = 1);
   /// Sets a gauge, which is made with its help text at first use.
   void set(const std::string &Name, const std::string &Help, double Value);
+  /// Adds a duration to a histogram, which is made with its help text at first
+  /// use.
+  void observe(const std::string &Name, const std::string &Help, Micros Took);
   /// The text that a scrape gets.
   std::string text() const;
 
@@ -37,6 +40,7 @@
   std::map<std::pair<Outcome, Reason>, prometheus::Counter *> AnswerCounters_;
   std::map<std::string, prometheus::Counter *> Counters_;
   std::map<std::string, prometheus::Gauge *> Gauges_;
+  std::map<std::string, prometheus::Histogram *> Histograms_;
 };
 
-} // namespace heathercross::daemon
+} // namespace heathercross::process
--- a/src/daemon/signals.cc
+++ b/src/process/signals.cc
@@ -1,5 +1,5 @@
 // Signals as events of the event loop.
-#include "daemon/signals.h"
+#include "process/signals.h"
 
 #include <QSocketNotifier>
 
@@ -7,39 +7,46 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace heathercross::daemon {
+namespace heathercross::process {
 
 namespace {
 
 int SignalPipe[2] = {-1, -1};
 
-extern "C" void writeSignal(int) {
-  const char Byte = 1;
+extern "C" void writeSignal(int Signal) {
+  const char Byte = static_cast<char>(Signal);
   const ssize_t Written = write(SignalPipe[0], &Byte, 1);
   static_cast<void>(Written);
 }
 
 } // namespace
 
-Signals::Signals(std::function<void()> OnStop) {
+Signals::Signals(std::function<void()> OnStop, std::function<void()> OnReload) {
+  const bool Reloads = static_cast<bool>(OnReload);
   if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, SignalPipe) != 0)
     return;
   auto *Notifier =
       new QSocketNotifier(SignalPipe[1], QSocketNotifier::Read, this);
   connect(Notifier, &QSocketNotifier::activated, this,
-          [OnStop = std::move(OnStop)] {
+          [OnStop = std::move(OnStop), OnReload = std::move(OnReload)] {
             char Byte = 0;
-            while (read(SignalPipe[1], &Byte, 1) == 1)
-              OnStop();
+            while (read(SignalPipe[1], &Byte, 1) == 1) {
+              if (Byte != SIGHUP)
+                OnStop();
+              else if (OnReload)
+                OnReload();
+            }
           });
   struct sigaction Action = {};
   Action.sa_handler = &writeSignal;
   Action.sa_flags = SA_RESTART;
   sigaction(SIGTERM, &Action, nullptr);
   sigaction(SIGINT, &Action, nullptr);
+  if (Reloads)
+    sigaction(SIGHUP, &Action, nullptr);
   struct sigaction Ignore = {};
   Ignore.sa_handler = SIG_IGN;
   sigaction(SIGPIPE, &Ignore, nullptr);
 }
 
-} // namespace heathercross::daemon
+} // namespace heathercross::process
--- /dev/null
+++ b/src/schedule/configuration.h
@@ -0,0 +1,63 @@
+// The configuration that operators set: queues, pools and limits.
+#pragma once
+
+#include "schedule/model.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathercross::schedule {
+
+/// Where the requests of a queue arrive.
+struct Route {
+  QueueId Queue_;
+  std::string Host_;
+  /// The longest prefix of a path decides.
+  std::string Prefix_;
+  QueueSettings Settings_;
+  Millis Timeout_{0};
+};
+
+struct PoolSettings {
+  PoolId Pool_;
+  /// The machines are switched off and cost nothing.
+  bool Standby_ = false;
+};
+
+struct Configuration {
+  std::uint64_t Version_ = 0;
+  std::vector<Route> Routes_;
+  std::vector<PoolSettings> Pools_;
+  std::uint64_t MaxBodyBytes_ = 0;
+
+  /// The route of a request, or null.
+  const Route *route(std::string_view Host, std::string_view Path) const;
+  /// The rules of each queue of a pool.
+  std::map<QueueId, QueueSettings> queuesOf(const PoolId &Pool) const;
+};
+
+/// A call for the upkeep of some machines within a time, so many at once.
+struct UpkeepWave {
+  std::uint64_t Number_ = 0;
+  std::vector<MachineId> Machines_;
+  Millis Within_{0};
+  std::uint32_t MaxAtOnce_ = 1;
+};
+
+enum class MachineState : std::uint8_t { Up, Moving, Upkeep, Down };
+
+struct Machine {
+  MachineId Id_;
+  PoolId Pool_;
+  MachineState State_ = MachineState::Down;
+  ZoneId Zone_;
+  RackId Rack_;
+  Resources Capacity_;
+  /// The instance that runs there now; empty without one.
+  InstanceId Instance_;
+};
+
+} // namespace heathercross::schedule
--- /dev/null
+++ b/src/schedule/job.cc
@@ -0,0 +1,175 @@
+// One accepted job and how far its tasks are.
+#include "schedule/job.h"
+
+#include "heathercross/error.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace heathercross::schedule {
+
+namespace {
+
+constexpr char DoneMark = 'd';
+constexpr char StepEnd = '.';
+constexpr char FirstFailures = '0';
+constexpr std::uint32_t MaxFailuresKept = 9;
+/// One letter a state, in the order of JobState.
+constexpr std::string_view StateLetters = "qacfx";
+
+std::vector<Occurrence> freshOccurrences(const JobSpec &Spec) {
+  Occurrence O;
+  std::ranges::transform(Spec.Steps_, std::back_inserter(O.Steps_),
+                         [](const StepSpec &S) {
+                           StepState State;
+                           State.Tasks_.resize(S.Count_);
+                           return State;
+                         });
+  return std::vector<Occurrence>(Spec.occurrences(), O);
+}
+
+} // namespace
+
+bool JobSpec::lasting() const {
+  return std::ranges::any_of(Steps_, &StepSpec::Lasting_);
+}
+
+Job::Job(JobId Id, QueueId Queue, JobSpec Spec, Instant Accepted)
+    : Id_(std::move(Id)), Queue_(std::move(Queue)), Spec_(std::move(Spec)),
+      Accepted_(Accepted), Occurrences_(freshOccurrences(Spec_)),
+      Chain_(chainFrom(nullptr)) {}
+
+bool Job::has(const TaskKey &Key) const {
+  return Key.Occurrence_ < Occurrences_.size() &&
+         Key.Step_ < Spec_.Steps_.size() &&
+         Key.Index_ < Spec_.Steps_[Key.Step_].Count_;
+}
+
+TaskState &Job::task(const TaskKey &Key) {
+  return Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Tasks_[Key.Index_];
+}
+
+const TaskState &Job::task(const TaskKey &Key) const {
+  return Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Tasks_[Key.Index_];
+}
+
+WallTime Job::due(std::uint32_t OccurrenceIndex) const {
+  return Spec_.FirstDue_ + Spec_.Interval_ * OccurrenceIndex;
+}
+
+bool Job::ready(std::uint32_t OccurrenceIndex, std::uint32_t Step,
+                WallTime Now) const {
+  if (Spec_.Repeats_ > 0 && Now < due(OccurrenceIndex))
+    return false;
+  const Occurrence &O = Occurrences_[OccurrenceIndex];
+  return std::ranges::all_of(
+      Spec_.Steps_[Step].After_,
+      [&](std::uint32_t Before) { return O.Steps_[Before].done(); });
+}
+
+void Job::finishTask(const TaskKey &Key) {
+  TaskState &T = task(Key);
+  if (T.Phase_ == TaskPhase::Done)
+    return;
+  T.Phase_ = TaskPhase::Done;
+  ++Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Done_;
+  if (allDone() && !isFinal(State_))
+    State_ = JobState::Complete;
+}
+
+bool Job::allDone() const {
+  return std::ranges::all_of(Occurrences_, [](const Occurrence &O) {
+    return std::ranges::all_of(O.Steps_, &StepState::done);
+  });
+}
+
+double Job::remainingWork() const {
+  constexpr double MilliPerUnit = 1000.0;
+  double Work = 0;
+  for (const Occurrence &O : Occurrences_)
+    for (std::size_t I = 0; I < O.Steps_.size(); ++I) {
+      const StepSpec &S = Spec_.Steps_[I];
+      const auto Left = S.Count_ - O.Steps_[I].Done_;
+      Work += Left * (static_cast<double>(S.Needs_.CpuMilli_) / MilliPerUnit) *
+              (static_cast<double>(S.Estimate_.count()) / MilliPerUnit);
+    }
+  return Work;
+}
+
+Millis Job::chainFrom(const Occurrence *Of) const {
+  std::vector<Millis> Ends(Spec_.Steps_.size(), Millis(0));
+  for (std::size_t I = 0; I < Ends.size(); ++I) {
+    const StepSpec &S = Spec_.Steps_[I];
+    Millis Start(0);
+    for (const std::uint32_t Before : S.After_)
+      Start = std::max(Start, Ends[Before]);
+    const bool Done = Of && Of->Steps_[I].done();
+    Ends[I] = Start + (Done ? Millis(0) : S.Estimate_);
+  }
+  return Ends.empty() ? Millis(0) : std::ranges::max(Ends);
+}
+
+Millis Job::remainingChain() const {
+  Millis Longest(0);
+  for (const Occurrence &O : Occurrences_)
+    Longest = std::max(Longest, chainFrom(&O));
+  return Longest;
+}
+
+std::string Job::encodeProgress() const {
+  std::string Text(1, StateLetters[static_cast<std::size_t>(State_)]);
+  for (const Occurrence &O : Occurrences_)
+    for (const StepState &S : O.Steps_) {
+      for (const TaskState &T : S.Tasks_)
+        Text += T.Phase_ == TaskPhase::Done
+                    ? DoneMark
+                    : static_cast<char>(FirstFailures +
+                                        std::min(T.Failures_, MaxFailuresKept));
+      Text += StepEnd;
+    }
+  return Text;
+}
+
+void Job::decodeProgress(std::string_view Text) {
+  if (Text.empty() || StateLetters.find(Text[0]) == std::string_view::npos)
+    raise(FormatError("progress of job " + Id_.str(), "unknown state"));
+  std::size_t At = 1;
+  const auto Next = [&] {
+    if (At >= Text.size())
+      raise(FormatError("progress of job " + Id_.str(), "too short"));
+    return Text[At++];
+  };
+  for (Occurrence &O : Occurrences_)
+    for (StepState &S : O.Steps_) {
+      S.Done_ = 0;
+      for (TaskState &T : S.Tasks_) {
+        const char Mark = Next();
+        T.Phase_ = Mark == DoneMark ? TaskPhase::Done : TaskPhase::Waiting;
+        if (Mark == DoneMark)
+          ++S.Done_;
+        else
+          T.Failures_ = static_cast<std::uint32_t>(Mark - FirstFailures);
+      }
+      if (Next() != StepEnd)
+        raise(FormatError("progress of job " + Id_.str(), "wrong length"));
+    }
+  State_ = static_cast<JobState>(StateLetters.find(Text[0]));
+}
+
+const char *stateName(JobState S) {
+  switch (S) {
+  case JobState::Queued:
+    return "queued";
+  case JobState::Active:
+    return "active";
+  case JobState::Complete:
+    return "complete";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Canceled:
+    return "canceled";
+  }
+  return "unknown";
+}
+
+} // namespace heathercross::schedule
--- /dev/null
+++ b/src/schedule/pool-scheduler-step.cc
@@ -0,0 +1,409 @@
+// The decisions of a pool's scheduler.
+#include "schedule/pool-scheduler.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace heathercross::schedule {
+
+namespace {
+
+/// A task is stuck when its progress stands still this long; a sound worker
+/// reports about once a second.
+constexpr Millis StuckAfter{3000};
+/// A worker with a stuck task gets nothing so long.
+constexpr Millis StuckPause{4000};
+/// New tasks need a lease that lasts at least this long.
+constexpr Millis MinLease{500};
+/// Of a latency goal: above the first share fillers slow down, below the
+/// second they speed up again.
+constexpr double SlowDownShare = 0.8;
+constexpr double SpeedUpShare = 0.55;
+/// How long a changed pace takes to show: the load figure covers half a second.
+constexpr Millis PaceInterval{700};
+constexpr std::uint32_t PaceStep = 25;
+constexpr std::uint32_t FullPace = 100;
+/// At work, as workers report it.
+constexpr std::uint32_t AtWork = 100;
+
+Micros ageOf(const Job &J, std::uint32_t OccurrenceIndex, Instant Now,
+             WallTime Wall) {
+  if (J.spec().Repeats_ > 0)
+    return Wall - J.due(OccurrenceIndex);
+  return Now - J.accepted();
+}
+
+} // namespace
+
+Orders PoolScheduler::step(Instant Now, WallTime Wall) {
+  Orders Out;
+  expire(Now);
+  moveLasting(Now, Out);
+  orderStops(Now, Out);
+  orderPaces(Now, Out);
+  orderStarts(Now, Wall, Out);
+  return Out;
+}
+
+void PoolScheduler::expire(Instant Now) {
+  std::vector<InstanceId> Gone;
+  for (auto &[Id, W] : Workers_) {
+    const bool Unreachable = W.SilentSince_ || !W.Registered_;
+    if (Unreachable && !W.runs().empty() && Now >= W.LeasesEnd_)
+      loseRuns(W, "lease-expired");
+    const bool Awaited = Awaited_.contains(Id) && Now < AwaitUntil_;
+    if (!W.Registered_ && W.runs().empty() && !Awaited)
+      Gone.push_back(Id);
+  }
+  for (const InstanceId &Id : Gone) {
+    note("worker-gone", {}, 0, Id, "");
+    Workers_.erase(Id);
+  }
+}
+
+void PoolScheduler::findStuck(Worker &W, Instant Now) {
+  std::vector<TaskKey> Stuck;
+  for (const auto &[Key, R] : W.runs()) {
+    const Job *J = find(Key.Job_);
+    if (!J || !J->has(Key) || R.StopWanted_ || R.Phase_ != RunPhase::Working)
+      continue;
+    const StepSpec &S = J->spec().Steps_[Key.Step_];
+    if (!S.Lasting_ && !S.Gang_ && Now - R.LastProgress_ > StuckAfter)
+      Stuck.push_back(Key);
+  }
+  for (const TaskKey &Key : Stuck) {
+    Run &R = *W.find(Key);
+    stopRun(R);
+    W.PausedUntil_ = Now + StuckPause;
+    if (Job *J = findJob(Key.Job_))
+      J->task(Key).Worker_ = W.info().Id_;
+    note("run-stuck", Key, R.Attempt_, W.info().Id_,
+         "percent=" + std::to_string(R.Percent_));
+  }
+}
+
+std::uint32_t PoolScheduler::away(const Job &J, std::uint32_t OccurrenceIndex,
+                                  std::uint32_t Step) const {
+  const auto &Tasks = J.occurrences()[OccurrenceIndex].Steps_[Step].Tasks_;
+  std::uint32_t Away = 0;
+  for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
+    const TaskKey Key{J.id(), OccurrenceIndex, Step, I};
+    const auto It = Workers_.find(Tasks[I].Worker_);
+    if (Tasks[I].Phase_ != TaskPhase::Placed || It == Workers_.end()) {
+      ++Away;
+      continue;
+    }
+    const auto R = It->second.runs().find(Key);
+    const bool At = R != It->second.runs().end() &&
+                    R->second.Percent_ >= AtWork && !R->second.StopWanted_ &&
+                    !It->second.SilentSince_;
+    Away += At ? 0 : 1;
+  }
+  return Away;
+}
+
+void PoolScheduler::moveLasting(Instant Now, Orders &) {
+  for (auto &[Id, W] : Workers_) {
+    const bool Leaving = W.info().Draining_;
+    if (!Leaving && W.VacateUntil_ <= Now)
+      continue;
+    for (const auto &[Key, R] : W.runs()) {
+      const Job *J = find(Key.Job_);
+      if (R.StopWanted_ || R.Phase_ != RunPhase::Working || !J || !J->has(Key))
+        continue;
+      const StepSpec &S = J->spec().Steps_[Key.Step_];
+      if (!S.Lasting_)
+        continue;
+      const std::uint32_t Away = away(*J, Key.Occurrence_, Key.Step_);
+      const std::uint32_t Limit = std::max(1U, S.MayBeAway_);
+      if (!Leaving && Away >= Limit)
+        continue;
+      const ReadyStep Step{{}, findJob(Key.Job_), Key.Occurrence_, Key.Step_};
+      TaskState Elsewhere = J->task(Key);
+      if (!choose(candidates(*J, Step, Now), request(*J, Step, Elsewhere)))
+        continue;
+      stopRun(*W.find(Key));
+      note("run-moved", Key, R.Attempt_, Id,
+           std::string(Leaving ? "worker-draining" : "worker-vacated") +
+               " away=" + std::to_string(Away));
+    }
+  }
+}
+
+void PoolScheduler::orderStops(Instant Now, Orders &Out) {
+  for (auto &[Id, W] : Workers_)
+    for (const auto &[Key, Known] : W.runs()) {
+      Run &R = *W.find(Key);
+      if (!R.StopWanted_ || R.StopInFlight_ || R.StopAnswered_ ||
+          Now < R.NextStop_ || R.Phase_ == RunPhase::Ordered)
+        continue;
+      R.StopInFlight_ = true;
+      Out.Stops_.push_back({Id, Key, R.Attempt_});
+    }
+}
+
+void PoolScheduler::orderPaces(Instant Now, Orders &Out) {
+  for (auto &[Id, W] : Workers_) {
+    double Worst = 0;
+    std::vector<TaskKey> Fillers;
+    for (const auto &[Key, R] : W.runs()) {
+      const Job *J = find(Key.Job_);
+      if (!J || !J->has(Key) || R.Phase_ != RunPhase::Working)
+        continue;
+      const StepSpec &S = J->spec().Steps_[Key.Step_];
+      if (S.LatencyGoal_.count() > 0)
+        Worst =
+            std::max(Worst, static_cast<double>(R.Load_) /
+                                static_cast<double>(S.LatencyGoal_.count()));
+      if (S.Filler_ && !R.StopWanted_)
+        Fillers.push_back(Key);
+    }
+    for (const TaskKey &Key : Fillers) {
+      Run &R = *W.find(Key);
+      if (Now - R.PaceChanged_ < PaceInterval)
+        continue;
+      std::uint32_t Pace = R.Pace_;
+      if (Worst > 1)
+        Pace = 0;
+      else if (Worst > SlowDownShare)
+        Pace = Pace > 2 * PaceStep ? Pace / 2 : 0;
+      else if (Worst < SpeedUpShare)
+        Pace = std::min(FullPace, Pace + PaceStep);
+      if (Pace == R.Pace_)
+        continue;
+      R.Pace_ = Pace;
+      R.PaceChanged_ = Now;
+      Out.Paces_.push_back({Id, Key, R.Attempt_, Pace});
+    }
+  }
+}
+
+bool PoolScheduler::mayTake(const Worker &W, Instant Now) const {
+  return W.heard() && W.Registered_ && W.Rostered_ && !W.info().Draining_ &&
+         !W.SilentSince_ && Now >= W.PausedUntil_ && Now >= W.VacateUntil_ &&
+         W.LeasesEnd_ > Now + MinLease;
+}
+
+Rank PoolScheduler::rank(const Job &J, std::uint32_t OccurrenceIndex,
+                         std::uint32_t Step, Instant Now, WallTime Wall) const {
+  const StepSpec &S = J.spec().Steps_[Step];
+  const QueueSettings &Q = settings(J.queue());
+  if (S.Filler_)
+    return {Urgency::Filler, Q.Priority_, 0};
+  if (S.Lasting_)
+    return {Urgency::Lasting, Q.Priority_, 0};
+  return rankOf(J, Q, ageOf(J, OccurrenceIndex, Now, Wall));
+}
+
+std::vector<PoolScheduler::ReadyStep>
+PoolScheduler::readySteps(Instant Now, WallTime Wall) const {
+  std::vector<ReadyStep> Ready;
+  const bool RestoredToo = restoredMayStart(Now);
+  for (const JobId &Id : Open_) {
+    if (!RestoredToo && Restored_.contains(Id))
+      continue;
+    // The scheduler owns its jobs; the const view only keeps this a query.
+    auto &J = const_cast<Job &>(Jobs_.at(Id));
+    for (std::uint32_t O = 0; O < J.occurrences().size(); ++O)
+      for (std::uint32_t S = 0; S < J.spec().Steps_.size(); ++S) {
+        const StepState &State = J.occurrences()[O].Steps_[S];
+        const bool Waits = std::ranges::any_of(
+            State.Tasks_, [](TaskPhase P) { return P == TaskPhase::Waiting; },
+            &TaskState::Phase_);
+        if (Waits && J.ready(O, S, Wall))
+          Ready.push_back({rank(J, O, S, Now, Wall), &J, O, S});
+      }
+  }
+  std::ranges::stable_sort(Ready, {}, &ReadyStep::Rank_);
+  return Ready;
+}
+
+std::vector<Candidate>
+PoolScheduler::candidates(const Job &J, const ReadyStep &S, Instant Now) {
+  std::vector<Candidate> Found;
+  for (auto &[Id, W] : Workers_) {
+    if (!mayTake(W, Now))
+      continue;
+    const auto First =
+        W.runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
+    const auto Last =
+        W.runs().lower_bound({J.id(), S.Occurrence_, S.Step_ + 1, 0});
+    Found.push_back(
+        {&W, static_cast<std::uint32_t>(std::distance(First, Last))});
+  }
+  return Found;
+}
+
+PlacementRequest PoolScheduler::request(const Job &J, const ReadyStep &S,
+                                        const TaskState &T) const {
+  const StepSpec &Spec = J.spec().Steps_[S.Step_];
+  PlacementRequest R;
+  R.Reserved_ = Spec.reserved();
+  R.Label_ = Spec.Label_;
+  R.Rack_ = Spec.DataRack_;
+  R.MaxPerWorker_ = Spec.MaxPerWorker_;
+  R.Spread_ = Spec.Lasting_;
+  R.Avoid_ = T.Worker_;
+  return R;
+}
+
+void PoolScheduler::order(Job &J, const TaskKey &Key, Worker &W, Attempt A,
+                          Instant Now, Orders &Out) {
+  TaskState &T = J.task(Key);
+  T.Attempt_ = A;
+  T.Phase_ = TaskPhase::Placed;
+  T.Worker_ = W.info().Id_;
+  Run R;
+  R.Attempt_ = A;
+  R.Ordered_ = Now;
+  R.Reserved_ = J.spec().Steps_[Key.Step_].reserved();
+  W.add(Key, R);
+  if (J.state() == JobState::Queued)
+    J.setState(JobState::Active);
+  Out.Starts_.push_back(
+      {W.info().Id_, Key, A, J.spec().Payload_, T.Checkpoint_});
+}
+
+void PoolScheduler::startTasks(const ReadyStep &S, Instant Now, Orders &Out) {
+  Job &J = *S.Job_;
+  std::vector<Candidate> Places = candidates(J, S, Now);
+  auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
+  for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
+    if (Tasks[I].Phase_ != TaskPhase::Waiting)
+      continue;
+    Worker *W = choose(Places, request(J, S, Tasks[I]));
+    if (!W)
+      return;
+    order(J, {J.id(), S.Occurrence_, S.Step_, I}, *W, Tasks[I].Attempt_ + 1,
+          Now, Out);
+    const auto Place = std::ranges::find(Places, W, &Candidate::Worker_);
+    ++Place->SameStep_;
+  }
+}
+
+void PoolScheduler::startGang(const ReadyStep &S, Instant Now, Orders &Out) {
+  Job &J = *S.Job_;
+  const StepSpec &Spec = J.spec().Steps_[S.Step_];
+  auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
+  const auto IsWaiting = [](TaskPhase P) { return P == TaskPhase::Waiting; };
+  if (!std::ranges::all_of(Tasks, IsWaiting, &TaskState::Phase_))
+    return;
+  // Copies of the workers, so that a plan that fails leaves nothing behind.
+  const auto Plan = [&](const RackId &Rack) {
+    std::map<InstanceId, Worker> Copies;
+    std::vector<InstanceId> Chosen;
+    std::vector<Candidate> Places = candidates(J, S, Now);
+    for (Candidate &C : Places) {
+      const InstanceId Id = C.Worker_->info().Id_;
+      C.Worker_ = &Copies.emplace(Id, *C.Worker_).first->second;
+    }
+    PlacementRequest R = request(J, S, Tasks[0]);
+    R.RackRequired_ = !Rack.empty();
+    if (!Rack.empty())
+      R.Rack_ = Rack;
+    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+      Worker *W = choose(Places, R);
+      if (!W)
+        return std::vector<InstanceId>();
+      Run Planned;
+      Planned.Reserved_ = R.Reserved_;
+      W->add({J.id(), S.Occurrence_, S.Step_, I}, Planned);
+      ++std::ranges::find(Places, W, &Candidate::Worker_)->SameStep_;
+      Chosen.push_back(W->info().Id_);
+    }
+    return Chosen;
+  };
+  std::set<RackId> Racks;
+  if (Spec.OneRack_)
+    for (const auto &[Id, W] : Workers_)
+      Racks.insert(W.info().Rack_);
+  std::vector<InstanceId> Chosen;
+  for (const RackId &Rack : Racks)
+    if (Chosen.empty() && !Rack.empty())
+      Chosen = Plan(Rack);
+  if (Chosen.empty())
+    Chosen = Plan(RackId());
+  if (Chosen.size() != Spec.Count_)
+    return;
+  const Attempt A =
+      std::ranges::max(Tasks, {}, &TaskState::Attempt_).Attempt_ + 1;
+  // The newest checkpoint of any member is valid for all.
+  const auto Saved = std::ranges::find_if(
+      Tasks, [](const TaskState &T) { return !T.Checkpoint_.empty(); });
+  const std::string Checkpoint =
+      Saved == Tasks.end() ? std::string() : Saved->Checkpoint_;
+  for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+    Tasks[I].Checkpoint_ = Checkpoint;
+    order(J, {J.id(), S.Occurrence_, S.Step_, I}, *findWorker(Chosen[I]), A,
+          Now, Out);
+  }
+}
+
+void PoolScheduler::orderStarts(Instant Now, WallTime Wall, Orders &Out) {
+  for (const ReadyStep &S : readySteps(Now, Wall))
+    if (S.Job_->spec().Steps_[S.Step_].Gang_)
+      startGang(S, Now, Out);
+    else
+      startTasks(S, Now, Out);
+}
+
+std::uint32_t PoolScheduler::queued(const QueueId &Queue) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(Open_, [&](const JobId &Id) {
+        const Job &J = Jobs_.at(Id);
+        return J.queue() == Queue && J.state() == JobState::Queued;
+      }));
+}
+
+double PoolScheduler::cores() const {
+  constexpr double MilliPerCore = 1000;
+  double Sum = 0;
+  for (const auto &[Id, W] : Workers_)
+    if (W.heard() && W.Registered_ && !W.SilentSince_ && !W.info().Draining_)
+      Sum += static_cast<double>(W.info().Capacity_.CpuMilli_) / MilliPerCore;
+  return Sum;
+}
+
+Demand PoolScheduler::demand(Instant Now, WallTime Wall) const {
+  constexpr double MilliPerCore = 1000;
+  Demand D;
+  for (const auto &[Id, W] : Workers_)
+    for (const auto &[Key, R] : W.runs()) {
+      const double Cores =
+          static_cast<double>(R.Reserved_.CpuMilli_) / MilliPerCore;
+      const Job *J = find(Key.Job_);
+      const bool Lasting =
+          J && J->has(Key) && J->spec().Steps_[Key.Step_].Lasting_;
+      (Lasting ? D.Lasting_ : D.Running_) += Cores;
+    }
+  for (const ReadyStep &S : readySteps(Now, Wall)) {
+    const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
+    const auto Waiting = std::ranges::count(
+        S.Job_->occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_,
+        TaskPhase::Waiting, &TaskState::Phase_);
+    const double Cores = static_cast<double>(Waiting) *
+                         static_cast<double>(Spec.reserved().CpuMilli_) /
+                         MilliPerCore;
+    (S.Rank_.Urgency_ <= Urgency::InTime ? D.WaitingInTime_ : D.WaitingLate_) +=
+        Cores;
+  }
+  return D;
+}
+
+double PoolScheduler::workAhead(const Job &J, Instant Now,
+                                WallTime Wall) const {
+  const Rank Own = rankOf(J, settings(J.queue()), Micros(0));
+  double Work = 0;
+  for (const JobId &Id : Open_) {
+    const Job &Other = Jobs_.at(Id);
+    if (Other.spec().lasting() || Other.spec().Repeats_ > 0)
+      continue;
+    const Rank R =
+        rankOf(Other, settings(Other.queue()), ageOf(Other, 0, Now, Wall));
+    if (R <= Own)
+      Work += Other.remainingWork();
+  }
+  return Work;
+}
+
+} // namespace heathercross::schedule
--- /dev/null
+++ b/src/schedule/worker.h
@@ -0,0 +1,103 @@
+// What a pool's scheduler believes of one worker.
+#pragma once
+
+#include "schedule/model.h"
+
+#include <map>
+#include <optional>
+
+namespace heathercross::schedule {
+
+enum class RunPhase : std::uint8_t {
+  /// The order to start is on its way.
+  Ordered,
+  Working,
+  /// The order to start had no answer: it may be carried out yet.
+  Unresolved,
+};
+
+/// One run of a task on a worker. It takes capacity until its end is certain.
+struct Run {
+  Attempt Attempt_ = 0;
+  Resources Reserved_;
+  RunPhase Phase_ = RunPhase::Ordered;
+  /// When the order was answered, or the run was first reported.
+  Instant Settled_;
+  Instant Ordered_;
+  bool StopWanted_ = false;
+  bool StopInFlight_ = false;
+  /// When the worker answered the order to stop.
+  std::optional<Instant> StopAnswered_;
+  Instant NextStop_;
+  std::uint32_t Percent_ = 0;
+  Instant LastProgress_;
+  std::int64_t Load_ = 0;
+  /// The share of its work that a filler may do now, in percent.
+  std::uint32_t Pace_ = 100;
+  Instant PaceChanged_;
+};
+
+class Worker {
+public:
+  explicit Worker(WorkerInfo Info) : Info_(std::move(Info)) {}
+
+  const WorkerInfo &info() const { return Info_; }
+  void setInfo(WorkerInfo Info) { Info_ = std::move(Info); }
+
+  Resources free() const {
+    Resources Free = Info_.Capacity_;
+    return Free -= Used_;
+  }
+  const Resources &used() const { return Used_; }
+  const std::map<TaskKey, Run> &runs() const { return Runs_; }
+
+  Run *find(const TaskKey &Key) {
+    const auto It = Runs_.find(Key);
+    return It == Runs_.end() ? nullptr : &It->second;
+  }
+  Run &add(const TaskKey &Key, Run R) {
+    Used_ += R.Reserved_;
+    return Runs_[Key] = R;
+  }
+  void remove(const TaskKey &Key) {
+    const auto It = Runs_.find(Key);
+    if (It == Runs_.end())
+      return;
+    Used_ -= It->second.Reserved_;
+    Runs_.erase(It);
+  }
+  void clear() {
+    Runs_.clear();
+    Used_ = {};
+  }
+
+  /// Whether the worker has answered at all in its present life.
+  bool heard() const { return Born_.has_value(); }
+
+  std::optional<std::int64_t> Born_;
+  /// Whether it is registered now.
+  bool Registered_ = true;
+  /// Whether the stored roster names it, so that a later holder knows where
+  /// something may run.
+  bool Rostered_ = false;
+  /// Since when renewals of its leases fail.
+  std::optional<Instant> SilentSince_;
+  /// When everything that runs there has lapsed, unless it is renewed.
+  Instant LeasesEnd_;
+  /// The last end that was taken in.
+  std::uint64_t LastEnd_ = 0;
+  /// No new task starts there before.
+  Instant PausedUntil_;
+  /// Failed runs since the last one that ended well, and of how many jobs.
+  std::uint32_t FailuresInRow_ = 0;
+  JobId LastFailedJob_;
+  /// The worker shall become empty: no new task starts there until then.
+  Instant VacateUntil_;
+
+private:
+  WorkerInfo Info_;
+  Resources Used_;
+  std::map<TaskKey, Run> Runs_;
+};
+
+} // namespace heathercross::schedule
