Takeovers adopt what runs; the fleet property that failed at random

Adoption now compares with what this holder knows; new attempts start above a floor. Cause 2 (TWICE at the end of zone cuts): a run adopted on a worker whose registration had expired was given up at once, since its lease wasn't known. Only silence ends leases now, and the first answer of a worker grants a whole lease in the books. A holder whose row wasn't renewed for 4 s grants no more. A change that no report speaks for is given up after the cooldown.

--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -157,8 +157,7 @@
     return answer(C, A.Cause_ == "store-away" ? Unavailable : TooManyRequests,
                   {}, A.Cause_, A.RetryAfter_);
   case AnswerKind::NotHolder:
-    // What was submitted to a holder that lost its duty may be stored.
-    C->Uncertain_ = true;
+    C->Uncertain_ |= A.Uncertain_;
     return again(C);
   case AnswerKind::Known:
     if (C->Job_.Kind_ == Kind::Queued)
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -58,6 +58,7 @@
   A.Kind_ = static_cast<JobAnswer::Kind>(*Kind);
   A.State_ = static_cast<schedule::JobState>(O->value("state").toInt());
   A.Queued_ = static_cast<std::uint32_t>(O->value("queued").toInt());
+  A.Uncertain_ = O->value("uncertain").toBool();
   A.RetryAfter_ = Millis(O->value("retry_after_ms").toInt());
   A.Cause_ = str(O->value("cause"));
   return A;
@@ -133,6 +134,7 @@
       {{"answer", AnswerNames[static_cast<std::size_t>(A.Kind_)]},
        {"state", static_cast<int>(A.State_)},
        {"queued", static_cast<int>(A.Queued_)},
+       {"uncertain", A.Uncertain_},
        {"retry_after_ms", static_cast<int>(A.RetryAfter_.count())},
        {"cause", text(A.Cause_)}});
 }
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -45,6 +45,10 @@
 /// What runs goes on this long without a renewal: a new holder takes about
 /// 3 s, and what a dead worker ran is started again only after it.
 constexpr Millis RunLease{6000};
+/// A holder whose row wasn't renewed for this long grants no more leases and
+/// starts nothing: another one may have taken the duty. With the lease it
+/// bridges an outage of the store of 10 s.
+constexpr Millis MaxRenewalAge{4000};
 /// A worker's clock may be 2% slow.
 constexpr double ClockSlack = 1.03;
 /// Room for the way of a renewal to the worker.
@@ -201,12 +205,9 @@
       Scheduler_.removeWorker(Id);
       Links_[Id].Address_ = Address;
     }
-  Scheduler_.awaitWorkers(
-      Awaited,
-      Now +
-          Micros(static_cast<std::int64_t>(
-              static_cast<double>(Micros(runLease()).count()) * ClockSlack)) +
-          LeaseMargin);
+  // The holder before may have granted leases for a while after its last
+  // renewal of the duty, which was before this one began.
+  Scheduler_.awaitWorkers(Awaited, leaseEnd(Now + MaxRenewalAge));
   Context_.Log_.write("duty-loaded",
                       {{"pool", text(Pool_.str())},
                        {"epoch", static_cast<qint64>(self().Epoch_.value())},
@@ -231,6 +232,9 @@
   for (const auto &[Id, Info] : All) {
     if (Info.Pool_ != Pool_)
       continue;
+    const auto Ended = EndedInstances_.find(Id);
+    if (Ended != EndedInstances_.end() && Ended->second == Info.Address_)
+      continue;
     Scheduler_.setWorker(Info);
     if (Roster_.contains(Id) && Journal_.durable() >= RosterTicket_)
       Scheduler_.setRostered(Id);
@@ -239,6 +243,8 @@
   for (const auto &[Id, W] : Scheduler_.workers())
     if (W.Registered_ && !All.contains(Id))
       Scheduler_.removeWorker(Id);
+  std::erase_if(EndedInstances_,
+                [&](const auto &Entry) { return !All.contains(Entry.first); });
   kick();
 }
 
@@ -252,6 +258,16 @@
   return std::min(RunLease, Context_.Settings_.RunLeaseMax_);
 }
 
+Instant PoolHolder::leaseEnd(Instant GrantedAt) const {
+  const double Slow =
+      static_cast<double>(Micros(runLease()).count()) * ClockSlack;
+  return GrantedAt + Micros(static_cast<std::int64_t>(Slow)) + LeaseMargin;
+}
+
+bool PoolHolder::mayOrder() const {
+  return !Lost_ && Context_.Clock_.now() - Journal_.renewedAt() < MaxRenewalAge;
+}
+
 // Requests of callers.
 
 void PoolHolder::submit(const JobId &Id, const schedule::QueueId &Queue,
@@ -378,7 +394,7 @@
   if (Lost_)
     return;
   if (Ready_) {
-    if (!Leaving_)
+    if (!Leaving_ && mayOrder())
       deliver(Scheduler_.step(Context_.Clock_.now(), Context_.Clock_.wall()));
     storeChanges();
     logDecisions();
@@ -518,11 +534,15 @@
                        {"cause", Cause}});
   Context_.Metrics_.add("heathercross_duties_lost_total",
                         "Duties that another entry took.");
-  for (auto &[Id, S] : Submissions_)
+  JobAnswer Moved(JobAnswer::Kind::NotHolder);
+  for (auto &[Id, S] : Submissions_) {
+    Moved.Uncertain_ = !Journal_.withdraw(S.Ticket_);
     for (const Answer &A : S.Answers_)
-      A(JobAnswer::Kind::NotHolder);
+      A(Moved);
+  }
+  Moved.Uncertain_ = true;
   for (const Waiter &W : Waiters_)
-    W.Answer_(JobAnswer::Kind::NotHolder);
+    W.Answer_(Moved);
   Submissions_.clear();
   Waiters_.clear();
   OnLost_();
@@ -560,14 +580,10 @@
   platform_api::RenewCall Call;
   Call.Epoch_ = self().Epoch_;
   Call.EndsStored_ = L.EndsStored_;
-  if (L.ClockMs_ > 0) {
+  if (L.ClockMs_ > 0 && mayOrder()) {
     Call.LeaseUntilMs_ = clockOf(L) + runLease().count();
     Call.Wait_ = Busy && !Silent ? RenewWait : Millis(0);
-    Scheduler_.leaseGranted(
-        Id,
-        Now + LeaseMargin +
-            Micros(static_cast<std::int64_t>(
-                static_cast<double>(Micros(runLease()).count()) * ClockSlack)));
+    Scheduler_.leaseGranted(Id, leaseEnd(Now));
   }
   L.RenewInFlight_ = true;
   Context_.Workers_.renew({Id, L.Address_}, Call, RenewTimeout,
@@ -588,6 +604,7 @@
   case WorkerCallOutcome::Fenced:
     return lose("fenced-by-worker");
   case WorkerCallOutcome::WrongInstance:
+    EndedInstances_[Id] = It->second.Address_;
     Links_.erase(It);
     Scheduler_.instanceEnded(Id);
     return kick();
@@ -604,8 +621,12 @@
   if (L.Born_ != R.Report_.Born_)
     L.EndsStored_ = 0;
   L.Born_ = R.Report_.Born_;
+  const bool First = L.ClockMs_ == 0;
   L.ClockMs_ = R.ClockMs_;
   L.ClockAt_ = Now;
+  // What runs there may have a lease of an earlier holder.
+  if (First)
+    Scheduler_.leaseGranted(Id, leaseEnd(Now));
   Scheduler_.report(Id, R.Report_, SentAt, Now);
   const auto W = Scheduler_.workers().find(Id);
   if (W == Scheduler_.workers().end())
@@ -614,8 +635,7 @@
   const bool Unstored = W->second.LastEnd_ > L.EndsStored_;
   L.NextRenew_ =
       Now + (Unstored ? UnstoredRenew : (Busy ? BusyRenew : IdleRenew));
-  // The first answer only told the clock.
-  if (W->second.LeasesEnd_ < Now)
+  if (First)
     L.NextRenew_ = Now;
   kick();
 }
@@ -643,11 +663,7 @@
     return Scheduler_.started(O.Worker_, O.Task_, O.Attempt_,
                               StartAnswer::WrongInstance, Now);
   Link &L = It->second;
-  Scheduler_.leaseGranted(
-      O.Worker_,
-      Now + LeaseMargin +
-          Micros(static_cast<std::int64_t>(
-              static_cast<double>(Micros(runLease()).count()) * ClockSlack)));
+  Scheduler_.leaseGranted(O.Worker_, leaseEnd(Now));
   L.NextRenew_ = std::min(L.NextRenew_, Now + BusyRenew);
   Context_.Workers_.start(
       {O.Worker_, L.Address_}, O, clockOf(L) + runLease().count(),
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -42,6 +42,8 @@
   Kind Kind_ = Kind::NotHolder;
   schedule::JobState State_ = schedule::JobState::Queued;
   std::uint32_t Queued_ = 0;
+  /// With NotHolder: what was asked may be stored all the same.
+  bool Uncertain_ = false;
   Millis RetryAfter_{0};
   /// Why, for the log.
   std::string Cause_;
@@ -143,6 +145,10 @@
   void logDecisions();
   QJsonObject fields(const JobId &Id) const;
   Millis runLease() const;
+  /// When a lease that was granted at a time has ended for certain.
+  Instant leaseEnd(Instant GrantedAt) const;
+  /// Whether the duty was renewed lately enough.
+  bool mayOrder() const;
 
   Context &Context_;
   PoolId Pool_;
@@ -152,6 +158,8 @@
   schedule::PoolScheduler Scheduler_;
   schedule::Configuration Configuration_;
   std::map<InstanceId, Link> Links_;
+  /// Registered instances at whose address another one answers.
+  std::map<InstanceId, std::string> EndedInstances_;
   Roster Roster_;
   schedule::PoolJournal::Ticket RosterTicket_ = 0;
   std::map<JobId, Submission> Submissions_;
--- a/src/fleet/moves.cc
+++ b/src/fleet/moves.cc
@@ -80,12 +80,25 @@
       T.Change_ = static_cast<std::int32_t>(L.Members_ - L.Size_);
     if (L.Demand_)
       follow(T, L, Now);
+    else
+      forget(T, Now);
     Result[L.Pool_] = T.Change_;
   }
   return Result;
 }
 
+// A change of size that no report speaks for any more is given up like one for
+// which demand is low; otherwise it would keep instances from pools below
+// their agreed size for good.
+void HysteresisMoves::forget(Trend &T, Instant Now) const {
+  if (!T.UnreportedSince_)
+    T.UnreportedSince_ = Now;
+  if (Now - *T.UnreportedSince_ > Limits_.Cooldown_)
+    T.Change_ = 0;
+}
+
 void HysteresisMoves::follow(Trend &T, const PoolLoad &L, Instant Now) const {
+  T.UnreportedSince_.reset();
   const auto ToGrow = changeFor(L, instancesFor(L, Limits_.High_));
   const auto ToShrink = changeFor(L, instancesFor(L, Limits_.Low_));
   followHigh(T, ToGrow, Now);
--- a/src/fleet/moves.h
+++ b/src/fleet/moves.h
@@ -75,12 +75,15 @@
     std::int32_t Change_ = 0;
     std::optional<Instant> HighSince_;
     std::optional<Instant> LowSince_;
+    /// Since when no demand was reported.
+    std::optional<Instant> UnreportedSince_;
     /// The least and the most instances wanted since then.
     std::int32_t LeastWanted_ = 0;
     std::int32_t MostWanted_ = 0;
   };
 
   void follow(Trend &T, const PoolLoad &L, Instant Now) const;
+  void forget(Trend &T, Instant Now) const;
   void followHigh(Trend &T, std::int32_t Wanted, Instant Now) const;
   void followLow(Trend &T, std::int32_t Wanted, Instant Now) const;
 
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -3,6 +3,7 @@
 
 #include "schedule/model.h"
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -12,12 +13,16 @@
 
 struct TaskState {
   TaskPhase Phase_ = TaskPhase::Waiting;
-  /// The highest attempt that was ordered or seen.
+  /// The highest attempt that this holder ordered or saw.
   Attempt Attempt_ = 0;
+  /// New attempts are above this one: earlier holders may have used it.
+  Attempt Floor_ = 0;
   std::uint32_t Failures_ = 0;
   /// The worker of the present run, or of the last one that failed.
   InstanceId Worker_;
   std::string Checkpoint_;
+
+  Attempt nextAttempt() const { return std::max(Attempt_, Floor_) + 1; }
 };
 
 struct StepState {
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -48,8 +48,7 @@
 void PoolScheduler::expire(Instant Now) {
   std::vector<InstanceId> Gone;
   for (auto &[Id, W] : Workers_) {
-    const bool Unreachable = W.SilentSince_ || !W.Registered_;
-    if (Unreachable && !W.runs().empty() && Now >= W.LeasesEnd_)
+    if (W.SilentSince_ && !W.runs().empty() && Now >= W.LeasesEnd_)
       loseRuns(W, "lease-expired");
     const bool Awaited = Awaited_.contains(Id) && Now < AwaitUntil_;
     if (!W.Registered_ && W.runs().empty() && !Awaited)
@@ -274,7 +273,7 @@
     Worker *W = choose(Places, request(J, S, Tasks[I]));
     if (!W)
       return;
-    order(J, {J.id(), S.Occurrence_, S.Step_, I}, *W, Tasks[I].Attempt_ + 1,
+    order(J, {J.id(), S.Occurrence_, S.Step_, I}, *W, Tasks[I].nextAttempt(),
           Now, Out);
     const auto Place = std::ranges::find(Places, W, &Candidate::Worker_);
     ++Place->SameStep_;
@@ -325,8 +324,9 @@
     Chosen = Plan(RackId());
   if (Chosen.size() != Spec.Count_)
     return;
-  const Attempt A =
-      std::ranges::max(Tasks, {}, &TaskState::Attempt_).Attempt_ + 1;
+  Attempt A = 0;
+  for (const TaskState &T : Tasks)
+    A = std::max(A, T.nextAttempt());
   // The newest checkpoint of any member is valid for all.
   const auto Saved = std::ranges::find_if(
       Tasks, [](const TaskState &T) { return !T.Checkpoint_.empty(); });
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -102,7 +102,7 @@
   for (Occurrence &O : J.occurrences())
     for (StepState &S : O.Steps_)
       for (TaskState &T : S.Tasks_)
-        T.Attempt_ = std::max(T.Attempt_, FirstAttempt);
+        T.Floor_ = std::max(T.Floor_, FirstAttempt);
   Restored_.insert(J.id());
   admit(std::move(J));
 }
--- a/test/fleet/moves-test.cc
+++ b/test/fleet/moves-test.cc
@@ -67,6 +67,21 @@
     const std::vector<PoolLoad> Grown = {{Pool, 10, 13, 7, 8, 80U}};
     CPPUNIT_ASSERT_EQUAL(3, P.changes(Grown, Instant())[Pool]);
   });
+  section("a change is given up when nobody reports demand for it", [] {
+    HysteresisMoves P;
+    const PoolId Pool("bookings");
+    const std::vector<PoolLoad> Silent = {{Pool, 6, 11, 4, 8, std::nullopt}};
+    CPPUNIT_ASSERT_EQUAL(5, P.changes(Silent, Instant())[Pool]);
+    CPPUNIT_ASSERT_EQUAL(5, P.changes(Silent, Instant(Seconds(300)))[Pool]);
+    CPPUNIT_ASSERT_EQUAL(0, P.changes(Silent, Instant(Seconds(301)))[Pool]);
+    section("and a report in between starts the time anew", [&] {
+      HysteresisMoves Q;
+      const std::vector<PoolLoad> Told = {{Pool, 6, 11, 4, 8, 60U}};
+      CPPUNIT_ASSERT_EQUAL(5, Q.changes(Silent, Instant())[Pool]);
+      CPPUNIT_ASSERT_EQUAL(5, Q.changes(Told, Instant(Seconds(200)))[Pool]);
+      CPPUNIT_ASSERT_EQUAL(5, Q.changes(Silent, Instant(Seconds(301)))[Pool]);
+    });
+  });
 }
 
 HEATHERCROSS_STORY(Transfers, "instances change pools when they have drained") {
--- /dev/null
+++ b/test/schedule/pool-scheduler-test.cc
@@ -0,0 +1,289 @@
+// Stories of a pool's scheduler: work, failures, takeovers.
+#include "schedule/model-pool.h"
+#include "support/story.h"
+
+#include <rapidcheck.h>
+
+using namespace heathercross;
+using namespace heathercross::schedule;
+using namespace heathercross::schedule::test;
+using heathercross::test::section;
+
+namespace {
+
+JobSpec lasting(std::uint32_t Count, std::uint32_t MayBeAway = 1) {
+  StepSpec S = step(Count, 2000, Millis(1000));
+  S.Lasting_ = true;
+  S.MayBeAway_ = MayBeAway;
+  return job({S});
+}
+
+/// Random troubles, one after the other; then all is well and everything must
+/// come to an end.
+void runStorm() {
+  enum Trouble {
+    Nothing,
+    Cut,
+    Heal,
+    Crash,
+    Mute,
+    Speak,
+    Submit,
+    Cancel,
+    Holder
+  };
+  const auto Script = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      40, rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 30)));
+  ModelPool P;
+  for (int I = 0; I < 4; ++I)
+    P.addWorker("w" + std::to_string(I), "r" + std::to_string(I / 2), 6000);
+  P.submit("lasting", lasting(2));
+  int Jobs = 0;
+  for (const auto &[Kind, Which] : Script) {
+    auto &W = P.Workers_.at(InstanceId("w" + std::to_string(Which % 4)));
+    const std::string Some = "j" + std::to_string(Which % (Jobs + 1));
+    switch (Kind) {
+    case Cut:
+      W.Cut_ = true;
+      break;
+    case Heal:
+      W.Cut_ = false;
+      break;
+    case Crash:
+      P.crash(W);
+      break;
+    case Mute:
+      W.Mute_ = true;
+      break;
+    case Speak:
+      W.Mute_ = false;
+      break;
+    case Submit: {
+      StepSpec Second = step(2, 2000, Millis(200));
+      Second.After_ = {0};
+      P.submit("j" + std::to_string(Jobs++),
+               job({step(3, 1500, Millis(300 + 20 * Which)), Second}));
+      break;
+    }
+    case Cancel:
+      P.Scheduler_.cancel(JobId(Some));
+      break;
+    case Holder:
+      P.changeHolder();
+      break;
+    default:
+      break;
+    }
+    P.run(Millis(100 + 20 * Which));
+  }
+  for (auto &[Id, W] : P.Workers_) {
+    W.Cut_ = false;
+    W.Mute_ = false;
+  }
+  RC_ASSERT(P.Faults_ == PoolFaults());
+  RC_ASSERT(P.runUntil(Seconds(60), [&] {
+    for (int I = 0; I < Jobs; ++I)
+      if (!isFinal(P.state("j" + std::to_string(I))))
+        return false;
+    return P.running("lasting") == 2;
+  }));
+  RC_ASSERT(P.Faults_ == PoolFaults());
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(JobsRun, "a job runs step after step and completes") {
+  ModelPool P;
+  for (const char *Id : {"w1", "w2", "w3"})
+    P.addWorker(Id);
+  StepSpec Second = step(3, 2000, Millis(500));
+  Second.After_ = {0};
+  P.submit("j1", job({step(4, 1000, Millis(300)), Second}));
+  section("the second step waits for the first", [&] {
+    P.run(Millis(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, P.running("j1"));
+    CPPUNIT_ASSERT(P.state("j1") == JobState::Active);
+  });
+  section("it completes, and nothing ran that shouldn't", [&] {
+    CPPUNIT_ASSERT(P.runUntil(
+        Seconds(3), [&] { return P.state("j1") == JobState::Complete; }));
+    CPPUNIT_ASSERT_EQUAL(7U, P.Starts_);
+    CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
+  });
+}
+
+HEATHERCROSS_STORY(Cancelling, "a cancelled job stops and stays stopped") {
+  ModelPool P;
+  P.addWorker("w1");
+  P.submit("j1", job({step(4, 1000, Seconds(20))}));
+  P.run(Millis(200));
+  CPPUNIT_ASSERT(P.Scheduler_.cancel(JobId("j1")));
+  CPPUNIT_ASSERT(P.runUntil(Millis(300), [&] { return P.running("j1") == 0; }));
+  P.run(Seconds(1));
+  CPPUNIT_ASSERT_EQUAL(4U, P.Starts_);
+  CPPUNIT_ASSERT(!P.Scheduler_.cancel(JobId("j1")));
+}
+
+HEATHERCROSS_STORY(Failures, "failures are counted and blamed") {
+  ModelPool P;
+  P.addWorker("w1");
+  P.addWorker("w2");
+  section("a job that always fails ends as failed, others don't suffer", [&] {
+    P.Poison_.insert(JobId("bad"));
+    P.submit("bad", job({step(1, 1000, Millis(200))}));
+    P.submit("good", job({step(6, 1000, Millis(200))}));
+    P.run(Seconds(2));
+    CPPUNIT_ASSERT(P.state("bad") == JobState::Failed);
+    CPPUNIT_ASSERT(P.state("good") == JobState::Complete);
+  });
+  section("a worker that fails all it starts gets nothing for a while", [&] {
+    P.Workers_.at(InstanceId("w1")).FailsAll_ = true;
+    for (int I = 0; I < 6; ++I) {
+      P.submit("k" + std::to_string(I), job({step(1, 1000, Millis(200))}));
+      P.run(Millis(100));
+    }
+    P.run(Seconds(2));
+    for (int I = 3; I < 6; ++I)
+      CPPUNIT_ASSERT(P.state("k" + std::to_string(I)) == JobState::Complete);
+  });
+}
+
+HEATHERCROSS_STORY(Stuck, "a task that stands still is started elsewhere") {
+  ModelPool P;
+  P.addWorker("w1");
+  P.submit("j1", job({step(1, 1000, Millis(500))}));
+  P.run(Millis(100));
+  P.Workers_.at(InstanceId("w1")).Hangs_ = true;
+  P.addWorker("w2");
+  CPPUNIT_ASSERT(P.runUntil(
+      Seconds(6), [&] { return P.state("j1") == JobState::Complete; }));
+  CPPUNIT_ASSERT_EQUAL(0U, P.Faults_.RunTwice_);
+}
+
+HEATHERCROSS_STORY(Unanswered, "an order without an answer is cleared up") {
+  ModelPool P;
+  P.addWorker("w1").Mute_ = true;
+  P.submit("j1", job({step(2, 1000, Millis(400))}));
+  P.run(Millis(300));
+  P.Workers_.at(InstanceId("w1")).Mute_ = false;
+  CPPUNIT_ASSERT(P.runUntil(
+      Seconds(4), [&] { return P.state("j1") == JobState::Complete; }));
+  CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
+}
+
+HEATHERCROSS_STORY(Lost, "what a lost worker ran starts again, but not early") {
+  ModelPool P;
+  P.addWorker("w1");
+  P.submit("j1", lasting(2));
+  P.run(Millis(500));
+  P.addWorker("w2");
+  ModelWorker &W = P.Workers_.at(InstanceId("w1"));
+  section("while its leases last nothing is started twice", [&] {
+    W.Cut_ = true;
+    P.run(Seconds(5));
+    CPPUNIT_ASSERT_EQUAL(2U, P.Starts_);
+  });
+  section("after that the tasks are at work elsewhere", [&] {
+    P.run(Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, P.running("j1"));
+    CPPUNIT_ASSERT_EQUAL(0U, P.Faults_.RunTwice_);
+  });
+  section("a worker that restarted has lost its runs at once", [&] {
+    ModelWorker &Second = P.Workers_.at(InstanceId("w2"));
+    W.Cut_ = false;
+    P.run(Millis(100));
+    P.crash(Second);
+    P.run(Millis(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, P.running("j1"));
+    CPPUNIT_ASSERT_EQUAL(0U, P.Faults_.RunTwice_);
+  });
+}
+
+HEATHERCROSS_STORY(Takeover, "another holder adopts what runs") {
+  ModelPool P;
+  P.addWorker("w1");
+  P.addWorker("w2");
+  P.submit("lasting", lasting(2));
+  P.submit("batch", job({step(6, 1000, Millis(900))}));
+  P.run(Millis(300));
+  const auto Before = P.Starts_;
+  section("nothing is stopped or started again", [&] {
+    P.changeHolder();
+    P.run(Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(Before, P.Starts_);
+    CPPUNIT_ASSERT(P.state("batch") == JobState::Complete);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, P.running("lasting"));
+  });
+  section("what an unreachable worker may run isn't started elsewhere", [&] {
+    P.Workers_.at(InstanceId("w1")).Cut_ = true;
+    P.changeHolder();
+    P.run(Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(Before, P.Starts_);
+  });
+  section("new work doesn't wait for it", [&] {
+    P.submit("new", job({step(1, 1000, Millis(100))}));
+    P.run(Millis(400));
+    CPPUNIT_ASSERT(P.state("new") == JobState::Complete);
+  });
+  section("an unregistered worker that answers keeps what it runs", [&] {
+    P.Scheduler_.removeWorker(InstanceId("w1"));
+    P.Workers_.at(InstanceId("w1")).Cut_ = false;
+    const auto Starts = P.Starts_;
+    P.run(Seconds(1));
+    CPPUNIT_ASSERT_EQUAL(Starts, P.Starts_);
+    CPPUNIT_ASSERT_EQUAL(0U, P.Faults_.RunTwice_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, P.running("lasting"));
+  });
+}
+
+HEATHERCROSS_STORY(Draining, "workers are emptied without harm") {
+  ModelPool P;
+  for (const char *Id : {"w1", "w2", "w3"})
+    P.addWorker(Id);
+  P.submit("lasting", lasting(3));
+  P.run(Millis(300));
+  section("one lasting task after the other leaves a vacated worker", [&] {
+    std::size_t Least = 3;
+    P.Scheduler_.vacate({InstanceId("w1"), InstanceId("w2")},
+                        P.Now_ + Seconds(20));
+    P.runUntil(Seconds(3), [&] {
+      Least = std::min(Least, P.running("lasting"));
+      return P.Workers_.at(InstanceId("w1")).Running_.empty() &&
+             P.Workers_.at(InstanceId("w2")).Running_.empty();
+    });
+    CPPUNIT_ASSERT(P.Workers_.at(InstanceId("w1")).Running_.empty());
+    CPPUNIT_ASSERT(Least >= 2);
+  });
+  section("a draining worker gets nothing new", [&] {
+    WorkerInfo Info = P.Workers_.at(InstanceId("w3")).Info_;
+    Info.Draining_ = true;
+    P.Scheduler_.setWorker(Info);
+    P.Scheduler_.vacate({InstanceId("w1"), InstanceId("w2")}, P.Now_);
+    P.submit("batch", job({step(40, 1000, Millis(300))}));
+    P.run(Seconds(2));
+    CPPUNIT_ASSERT(P.state("batch") == JobState::Complete);
+    CPPUNIT_ASSERT(P.Workers_.at(InstanceId("w3")).Running_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, P.running("lasting"));
+  });
+}
+
+HEATHERCROSS_STORY(Gangs, "a gang starts whole or not at all") {
+  ModelPool P;
+  P.addWorker("w1", "r1", 4000);
+  P.addWorker("w2", "r2", 4000);
+  StepSpec S = step(4, 2000, Millis(300));
+  S.Gang_ = true;
+  P.submit("other", job({step(1, 2000, Millis(600))}));
+  P.run(Millis(40));
+  P.submit("gang", job({S}));
+  P.run(Millis(300));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, P.running("gang"));
+  CPPUNIT_ASSERT(P.runUntil(
+      Seconds(2), [&] { return P.state("gang") == JobState::Complete; }));
+  CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
+}
+
+HEATHERCROSS_STORY(Storms, "no storm makes a pool break a promise") {
+  HEATHERCROSS_PROPERTY("no task runs twice, over capacity or early",
+                        [] { runStorm(); });
+}
