--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -267,6 +267,8 @@
                    : Micros(static_cast<std::int64_t>(
                          static_cast<double>(Micros(S.Estimate_).count()) *
                          W.Slowness_));
+    W.LeaseEnd_ = std::max(W.LeaseEnd_, Now_ + Lease);
+    Scheduler_.leaseGranted(O.Worker_, Now_ + Lease);
     W.Highest_[O.Task_] = O.Attempt_;
     W.Running_[O.Task_] = {O.Attempt_, S.reserved(),
                            Now_ + (Fails ? Micros(Millis(50)) : Takes), Now_,
