Pools are sized by their work; machines are emptied before any order

Load: demand turns from pool to pool and asks for more than a pool holds, while the others idle.

Change: PoolSizing gives each pool machines for what runs, waits in time and arrives, takes them from pools that idle, then from the standby pool, and parks what is spare. Lasting tasks gather on few workers so that the others can leave. Waves take out only as many machines at a time as they need to end in time. Late work keeps machines but brings none. Two faults found on the way: a machine was moved while a task started on it, since the report of its being emptied ended before the order (now a promise that outlasts the order, from a fresh report); leases that no silent worker confirmed were extended for ever, so that its tasks never started again.

--- a/src/entry/fleet-keeper.cc
+++ b/src/entry/fleet-keeper.cc
@@ -20,7 +20,7 @@
 using schedule::MachineId;
 using schedule::MachineState;
 
-constexpr int TickMs = 150;
+constexpr int TickMs = 100;
 constexpr Millis CallTimeout{900};
 /// Between lists of all machines while there is a wave.
 constexpr Millis ListPause{500};
@@ -31,6 +31,12 @@
 constexpr Millis MaxRenewalAge{1500};
 /// Vacating is asked for again on each tick, and ends by itself after this.
 constexpr Millis VacateFor{1500};
+/// Decisions rest on reports that aren't older; with the time for an order it
+/// is within what holders promise for a worker that is being emptied.
+constexpr Millis MaxPictureAge{500};
+/// A machine that moved is listed in its pool, and its new instance
+/// registered, this much later than the move takes.
+constexpr Millis MoveMargin{400};
 /// Room for clocks and calls on top of the platform's order lease.
 constexpr Millis OrderLeaseMargin{300};
 
@@ -119,21 +125,138 @@
   if (!Loaded_ || Leaving_)
     return;
   findWaves();
-  const bool Active = std::ranges::any_of(
-      Waves_, [](const auto &E) { return !E.second.CompleteWritten_; });
-  if (!Active)
-    return;
   if (!ListInFlight_ && Context_.Clock_.now() >= NextList_) {
     Listing_.clear();
     listMachines("");
   }
+  dropOldPictures();
   Vacating_.clear();
+  Reserved_.clear();
   for (auto &[Number, W] : Waves_)
     if (!W.CompleteWritten_)
       runWave(W);
+  sizePools();
   askHolders();
 }
 
+void FleetKeeper::dropOldPictures() {
+  const Instant Now = Context_.Clock_.now();
+  std::erase_if(Pictures_, [&](const auto &Entry) {
+    return Now - Entry.second.At_ > MaxPictureAge;
+  });
+}
+
+void FleetKeeper::vacate(const MachineId &Id) {
+  const Machine &M = Machines_.at(Id);
+  if (!M.Instance_.empty())
+    Vacating_[M.Pool_].insert(M.Instance_);
+}
+
+PoolId FleetKeeper::standby() const {
+  const auto &C = Knowledge_.configuration();
+  if (!C)
+    return PoolId();
+  const auto It =
+      std::ranges::find(C->Pools_, true, &schedule::PoolSettings::Standby_);
+  return It == C->Pools_.end() ? PoolId() : It->Pool_;
+}
+
+std::vector<schedule::SizedMachine> FleetKeeper::sizedMachines() const {
+  constexpr double MilliPerCore = 1000;
+  const auto Loads = loads();
+  std::vector<schedule::SizedMachine> All;
+  for (const auto &[Id, M] : Machines_) {
+    schedule::SizedMachine S;
+    S.Id_ = Id;
+    S.Pool_ = M.Pool_;
+    S.Up_ = M.State_ == MachineState::Up;
+    S.Cores_ = static_cast<double>(M.Capacity_.CpuMilli_) / MilliPerCore;
+    const schedule::MachineLoad &L = Loads.at(Id);
+    S.Runs_ = L.Runs_;
+    S.Lasting_ = L.Lasting_;
+    S.Vacating_ = L.Vacating_;
+    S.Known_ = L.Known_;
+    S.Reserved_ = Reserved_.contains(Id);
+    if (const auto It = Moving_.find(Id); It != Moving_.end()) {
+      S.Pool_ = It->second.To_;
+      S.Up_ = false;
+      S.Arriving_ = true;
+    }
+    All.push_back(std::move(S));
+  }
+  return All;
+}
+
+void FleetKeeper::sizePools() {
+  const Instant Now = Context_.Clock_.now();
+  std::erase_if(Moving_, [&](const auto &Entry) {
+    const auto &[Id, M] = Entry;
+    return M.AnsweredAt_ &&
+           Now - *M.AnsweredAt_ > Context_.Settings_.Move_ + MoveMargin;
+  });
+  std::map<PoolId, schedule::PoolNeed> Needs;
+  for (const auto &[Pool, Dated] : Pictures_) {
+    const PoolPicture &P = Dated.Picture_;
+    Needs[Pool] = {std::max(P.Demand_.Running_ + P.Demand_.WaitingInTime_,
+                            P.Demand_.Arriving_) +
+                       P.Demand_.Lasting_,
+                   P.Demand_.WaitingLate_, P.Demand_.MinWorkers_};
+  }
+  const auto Step = Sizing_.step(Needs, sizedMachines(), standby(), Now);
+  for (const MachineId &Id : Step.Vacate_)
+    vacate(Id);
+  if (mayOrder())
+    for (const schedule::MachineMove &M : Step.Moves_) {
+      Moving_[M.Machine_] = {M.To_, std::nullopt};
+      orderMove(M);
+    }
+  // What moves takes nothing new until the order's fate is known.
+  for (const auto &[Id, M] : Moving_)
+    if (Machines_.contains(Id))
+      vacate(Id);
+}
+
+void FleetKeeper::orderMove(const schedule::MachineMove &M) {
+  if (Lost_)
+    return;
+  if (!mayOrder()) {
+    QTimer::singleShot(OrderRetry, this, [this, M] { orderMove(M); });
+    return;
+  }
+  Context_.Machines_.move(
+      {Context_.Incarnation_, Writer_.journal().self().Epoch_}, M.Machine_,
+      M.To_, CallTimeout,
+      guarded(this, [this, M](MachineOutcome O) { moved(M, O); }));
+}
+
+void FleetKeeper::moved(const schedule::MachineMove &M, MachineOutcome O) {
+  Context_.Log_.write(
+      "move-answered",
+      {{"machine", text(M.Machine_.str())},
+       {"to", text(M.To_.str())},
+       {"epoch", static_cast<qint64>(Writer_.journal().self().Epoch_.value())},
+       {"outcome", platform_api::outcomeName(O)}});
+  if (Lost_)
+    return;
+  switch (O) {
+  case MachineOutcome::Ok:
+    Moving_[M.Machine_].AnsweredAt_ = Context_.Clock_.now();
+    Context_.Metrics_.add("heathercross_moves_total",
+                          "Machines that were moved to another pool.");
+    break;
+  case MachineOutcome::Fenced:
+    return lose("fenced-by-machine");
+  case MachineOutcome::Busy:
+  case MachineOutcome::Rejected:
+  case MachineOutcome::Refused:
+    Moving_.erase(M.Machine_);
+    break;
+  case MachineOutcome::Unknown:
+    QTimer::singleShot(OrderRetry, this, [this, M] { orderMove(M); });
+    break;
+  }
+}
+
 void FleetKeeper::findWaves() {
   for (const auto &[Number, Wave] : Knowledge_.waves()) {
     if (Waves_.contains(Number))
@@ -180,8 +303,9 @@
       L.Known_ = true;
       L.Vacating_ = true;
     } else if (P != Pictures_.end()) {
-      const auto Found = P->second.Loads_.find(M.Instance_);
-      if (Found != P->second.Loads_.end())
+      const auto &Known = P->second.Picture_.Loads_;
+      const auto Found = Known.find(M.Instance_);
+      if (Found != Known.end())
         L = {Found->second.Runs_, Found->second.Lasting_,
              Found->second.Vacating_, true};
     }
@@ -196,9 +320,8 @@
   const auto Step = W.Plan_.step(Machines_, loads(), Context_.Settings_.Upkeep_,
                                  Context_.Clock_.now());
   for (const MachineId &Id : Step.Vacate_) {
-    const Machine &M = Machines_.at(Id);
-    if (!M.Instance_.empty())
-      Vacating_[M.Pool_].insert(M.Instance_);
+    vacate(Id);
+    Reserved_.insert(Id);
   }
   if (mayOrder())
     for (const MachineId &Id : Step.Order_) {
@@ -294,21 +417,21 @@
     if (PoolHolder *H = Local_(P)) {
       if (!Workers.empty())
         H->vacate(Workers, VacateFor);
-      Pictures_[P] = H->picture();
+      Pictures_[P] = {H->picture(), Context_.Clock_.now()};
       continue;
     }
     const auto Known = Knowledge_.duties().holder(P);
     if (!Known || Asking_.contains(P))
       continue;
     Asking_.insert(P);
-    callVacate(Context_, Known->Row_.Address_, P, Workers, CallTimeout,
-               guarded(this, [this, P](std::optional<PoolPicture> Picture) {
-                 Asking_.erase(P);
-                 if (Picture)
-                   Pictures_[P] = std::move(*Picture);
-                 else
-                   Pictures_.erase(P);
-               }));
+    const Instant AskedAt = Context_.Clock_.now();
+    callVacate(
+        Context_, Known->Row_.Address_, P, Workers, CallTimeout,
+        guarded(this, [this, P, AskedAt](std::optional<PoolPicture> Picture) {
+          Asking_.erase(P);
+          if (Picture)
+            Pictures_[P] = {std::move(*Picture), AskedAt};
+        }));
   }
 }
 
--- a/src/entry/fleet-keeper.h
+++ b/src/entry/fleet-keeper.h
@@ -4,6 +4,7 @@
 #include "entry/journal-writer.h"
 #include "entry/knowledge.h"
 #include "entry/pool-holder.h"
+#include "schedule/pool-sizing.h"
 #include "schedule/wave-plan.h"
 
 #include <QObject>
@@ -45,6 +46,12 @@
   void orderUpkeep(std::uint64_t Wave, const schedule::MachineId &Id);
   void ordered(std::uint64_t Wave, const schedule::MachineId &Id,
                platform_api::MachineOutcome O);
+  void sizePools();
+  void orderMove(const schedule::MachineMove &M);
+  void moved(const schedule::MachineMove &M, platform_api::MachineOutcome O);
+  std::vector<schedule::SizedMachine> sizedMachines() const;
+  PoolId standby() const;
+  void vacate(const schedule::MachineId &Id);
   void storeWave(WaveState &W);
   void writeStatus(WaveState &W, bool Complete);
   bool mayOrder() const;
@@ -67,8 +74,23 @@
   std::map<schedule::MachineId, schedule::Machine> Listing_;
   bool ListInFlight_ = false;
   Instant NextList_;
-  std::map<PoolId, PoolPicture> Pictures_;
+  struct DatedPicture {
+    PoolPicture Picture_;
+    Instant At_;
+  };
+  void dropOldPictures();
+  std::map<PoolId, DatedPicture> Pictures_;
   std::set<PoolId> Asking_;
+  schedule::PoolSizing Sizing_;
+  /// Moves that were ordered and don't show in the list yet, and when the
+  /// platform answered them.
+  struct Moving {
+    PoolId To_;
+    std::optional<Instant> AnsweredAt_;
+  };
+  std::map<schedule::MachineId, Moving> Moving_;
+  /// Machines that a wave wants.
+  std::set<schedule::MachineId> Reserved_;
   /// Instances that shall become empty, by pool.
   std::map<PoolId, std::set<InstanceId>> Vacating_;
   QTimer Tick_;
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -69,9 +69,12 @@
   if (!O || !O->value("loads").isObject())
     return std::nullopt;
   PoolPicture P;
-  P.Demand_ = {
-      O->value("running").toDouble(), O->value("waiting_in_time").toDouble(),
-      O->value("waiting_late").toDouble(), O->value("lasting").toDouble()};
+  P.Demand_ = {O->value("running").toDouble(),
+               O->value("waiting_in_time").toDouble(),
+               O->value("waiting_late").toDouble(),
+               O->value("lasting").toDouble(),
+               static_cast<std::uint32_t>(O->value("min_workers").toInt()),
+               O->value("arriving").toDouble()};
   P.Cores_ = O->value("cores").toDouble();
   const QJsonObject Loads = O->value("loads").toObject();
   for (auto It = Loads.begin(); It != Loads.end(); ++It) {
@@ -176,6 +179,8 @@
                        {"waiting_in_time", P.Demand_.WaitingInTime_},
                        {"waiting_late", P.Demand_.WaitingLate_},
                        {"lasting", P.Demand_.Lasting_},
+                       {"min_workers", static_cast<int>(P.Demand_.MinWorkers_)},
+                       {"arriving", P.Demand_.Arriving_},
                        {"cores", P.Cores_},
                        {"loads", Loads}});
 }
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -61,6 +61,9 @@
 /// Attempts of tasks restored by a later holder go on in steps of this, since
 /// the last attempt of an earlier holder isn't stored.
 constexpr std::uint64_t AttemptsPerEpoch = 16;
+/// A worker is reported as being emptied only while that lasts long enough for
+/// the report to arrive and an order for its machine to be carried out.
+constexpr Millis VacateMargin{900};
 constexpr Millis PurgeInterval{5000};
 /// Beyond the time for which a state can be asked.
 constexpr Millis PurgeMargin{5000};
@@ -372,12 +375,8 @@
   for (const auto &[Id, W] : Scheduler_.workers()) {
     PoolPicture::Load L;
     L.Runs_ = static_cast<std::uint32_t>(W.runs().size());
-    L.Vacating_ = W.VacateUntil_ > Context_.Clock_.now();
-    for (const auto &[Key, R] : W.runs()) {
-      const Job *J = Scheduler_.find(Key.Job_);
-      if (J && J->has(Key) && J->spec().Steps_[Key.Step_].Lasting_)
-        ++L.Lasting_;
-    }
+    L.Vacating_ = W.VacateUntil_ > Context_.Clock_.now() + VacateMargin;
+    L.Lasting_ = Scheduler_.lastingOn(W);
     P.Loads_[Id] = L;
   }
   return P;
@@ -495,8 +494,9 @@
     Context_.Log_.write("job-stored", F, LineClass::Routine);
     Context_.Metrics_.add("heathercross_jobs_accepted_total",
                           "Jobs that were stored and accepted.");
-    Scheduler_.admit(
-        Job(Node.key(), S.Row_.Queue_, std::move(S.Spec_), S.Since_));
+    Job J(Node.key(), S.Row_.Queue_, std::move(S.Spec_), S.Since_);
+    Scheduler_.noteArrival(J, Now);
+    Scheduler_.admit(std::move(J));
     for (const Answer &A : S.Answers_)
       A(JobAnswer::Kind::Accepted);
     kick();
@@ -580,9 +580,11 @@
   platform_api::RenewCall Call;
   Call.Epoch_ = self().Epoch_;
   Call.EndsStored_ = L.EndsStored_;
-  if (L.ClockMs_ > 0 && mayOrder()) {
+  // A silent worker is only looked at: leases that nobody confirms would keep
+  // what it may run from being started elsewhere.
+  if (L.ClockMs_ > 0 && !Silent && mayOrder()) {
     Call.LeaseUntilMs_ = clockOf(L) + runLease().count();
-    Call.Wait_ = Busy && !Silent ? RenewWait : Millis(0);
+    Call.Wait_ = Busy ? RenewWait : Millis(0);
     Scheduler_.leaseGranted(Id, leaseEnd(Now));
   }
   L.RenewInFlight_ = true;
--- a/src/process/event-log.cc
+++ b/src/process/event-log.cc
@@ -3,6 +3,7 @@
 
 #include <QJsonDocument>
 
+#include <algorithm>
 #include <chrono>
 #include <fcntl.h>
 #include <unistd.h>
@@ -14,6 +15,7 @@
 
 /// Room for lines while the reader is slow.
 constexpr std::size_t MaxBufferBytes = 256 * 1024;
+constexpr std::size_t MaxPieceBytes = 4096;
 /// Lines of one routine kind in a second.
 constexpr std::uint32_t MaxRoutineLines = 150;
 /// Lines are written together after this long.
@@ -80,8 +82,13 @@
 
 void EventLog::flush() {
   while (!Buffer_.empty()) {
-    const ssize_t Written =
-        ::write(Descriptor_, Buffer_.data(), Buffer_.size());
+    // Whole lines, in pieces that a pipe takes at once.
+    std::size_t Size = std::min(Buffer_.size(), MaxPieceBytes);
+    if (Size < Buffer_.size())
+      Size = Buffer_.rfind('\n', Size - 1) + 1;
+    if (Size == 0)
+      Size = Buffer_.find('\n') + 1;
+    const ssize_t Written = ::write(Descriptor_, Buffer_.data(), Size);
     if (Written <= 0)
       break;
     Buffer_.erase(0, static_cast<std::size_t>(Written));
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -2,6 +2,7 @@
 #include "schedule/pool-scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace heathercross::schedule {
@@ -23,6 +24,9 @@
 constexpr Millis PaceInterval{700};
 constexpr std::uint32_t PaceStep = 25;
 constexpr std::uint32_t FullPace = 100;
+/// Over which the rate of arriving work is taken: a turn of demand lasts some
+/// seconds, and a machine takes 1.5 s to arrive.
+constexpr Millis ArrivalMemory{700};
 /// At work, as workers report it.
 constexpr std::uint32_t AtWork = 100;
 
@@ -33,6 +37,12 @@
   return Now - J.accepted();
 }
 
+/// What is left of an amount of which each part counts for about ArrivalMemory.
+double faded(double Amount, Micros Since) {
+  return Amount * std::exp(-std::chrono::duration<double>(Since) /
+                           std::chrono::duration<double>(ArrivalMemory));
+}
+
 } // namespace
 
 Orders PoolScheduler::step(Instant Now, WallTime Wall) {
@@ -227,12 +237,23 @@
         W.runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
     const auto Last =
         W.runs().lower_bound({J.id(), S.Occurrence_, S.Step_ + 1, 0});
+    const std::uint32_t Lasting =
+        J.spec().Steps_[S.Step_].Lasting_ ? lastingOn(W) : 0;
     Found.push_back(
-        {&W, static_cast<std::uint32_t>(std::distance(First, Last))});
+        {&W, static_cast<std::uint32_t>(std::distance(First, Last)), Lasting});
   }
   return Found;
 }
 
+std::uint32_t PoolScheduler::lastingOn(const Worker &W) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(W.runs(), [this](const auto &Entry) {
+        const Job *J = find(Entry.first.Job_);
+        return J && J->has(Entry.first) &&
+               J->spec().Steps_[Entry.first.Step_].Lasting_;
+      }));
+}
+
 PlacementRequest PoolScheduler::request(const Job &J, const ReadyStep &S,
                                         const TaskState &T) const {
   const StepSpec &Spec = J.spec().Steps_[S.Step_];
@@ -241,7 +262,7 @@
   R.Label_ = Spec.Label_;
   R.Rack_ = Spec.DataRack_;
   R.MaxPerWorker_ = Spec.MaxPerWorker_;
-  R.Spread_ = Spec.Lasting_;
+  R.Lasting_ = Spec.Lasting_;
   R.Avoid_ = T.Worker_;
   return R;
 }
@@ -355,6 +376,13 @@
       }));
 }
 
+void PoolScheduler::noteArrival(const Job &J, Instant Now) {
+  ArrivedWork_ = faded(ArrivedWork_, Now - ArrivedAt_);
+  ArrivedAt_ = Now;
+  if (!J.spec().lasting() && J.spec().Repeats_ == 0)
+    ArrivedWork_ += J.remainingWork();
+}
+
 double PoolScheduler::cores() const {
   constexpr double MilliPerCore = 1000;
   double Sum = 0;
@@ -367,6 +395,8 @@
 Demand PoolScheduler::demand(Instant Now, WallTime Wall) const {
   constexpr double MilliPerCore = 1000;
   Demand D;
+  D.Arriving_ = faded(ArrivedWork_, Now - ArrivedAt_) /
+                std::chrono::duration<double>(ArrivalMemory).count();
   for (const auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs()) {
       const double Cores =
@@ -376,6 +406,14 @@
           J && J->has(Key) && J->spec().Steps_[Key.Step_].Lasting_;
       (Lasting ? D.Lasting_ : D.Running_) += Cores;
     }
+  for (const JobId &Id : Open_)
+    for (const StepSpec &S : Jobs_.at(Id).spec().Steps_)
+      if (S.Lasting_)
+        D.MinWorkers_ =
+            std::max(D.MinWorkers_,
+                     S.MaxPerWorker_ > 0
+                         ? (S.Count_ + S.MaxPerWorker_ - 1) / S.MaxPerWorker_
+                         : 1);
   for (const ReadyStep &S : readySteps(Now, Wall)) {
     const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
     const auto Waiting = std::ranges::count(
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -19,6 +19,9 @@
 constexpr Millis RefusalPause{300};
 /// Until an order to stop without an answer is repeated.
 constexpr Millis StopRetry{200};
+/// How long a report may take that shows whether an order without an answer
+/// was carried out: renewals end within 0.7 s.
+constexpr Millis UnseenPatience{900};
 
 constexpr std::size_t MaxDecisionsKept = 4096;
 
@@ -132,6 +135,12 @@
 
 void PoolScheduler::stopRun(Run &R) { R.StopWanted_ = true; }
 
+void PoolScheduler::stopForGood(Run &R) {
+  stopRun(R);
+  R.StopIfUnseen_ = false;
+  R.NextStop_ = Instant();
+}
+
 void PoolScheduler::endJob(Job &J, JobState State) {
   J.setState(State);
   Open_.erase(J.id());
@@ -139,7 +148,7 @@
   for (auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs())
       if (Key.Job_ == J.id())
-        stopRun(*W.find(Key));
+        stopForGood(*W.find(Key));
 }
 
 void PoolScheduler::leaseGranted(const InstanceId &Id, Instant Until) {
@@ -307,6 +316,8 @@
 void PoolScheduler::takeRunning(Worker &W, const RunningReport &R,
                                 Instant Now) {
   if (Run *Known = W.find(R.Task_); Known && Known->Attempt_ == R.Attempt_) {
+    if (Known->StopIfUnseen_ && !Known->StopInFlight_ && !Known->StopAnswered_)
+      Known->StopWanted_ = false;
     if (Known->Phase_ != RunPhase::Working) {
       Known->Phase_ = RunPhase::Working;
       Known->Settled_ = Now;
@@ -392,6 +403,9 @@
     if (R->Phase_ == RunPhase::Working)
       return;
     R->Phase_ = RunPhase::Unresolved;
+    // A report may show that the task runs; only what isn't seen is stopped.
+    R->StopIfUnseen_ = !R->StopWanted_;
+    R->NextStop_ = Now + UnseenPatience;
     stopRun(*R);
     note("start-unanswered", Key, A, Id, "");
     return;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -87,6 +87,10 @@
   double WaitingLate_ = 0;
   /// Held by tasks that last.
   double Lasting_ = 0;
+  /// The fewest workers on which the tasks that last can be placed.
+  std::uint32_t MinWorkers_ = 0;
+  /// Work that arrives, in core-seconds a second.
+  double Arriving_ = 0;
 };
 
 /// The scheduler of one pool. Events with their times go in, orders come out;
@@ -107,6 +111,8 @@
 
   /// Takes in a job that is stored.
   void admit(Job J);
+  /// Counts a job's work as arriving now.
+  void noteArrival(const Job &J, Instant Now);
   /// Takes in a job that an earlier holder accepted. Attempts of its tasks go
   /// on above FirstAttempt.
   void restore(Job J, Attempt FirstAttempt);
@@ -145,6 +151,8 @@
   /// Accepted jobs of a queue of which nothing has started.
   std::uint32_t queued(const QueueId &Queue) const;
   Demand demand(Instant Now, WallTime Wall) const;
+  /// How many tasks that last a worker has.
+  std::uint32_t lastingOn(const Worker &W) const;
   /// Cores of the workers that may take tasks.
   double cores() const;
   /// Core-seconds of waiting work that is ranked before a job.
@@ -173,6 +181,7 @@
   /// Gives a run's task back to the waiting ones.
   void release(Worker &W, const TaskKey &Key, const char *Cause);
   void stopRun(Run &R);
+  void stopForGood(Run &R);
 
   void expire(Instant Now);
   void orderStops(Instant Now, Orders &Out);
@@ -209,6 +218,9 @@
   std::set<JobId> Changed_;
   std::vector<Decision> Log_;
   Resources Largest_;
+  /// Work that arrived lately, in core-seconds, faded up to a time.
+  double ArrivedWork_ = 0;
+  Instant ArrivedAt_;
 };
 
 } // namespace heathercross::schedule
--- a/src/schedule/task-placement.cc
+++ b/src/schedule/task-placement.cc
@@ -24,11 +24,11 @@
 auto order(const Candidate &C, const PlacementRequest &R) {
   const bool Avoided = C.Worker_->info().Id_ == R.Avoid_;
   const bool Far = !R.Rack_.empty() && C.Worker_->info().Rack_ != R.Rack_;
-  const std::uint32_t Crowd = R.Spread_ ? C.SameStep_ : 0;
+  const std::uint32_t Company = R.Lasting_ ? C.Lasting_ : 0;
   Resources Left = C.Worker_->free();
   Left -= R.Reserved_;
-  const std::int64_t Room = R.Spread_ ? -Left.CpuMilli_ : Left.CpuMilli_;
-  return std::tuple(Avoided, Far, Crowd, Room, C.Worker_->info().Id_);
+  return std::tuple(Avoided, Far, -static_cast<std::int64_t>(Company),
+                    Left.CpuMilli_, C.Worker_->info().Id_);
 }
 
 } // namespace
--- a/src/schedule/wave-plan.cc
+++ b/src/schedule/wave-plan.cc
@@ -2,6 +2,7 @@
 #include "schedule/wave-plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace heathercross::schedule {
@@ -11,6 +12,8 @@
 /// A machine counts as away this much longer than its upkeep takes: the list
 /// of machines and the worker's registration lag.
 constexpr Millis AwayMargin{300};
+/// How long it takes to empty a machine and to have its upkeep.
+constexpr Millis RoundTime{4500};
 /// From this share of the wave's time on, runs that don't last are ended by
 /// the upkeep rather than waited for.
 constexpr double PatientShare = 0.7;
@@ -27,6 +30,17 @@
     Begun_.try_emplace(Id, Now);
 }
 
+std::uint32_t WavePlan::pace(std::size_t Left, Instant Now) const {
+  const double Within = std::chrono::duration<double>(Wave_.Within_).count();
+  const double Gone = std::chrono::duration<double>(Now - Seen_).count();
+  const double Time = Within * PatientShare - Gone;
+  const double Round = std::chrono::duration<double>(RoundTime).count();
+  if (Time <= Round)
+    return Wave_.MaxAtOnce_;
+  const double Wanted = std::ceil(static_cast<double>(Left) * Round / Time);
+  return std::clamp(static_cast<std::uint32_t>(Wanted), 1U, Wave_.MaxAtOnce_);
+}
+
 WaveStep WavePlan::step(const std::map<MachineId, Machine> &Machines,
                         const std::map<MachineId, MachineLoad> &Loads,
                         Millis Upkeep, Instant Now) const {
@@ -63,7 +77,8 @@
       Micros(static_cast<std::int64_t>(
           static_cast<double>(Micros(Wave_.Within_).count()) * PatientShare));
   std::uint32_t Room = Wave_.MaxAtOnce_ > Away ? Wave_.MaxAtOnce_ - Away : 0;
-  std::uint32_t Ahead = Wave_.MaxAtOnce_;
+  std::uint32_t Ahead = pace(Left.size(), Now);
+  Room = std::min(Room, Ahead > Away ? Ahead - Away : 0);
   for (const MachineId &Id : Left) {
     const MachineLoad L = Load(Id);
     const bool Up = Machines.at(Id).State_ == MachineState::Up;
--- a/src/schedule/wave-plan.h
+++ b/src/schedule/wave-plan.h
@@ -55,6 +55,10 @@
                 Instant Now) const;
 
 private:
+  /// How many machines to take out at a time so that the wave ends in time;
+  /// no more, since demand may need them.
+  std::uint32_t pace(std::size_t Left, Instant Now) const;
+
   UpkeepWave Wave_;
   Instant Seen_;
   std::map<MachineId, Instant> Begun_;
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -25,6 +25,8 @@
   Instant Settled_;
   Instant Ordered_;
   bool StopWanted_ = false;
+  /// The stop is only meant for an order that wasn't carried out.
+  bool StopIfUnseen_ = false;
   bool StopInFlight_ = false;
   /// When the worker answered the order to stop.
   std::optional<Instant> StopAnswered_;
