Takeovers wait only for workers that may hold runs; reports of known workers only

The roster now names only workers that run something or may get something. Also: needs count the scarcest resource of a worker, not only its cores, and late work may bring two machines, so that it isn't left waiting for room.

--- a/src/entry/fleet-keeper.cc
+++ b/src/entry/fleet-keeper.cc
@@ -29,8 +29,6 @@
 /// A holder whose row wasn't renewed for this long gives no orders: another
 /// one may have taken the duty.
 constexpr Millis MaxRenewalAge{1500};
-/// Vacating is asked for again on each tick, and ends by itself after this.
-constexpr Millis VacateFor{1500};
 /// Decisions rest on reports that aren't older; with the time for an order it
 /// is within what holders promise for a worker that is being emptied.
 constexpr Millis MaxPictureAge{500};
@@ -417,7 +415,8 @@
     if (PoolHolder *H = Local_(P)) {
       if (!Workers.empty())
         H->vacate(Workers, VacateFor);
-      Pictures_[P] = {H->picture(), Context_.Clock_.now()};
+      if (auto Picture = H->picture())
+        Pictures_[P] = {std::move(*Picture), Context_.Clock_.now()};
       continue;
     }
     const auto Known = Knowledge_.duties().holder(P);
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -230,16 +230,12 @@
   auto Shared = std::make_shared<http::Responder>(std::move(To));
   if (const auto Vacate = parseVacateCall(R)) {
     PoolHolder *H = Duties_.holder(Vacate->Pool_);
-    if (!H) {
-      http::Response None;
-      None.Status_ = NotFound;
-      Shared->respond(None);
-      return;
-    }
-    constexpr Millis VacateFor{1500};
-    if (!Vacate->Workers_.empty())
+    if (H && !Vacate->Workers_.empty())
       H->vacate(Vacate->Workers_, VacateFor);
-    Shared->respond(pictureResponse(H->picture()));
+    const auto Picture = H ? H->picture() : std::nullopt;
+    http::Response None;
+    None.Status_ = NotFound;
+    Shared->respond(Picture ? pictureResponse(*Picture) : None);
     return;
   }
   const auto Job = parseJobCall(R);
--- a/src/entry/peer-calls.h
+++ b/src/entry/peer-calls.h
@@ -41,6 +41,9 @@
 std::optional<JobCall> parseJobCall(const http::Request &R);
 http::Response peerResponse(const JobAnswer &A);
 
+/// Vacating is asked for again all the while it matters, and ends by itself.
+inline constexpr Millis VacateFor{1500};
+
 /// Asks the holder of a pool to empty workers, and for a picture of the pool.
 void callVacate(Context &C, const std::string &Address, const PoolId &Pool,
                 const std::set<InstanceId> &Workers, Millis Timeout,
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -197,7 +197,7 @@
       Awaited.insert(Id);
       Roster_[Id] = Address;
       if (Links_.contains(Id)) {
-        Scheduler_.setRostered(Id);
+        Scheduler_.setRostered(Id, true);
         continue;
       }
       schedule::WorkerInfo Info;
@@ -240,7 +240,7 @@
       continue;
     Scheduler_.setWorker(Info);
     if (Roster_.contains(Id) && Journal_.durable() >= RosterTicket_)
-      Scheduler_.setRostered(Id);
+      Scheduler_.setRostered(Id, true);
     Links_[Id].Address_ = Info.Address_;
   }
   for (const auto &[Id, W] : Scheduler_.workers())
@@ -368,11 +368,16 @@
   kick();
 }
 
-PoolPicture PoolHolder::picture() const {
+std::optional<PoolPicture> PoolHolder::picture() const {
+  if (!Ready_ || Lost_ || Leaving_)
+    return std::nullopt;
   PoolPicture P;
   P.Demand_ = Scheduler_.demand(Context_.Clock_.now(), Context_.Clock_.wall());
   P.Cores_ = Scheduler_.cores();
   for (const auto &[Id, W] : Scheduler_.workers()) {
+    // What runs on a worker that hasn't answered yet isn't known.
+    if (!W.heard())
+      continue;
     PoolPicture::Load L;
     L.Runs_ = static_cast<std::uint32_t>(W.runs().size());
     L.Vacating_ = W.VacateUntil_ > Context_.Clock_.now() + VacateMargin;
@@ -444,20 +449,31 @@
 }
 
 void PoolHolder::updateRoster() {
-  bool Changed = false;
+  const Instant Now = Context_.Clock_.now();
+  bool Added = false;
+  std::vector<InstanceId> Dropped;
+  for (const auto &[Id, Address] : Roster_) {
+    const auto W = Scheduler_.workers().find(Id);
+    if (W == Scheduler_.workers().end() || !W->second.mayHold(Now))
+      Dropped.push_back(Id);
+  }
+  for (const InstanceId &Id : Dropped) {
+    Scheduler_.setRostered(Id, false);
+    Roster_.erase(Id);
+  }
   for (const auto &[Id, W] : Scheduler_.workers())
-    if (W.Registered_ && !Roster_.contains(Id)) {
+    if (W.mayHold(Now) && !Roster_.contains(Id)) {
       Roster_[Id] = W.info().Address_;
-      Changed = true;
+      Added = true;
     }
-  if (!Changed)
+  if (!Added && Dropped.empty())
     return;
-  std::erase_if(Roster_, [this](const auto &Entry) {
-    return !Scheduler_.workers().contains(Entry.first);
-  });
-  RosterTicket_ = Journal_.put(
-      {schedule::RowKind::Roster, RosterKey, encodeRoster(Roster_)}, true,
-      Context_.Clock_.now());
+  const auto Ticket = Journal_.put(
+      {schedule::RowKind::Roster, RosterKey, encodeRoster(Roster_)}, Added,
+      Now);
+  // Without additions the roster that is stored is larger than needed.
+  if (Added)
+    RosterTicket_ = Ticket;
 }
 
 void PoolHolder::purge() {
@@ -519,7 +535,7 @@
   });
   if (Durable >= RosterTicket_)
     for (const auto &[Id, Address] : Roster_)
-      Scheduler_.setRostered(Id);
+      Scheduler_.setRostered(Id, true);
 }
 
 void PoolHolder::lose(const char *Cause) {
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -83,7 +83,8 @@
 
   /// Workers that shall become empty for a while; repeated while it matters.
   void vacate(const std::set<InstanceId> &Workers, Millis For);
-  PoolPicture picture() const;
+  /// Nothing before the stored jobs are loaded.
+  std::optional<PoolPicture> picture() const;
 
   /// Gives the duty back once what waits is stored; then calls back.
   void handOver(std::function<void()> OnDone);
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -392,15 +392,25 @@
   return Sum;
 }
 
-Demand PoolScheduler::demand(Instant Now, WallTime Wall) const {
+double PoolScheduler::coresFor(const Resources &R) const {
   constexpr double MilliPerCore = 1000;
+  const auto Share = [](std::int64_t Part, std::int64_t Whole) {
+    return Whole > 0 ? static_cast<double>(Part) / static_cast<double>(Whole)
+                     : 0.0;
+  };
+  const double Worst = std::max({Share(R.CpuMilli_, Largest_.CpuMilli_),
+                                 Share(R.MemoryMb_, Largest_.MemoryMb_),
+                                 Share(R.Gpus_, Largest_.Gpus_)});
+  return Worst * static_cast<double>(Largest_.CpuMilli_) / MilliPerCore;
+}
+
+Demand PoolScheduler::demand(Instant Now, WallTime Wall) const {
   Demand D;
   D.Arriving_ = faded(ArrivedWork_, Now - ArrivedAt_) /
                 std::chrono::duration<double>(ArrivalMemory).count();
   for (const auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs()) {
-      const double Cores =
-          static_cast<double>(R.Reserved_.CpuMilli_) / MilliPerCore;
+      const double Cores = coresFor(R.Reserved_);
       const Job *J = find(Key.Job_);
       const bool Lasting =
           J && J->has(Key) && J->spec().Steps_[Key.Step_].Lasting_;
@@ -419,9 +429,8 @@
     const auto Waiting = std::ranges::count(
         S.Job_->occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_,
         TaskPhase::Waiting, &TaskState::Phase_);
-    const double Cores = static_cast<double>(Waiting) *
-                         static_cast<double>(Spec.reserved().CpuMilli_) /
-                         MilliPerCore;
+    const double Cores =
+        static_cast<double>(Waiting) * coresFor(Spec.reserved());
     (S.Rank_.Urgency_ <= Urgency::InTime ? D.WaitingInTime_ : D.WaitingLate_) +=
         Cores;
   }
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -60,9 +60,9 @@
     W->Registered_ = false;
 }
 
-void PoolScheduler::setRostered(const InstanceId &Id) {
+void PoolScheduler::setRostered(const InstanceId &Id, bool Rostered) {
   if (Worker *W = findWorker(Id))
-    W->Rostered_ = true;
+    W->Rostered_ = Rostered;
 }
 
 void PoolScheduler::instanceEnded(const InstanceId &Id) {
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -104,8 +104,9 @@
   /// nothing of it can run any more.
   void setWorker(const WorkerInfo &Info);
   void removeWorker(const InstanceId &Id);
-  /// The stored roster names the worker; nothing starts on it before.
-  void setRostered(const InstanceId &Id);
+  /// Whether the stored roster names the worker; nothing starts on it unless
+  /// it does.
+  void setRostered(const InstanceId &Id, bool Rostered);
   /// The life of the instance is over: nothing of it runs any more.
   void instanceEnded(const InstanceId &Id);
 
@@ -155,6 +156,8 @@
   std::uint32_t lastingOn(const Worker &W) const;
   /// Cores of the workers that may take tasks.
   double cores() const;
+  /// The cores of a worker that are taken along with its scarcest resource.
+  double coresFor(const Resources &R) const;
   /// Core-seconds of waiting work that is ranked before a job.
   double workAhead(const Job &J, Instant Now, WallTime Wall) const;
   /// Whether a worker that was ever seen could hold a task of the step.
--- a/src/schedule/pool-sizing.cc
+++ b/src/schedule/pool-sizing.cc
@@ -14,6 +14,8 @@
 /// A machine that isn't needed is parked after this long. A move to and from
 /// the standby pool costs as much as 2.3 s of one machine.
 constexpr Millis ParkAfter{600};
+/// Late work keeps the machines that are there, but brings only so many.
+constexpr double MaxLateMachines = 2;
 /// Machines that a pool keeps beyond its need, for the first jobs of a burst.
 constexpr std::uint32_t SpareMachines = 1;
 
@@ -114,7 +116,9 @@
     const double Steady = steadyNeed(Pool, Need.InTimeCores_, Now);
     const std::uint32_t ForLasting =
         Need.MinMachines_ > 0 ? Need.MinMachines_ + SpareMachines : 0;
-    S.Target_ = std::max(ForLasting, machinesFor(Steady, Each) + SpareMachines);
+    const double Late = std::min(Need.LateCores_, MaxLateMachines * Each);
+    S.Target_ =
+        std::max(ForLasting, machinesFor(Steady + Late, Each) + SpareMachines);
     S.Keep_ = std::max(S.Target_, machinesFor(Steady + Need.LateCores_, Each));
     std::ranges::stable_sort(S.Movable_, {}, [](const SizedMachine *M) {
       return std::pair(!empty(*M), M->Runs_);
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -76,6 +76,14 @@
   /// Whether the worker has answered at all in its present life.
   bool heard() const { return Born_.has_value(); }
 
+  /// Whether something may run there, now or soon. A later holder waits for
+  /// such workers, so those that stay empty aren't among them.
+  bool mayHold(Instant Now) const {
+    return !Runs_.empty() || !heard() ||
+           (Registered_ && !SilentSince_ && !Info_.Draining_ &&
+            VacateUntil_ <= Now);
+  }
+
   std::optional<std::int64_t> Born_;
   /// Whether it is registered now.
   bool Registered_ = true;
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -124,7 +124,7 @@
     const InstanceId Key(Id);
     Workers_[Key] = W;
     Scheduler_.setWorker(W.Info_);
-    Scheduler_.setRostered(Key);
+    Scheduler_.setRostered(Key, true);
     return Workers_.at(Key);
   }
 
@@ -145,7 +145,7 @@
     for (auto &[Id, W] : Workers_) {
       Roster.insert(Id);
       Scheduler_.setWorker(W.Info_);
-      Scheduler_.setRostered(Id);
+      Scheduler_.setRostered(Id, true);
     }
     for (const auto &[Id, Spec] : Specs_) {
       Job J(Id, Queue_, Spec, Accepted_.at(Id));
