A failure counts once, whoever hears of it

The attempt of the last counted failure is stored with the progress. Test: the story failed before (2 failures for 1) and passes; progress texts, ranking and timetables have stories of their own.

--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -4,6 +4,7 @@
 #include "heathercross/error.h"
 
 #include <algorithm>
+#include <charconv>
 #include <ranges>
 
 namespace heathercross::schedule {
@@ -12,6 +13,7 @@
 
 constexpr char DoneMark = 'd';
 constexpr char StepEnd = '.';
+constexpr char AttemptEnd = ';';
 constexpr char FirstFailures = '0';
 constexpr std::uint32_t MaxFailuresKept = 9;
 /// One letter a state, in the order of JobState.
@@ -28,6 +30,51 @@
   return std::vector<Occurrence>(Spec.occurrences(), O);
 }
 
+/// A task that isn't done: its failures, and the attempt of the last one.
+void appendTask(std::string &Text, const TaskState &T) {
+  if (T.Phase_ == TaskPhase::Done) {
+    Text += DoneMark;
+    return;
+  }
+  Text +=
+      static_cast<char>(FirstFailures + std::min(T.Failures_, MaxFailuresKept));
+  if (T.Failures_ > 0)
+    Text += std::to_string(T.FailedAttempt_) + AttemptEnd;
+}
+
+/// Reads a progress text letter by letter.
+class ProgressReader {
+public:
+  ProgressReader(std::string_view Text, const JobId &Id)
+      : Text_(Text), Where_("progress of job " + Id.str()) {}
+
+  char next() {
+    if (At_ >= Text_.size())
+      fail("too short");
+    return Text_[At_++];
+  }
+
+  Attempt attempt() {
+    const std::size_t End = Text_.find(AttemptEnd, At_);
+    Attempt A = 0;
+    const char *Last = Text_.data() + std::min(End, Text_.size());
+    if (std::from_chars(Text_.data() + At_, Last, A).ptr != Last ||
+        End == std::string_view::npos)
+      fail("no attempt");
+    At_ = End + 1;
+    return A;
+  }
+
+  [[noreturn]] void fail(const char *Problem) const {
+    raise(FormatError(Where_, Problem));
+  }
+
+private:
+  std::string_view Text_;
+  std::string Where_;
+  std::size_t At_ = 0;
+};
+
 } // namespace
 
 bool JobSpec::lasting() const {
@@ -121,39 +168,34 @@
   for (const Occurrence &O : Occurrences_)
     for (const StepState &S : O.Steps_) {
       for (const TaskState &T : S.Tasks_)
-        Text += T.Phase_ == TaskPhase::Done
-                    ? DoneMark
-                    : static_cast<char>(FirstFailures +
-                                        std::min(T.Failures_, MaxFailuresKept));
+        appendTask(Text, T);
       Text += StepEnd;
     }
   return Text;
 }
 
 void Job::decodeProgress(std::string_view Text) {
-  if (Text.empty() || StateLetters.find(Text[0]) == std::string_view::npos)
-    raise(FormatError("progress of job " + Id_.str(), "unknown state"));
-  std::size_t At = 1;
-  const auto Next = [&] {
-    if (At >= Text.size())
-      raise(FormatError("progress of job " + Id_.str(), "too short"));
-    return Text[At++];
-  };
+  ProgressReader In(Text, Id_);
+  const std::size_t State = StateLetters.find(In.next());
+  if (State == std::string_view::npos)
+    In.fail("unknown state");
   for (Occurrence &O : Occurrences_)
     for (StepState &S : O.Steps_) {
       S.Done_ = 0;
       for (TaskState &T : S.Tasks_) {
-        const char Mark = Next();
+        const char Mark = In.next();
         T.Phase_ = Mark == DoneMark ? TaskPhase::Done : TaskPhase::Waiting;
-        if (Mark == DoneMark)
+        if (Mark == DoneMark) {
           ++S.Done_;
-        else
-          T.Failures_ = static_cast<std::uint32_t>(Mark - FirstFailures);
+          continue;
+        }
+        T.Failures_ = static_cast<std::uint32_t>(Mark - FirstFailures);
+        T.FailedAttempt_ = T.Failures_ > 0 ? In.attempt() : 0;
       }
-      if (Next() != StepEnd)
-        raise(FormatError("progress of job " + Id_.str(), "wrong length"));
+      if (In.next() != StepEnd)
+        In.fail("wrong length");
     }
-  State_ = static_cast<JobState>(StateLetters.find(Text[0]));
+  State_ = static_cast<JobState>(State);
 }
 
 const char *stateName(JobState S) {
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -18,6 +18,8 @@
   /// New attempts are above this one: earlier holders may have used it.
   Attempt Floor_ = 0;
   std::uint32_t Failures_ = 0;
+  /// The last attempt whose failure was counted.
+  Attempt FailedAttempt_ = 0;
   /// The worker of the present run, or of the last one that failed.
   InstanceId Worker_;
   std::string Checkpoint_;
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -236,7 +236,7 @@
 }
 
 void PoolScheduler::takeFailure(Worker &W, Job &J, const TaskKey &Key,
-                                Instant Now) {
+                                Attempt A, Instant Now) {
   TaskState &T = J.task(Key);
   T.Worker_ = W.info().Id_;
   if (W.LastFailedJob_ != J.id())
@@ -251,6 +251,11 @@
   const StepSpec &S = J.spec().Steps_[Key.Step_];
   if (S.Lasting_ || isFinal(J.state()))
     return;
+  // The end may be listed again although it is stored: its acknowledgement
+  // was lost with an earlier holder.
+  if (A <= T.FailedAttempt_)
+    return;
+  T.FailedAttempt_ = A;
   ++T.Failures_;
   Changed_.insert(J.id());
   std::uint32_t Failures = T.Failures_;
@@ -295,7 +300,7 @@
   case RunEnd::Failed:
     if (Present)
       release(W, E.Task_, "failed");
-    takeFailure(W, *J, E.Task_, Now);
+    takeFailure(W, *J, E.Task_, E.Attempt_, Now);
     return;
   case RunEnd::Stopped:
     if (Present)
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -174,7 +174,8 @@
   Job *findJob(const JobId &Id);
   Worker *findWorker(const InstanceId &Id);
   void takeEnd(Worker &W, const EndReport &E, Instant Now);
-  void takeFailure(Worker &W, Job &J, const TaskKey &Key, Instant Now);
+  void takeFailure(Worker &W, Job &J, const TaskKey &Key, Attempt A,
+                   Instant Now);
   void takeRunning(Worker &W, const RunningReport &R, Instant Now);
   void dropAbsent(Worker &W, const WorkerReport &R, Instant SentAt);
   void startLife(Worker &W, std::int64_t Born);
--- /dev/null
+++ b/test/schedule/job-test.cc
@@ -0,0 +1,91 @@
+// Stories of one job: steps, progress texts, objectives.
+#include "heathercross/error.h"
+#include "schedule/model-pool.h"
+#include "schedule/ranking.h"
+#include "support/story.h"
+
+#include <rapidcheck.h>
+
+using namespace heathercross;
+using namespace heathercross::schedule;
+using namespace heathercross::schedule::test;
+using heathercross::test::section;
+
+namespace {
+
+Job twoSteps() {
+  StepSpec Second = step(2, 2000, Millis(500));
+  Second.After_ = {0};
+  return Job(JobId("j"), QueueId("q"),
+             job({step(3, 1000, Millis(300)), Second}), Instant());
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(Progress, "progress is read as it was written") {
+  Job J = twoSteps();
+  J.finishTask({JobId("j"), 0, 0, 1});
+  TaskState &T = J.task({JobId("j"), 0, 1, 0});
+  T.Failures_ = 2;
+  T.FailedAttempt_ = 17;
+  J.setState(JobState::Active);
+  const std::string Text = J.encodeProgress();
+  section("by another holder", [&] {
+    Job Other = twoSteps();
+    Other.decodeProgress(Text);
+    CPPUNIT_ASSERT_EQUAL(Text, Other.encodeProgress());
+    CPPUNIT_ASSERT(Other.state() == JobState::Active);
+    CPPUNIT_ASSERT_EQUAL(2U, Other.task({JobId("j"), 0, 1, 0}).Failures_);
+    CPPUNIT_ASSERT_EQUAL(17U, Other.task({JobId("j"), 0, 1, 0}).FailedAttempt_);
+    CPPUNIT_ASSERT_EQUAL(1U, Other.occurrences()[0].Steps_[0].Done_);
+  });
+  section("and a text of another form is reported", [&] {
+    for (const std::string &Bad :
+         {std::string(), std::string("z000.00."), Text.substr(0, 5),
+          std::string("a000.1x;0."), std::string("a0000.00.")}) {
+      Job Other = twoSteps();
+      CPPUNIT_ASSERT_THROW(Other.decodeProgress(Bad), FormatError);
+    }
+  });
+}
+
+HEATHERCROSS_STORY(Timetable, "occurrences start when they are due") {
+  JobSpec Spec = job({step(1, 1000, Millis(100))});
+  Spec.Repeats_ = 3;
+  Spec.FirstDue_ = WallTime(Seconds(1000));
+  Spec.Interval_ = Millis(2000);
+  const Job J(JobId("j"), QueueId("q"), Spec, Instant());
+  CPPUNIT_ASSERT(!J.ready(0, 0, WallTime(Millis(999'999))));
+  CPPUNIT_ASSERT(J.ready(0, 0, WallTime(Seconds(1000))));
+  CPPUNIT_ASSERT(!J.ready(1, 0, WallTime(Seconds(1001))));
+  CPPUNIT_ASSERT(J.ready(2, 0, WallTime(Seconds(1004))));
+}
+
+// The load: a burst of jobs of which only some can still be in time.
+HEATHERCROSS_STORY(Ranking, "what can be in time and is small goes first") {
+  QueueSettings Q;
+  Q.ObjectiveFactor_ = 1.6;
+  Q.ObjectiveSlack_ = Millis(600);
+  const auto Sized = [](std::uint32_t Tasks) {
+    return Job(JobId("j"), QueueId("q"), job({step(Tasks, 1000, Millis(1000))}),
+               Instant());
+  };
+  const Job Small = Sized(2);
+  const Job Large = Sized(20);
+  CPPUNIT_ASSERT_EQUAL(Millis(2200).count(), objective(Small, Q).count());
+  section("among jobs in time the smaller one", [&] {
+    CPPUNIT_ASSERT(rankOf(Small, Q, Micros(0)) < rankOf(Large, Q, Micros(0)));
+  });
+  section("a large job in time before a small one that is late", [&] {
+    CPPUNIT_ASSERT(rankOf(Large, Q, Micros(0)) <
+                   rankOf(Small, Q, Millis(1300)));
+  });
+  section("a late one before one whose result has no worth", [&] {
+    CPPUNIT_ASSERT(rankOf(Large, Q, Millis(1300)) <
+                   rankOf(Small, Q, Seconds(6)));
+  });
+  section("what can't end while it has any worth is turned away", [&] {
+    CPPUNIT_ASSERT(worthAccepting(Small, Q, 500, 100));
+    CPPUNIT_ASSERT(!worthAccepting(Small, Q, 600, 100));
+  });
+}
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -236,6 +236,24 @@
   });
 }
 
+HEATHERCROSS_STORY(FailureOnce, "a failure counts once, whoever hears of it") {
+  ModelPool P;
+  P.addWorker("w1").FailsAll_ = true;
+  P.submit("j1", job({step(1, 1000, Millis(300))}));
+  const auto Failures = [&] {
+    return P.Scheduler_.find(JobId("j1"))
+        ->task({JobId("j1"), 0, 0, 0})
+        .Failures_;
+  };
+  CPPUNIT_ASSERT(P.runUntil(Seconds(1), [&] { return Failures() == 1; }));
+  // The failure is stored, but the worker hasn't been told so.
+  P.changeHolder();
+  P.Workers_.at(InstanceId("w1")).FailsAll_ = false;
+  P.run(Seconds(2));
+  CPPUNIT_ASSERT_EQUAL(1U, Failures());
+  CPPUNIT_ASSERT(P.state("j1") == JobState::Complete);
+}
+
 HEATHERCROSS_STORY(Draining, "workers are emptied without harm") {
   ModelPool P;
   for (const char *Id : {"w1", "w2", "w3"})
