--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -245,10 +245,11 @@
         ->task({JobId("j1"), 0, 0, 0})
         .Failures_;
   };
+  CPPUNIT_ASSERT(P.runUntil(Seconds(1), [&] { return P.Starts_ == 1; }));
+  P.Workers_.at(InstanceId("w1")).FailsAll_ = false;
   CPPUNIT_ASSERT(P.runUntil(Seconds(1), [&] { return Failures() == 1; }));
   // The failure is stored, but the worker hasn't been told so.
   P.changeHolder();
-  P.Workers_.at(InstanceId("w1")).FailsAll_ = false;
   P.run(Seconds(2));
   CPPUNIT_ASSERT_EQUAL(1U, Failures());
   CPPUNIT_ASSERT(P.state("j1") == JobState::Complete);
