--- a/src/entry/entry-settings.cc
+++ b/src/entry/entry-settings.cc
@@ -31,8 +31,7 @@
         Problems_(File_.Problems_) {}
 
   std::string name(const char *Section, const char *Key) {
-    const std::string Value = take(Section, Key, true);
-    return Value;
+    return take(Section, Key, true);
   }
 
   Endpoint endpoint(const char *Section, const char *Key) {
@@ -44,7 +43,7 @@
     const std::string Value = take(Section, Key, Required);
     if (Value.empty())
       return std::nullopt;
-    const auto E = settings::parseEndpoint(Value);
+    auto E = settings::parseEndpoint(Value);
     if (!E)
       report(Section, Key, ProblemKind::WrongType, Value, "IP:PORT");
     return E;
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -85,11 +85,17 @@
   };
   auto &F = Kernel_.find<Front>("front");
   Add("front-server", Settings_.Front_,
-      [&F](auto &&R, auto &&To) { F.serve(std::move(R), std::move(To)); });
+      [&F](http::Request &&R, http::Responder &&To) {
+        F.serve(std::move(R), std::move(To));
+      });
   Add("ready-server", Settings_.Ready_,
-      [this](auto &&R, auto &&To) { serveReady(std::move(R), std::move(To)); });
+      [this](http::Request &&R, http::Responder &&To) {
+        serveReady(std::move(R), std::move(To));
+      });
   Add("peer-server", Settings_.Peers_,
-      [this](auto &&R, auto &&To) { servePeers(std::move(R), std::move(To)); });
+      [this](http::Request &&R, http::Responder &&To) {
+        servePeers(std::move(R), std::move(To));
+      });
 }
 
 bool Entry::ready() const {
--- a/src/entry/fleet-keeper.cc
+++ b/src/entry/fleet-keeper.cc
@@ -51,7 +51,7 @@
   std::set<MachineId> Ids;
   const auto A =
       QJsonDocument::fromJson(QByteArray::fromStdString(Text)).array();
-  for (const QJsonValue &V : A)
+  for (const auto V : A)
     Ids.insert(MachineId(V.toString().toStdString()));
   return Ids;
 }
--- a/src/entry/knowledge.cc
+++ b/src/entry/knowledge.cc
@@ -37,44 +37,44 @@
       Duties_(
           C.Incarnation_,
           std::max(1.0, UsualCpuShare / std::max(0.01, C.Settings_.CpuShare_))),
-      Operator_(C, {platform_api::OperatorTable, OperatorWait, OperatorPause},
-                {wholeTable,
-                 [this](const auto &Rows) { takeOperatorRows(Rows); },
-                 [this](const auto &Rows) { takeOperatorRows(Rows); }, [] {}}),
-      Workers_Follower_(C, {platform_api::WorkerTable, Millis(0), WorkersPause},
-                        {wholeTable,
-                         [this](const std::vector<StoredRow> &Rows) {
-                           const Instant Now = Context_.Clock_.now();
-                           for (const auto &[Id, Info] : Workers_)
-                             Missing_.try_emplace(Id, Now);
-                           for (const StoredRow &Row : Rows)
-                             takeWorkerRow(Row);
-                         },
-                         [this](const std::vector<StoredRow> &Rows) {
-                           for (const StoredRow &Row : Rows)
-                             takeWorkerRow(Row);
-                         },
-                         [this] {
-                           dropMissing();
-                           Handlers_.OnWorkers_();
-                         }}),
-      Duties_Follower_(C, {HolderTable, Millis(0), DutiesPause},
-                       {[this] { return dutyPartitions(); },
-                        [this](const auto &Rows) { takeHolderRows(Rows); },
-                        [this](const auto &Rows) { takeHolderRows(Rows); },
+      OperatorFollower_(
+          C, {platform_api::OperatorTable, OperatorWait, OperatorPause},
+          {wholeTable, [this](const auto &Rows) { takeOperatorRows(Rows); },
+           [this](const auto &Rows) { takeOperatorRows(Rows); }, [] {}}),
+      WorkersFollower_(C, {platform_api::WorkerTable, Millis(0), WorkersPause},
+                       {wholeTable,
+                        [this](const std::vector<StoredRow> &Rows) {
+                          const Instant Now = Context_.Clock_.now();
+                          for (const auto &[Id, Info] : Workers_)
+                            Missing_.try_emplace(Id, Now);
+                          for (const StoredRow &Row : Rows)
+                            takeWorkerRow(Row);
+                        },
+                        [this](const std::vector<StoredRow> &Rows) {
+                          for (const StoredRow &Row : Rows)
+                            takeWorkerRow(Row);
+                        },
                         [this] {
-                          Duties_.polled(Context_.Clock_.now());
-                          Handlers_.OnDuties_();
-                        }}) {}
+                          dropMissing();
+                          Handlers_.OnWorkers_();
+                        }}),
+      DutiesFollower_(C, {HolderTable, Millis(0), DutiesPause},
+                      {[this] { return dutyPartitions(); },
+                       [this](const auto &Rows) { takeHolderRows(Rows); },
+                       [this](const auto &Rows) { takeHolderRows(Rows); },
+                       [this] {
+                         Duties_.polled(Context_.Clock_.now());
+                         Handlers_.OnDuties_();
+                       }}) {}
 
 void Knowledge::start() {
-  Operator_.start();
-  Duties_Follower_.start();
+  OperatorFollower_.start();
+  DutiesFollower_.start();
 }
 
 void Knowledge::followWorkers(bool Follow) {
   if (Follow && !std::exchange(WorkersFollowed_, true))
-    Workers_Follower_.start();
+    WorkersFollower_.start();
 }
 
 std::vector<std::string> Knowledge::dutyPartitions() const {
--- a/src/entry/knowledge.h
+++ b/src/entry/knowledge.h
@@ -41,11 +41,11 @@
   schedule::DutyWatch &duties() { return Duties_; }
   const schedule::DutyWatch &duties() const { return Duties_; }
   /// Whether the store answered lately.
-  bool storeAnswers() const { return !Duties_Follower_.failing(); }
+  bool storeAnswers() const { return !DutiesFollower_.failing(); }
   /// Workers matter only to an entry that holds a duty.
   void followWorkers(bool Follow);
   /// Reads the holder rows at once.
-  void hurryDuties() { Duties_Follower_.hurry(); }
+  void hurryDuties() { DutiesFollower_.hurry(); }
 
 private:
   void takeOperatorRows(const std::vector<platform_api::StoredRow> &Rows);
@@ -64,9 +64,9 @@
   std::map<std::uint64_t, schedule::UpkeepWave> Waves_;
   schedule::DutyWatch Duties_;
   bool WorkersFollowed_ = false;
-  TableFollower Operator_;
-  TableFollower Workers_Follower_;
-  TableFollower Duties_Follower_;
+  TableFollower OperatorFollower_;
+  TableFollower WorkersFollower_;
+  TableFollower DutiesFollower_;
 };
 
 } // namespace heathercross::entry
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -165,7 +165,7 @@
     return std::nullopt;
   VacateCall Call;
   Call.Pool_ = PoolId(str(O->value("pool")));
-  for (const QJsonValue &V : O->value("workers").toArray())
+  for (const auto V : O->value("workers").toArray())
     Call.Workers_.insert(InstanceId(str(V)));
   return Call;
 }
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -140,6 +140,8 @@
   void changeHolder() {
     Scheduler_ = PoolScheduler();
     ++Epochs_;
+    // Acknowledgements that weren't sent yet are lost.
+    Acked_.clear();
     configure();
     std::set<InstanceId> Roster;
     for (auto &[Id, W] : Workers_) {
