--- /dev/null
+++ b/test/schedule/machines-test.cc
@@ -0,0 +1,208 @@
+// Stories of machines: pools that grow and shrink, and upkeep waves.
+#include "schedule/pool-sizing.h"
+#include "schedule/wave-plan.h"
+#include "support/story.h"
+
+#include <rapidcheck.h>
+
+using namespace heathercross;
+using namespace heathercross::schedule;
+using heathercross::test::section;
+
+namespace {
+
+constexpr double Cores = 32;
+const PoolId Standby("standby");
+
+/// A fleet in virtual time: machines, and how many cores each pool asks for.
+class ModelFleet {
+public:
+  std::vector<SizedMachine> Machines_;
+  std::map<PoolId, PoolNeed> Needs_;
+  PoolSizing Sizing_;
+  Instant Now_{Seconds(10)};
+  std::uint32_t Moves_ = 0;
+  std::uint32_t MovedBusy_ = 0;
+  std::map<MachineId, Instant> ArriveAt_;
+
+  void add(const std::string &Pool, unsigned Count, std::uint32_t Lasting = 0) {
+    for (unsigned I = 0; I < Count; ++I) {
+      SizedMachine M;
+      M.Id_ = MachineId(Pool + std::to_string(Machines_.size()));
+      M.Pool_ = PoolId(Pool);
+      M.Up_ = true;
+      M.Cores_ = Cores;
+      M.Lasting_ = Lasting;
+      M.Runs_ = Lasting;
+      M.Known_ = true;
+      M.Vacating_ = M.Pool_ == Standby;
+      Machines_.push_back(M);
+    }
+  }
+
+  unsigned size(const std::string &Pool) const {
+    return static_cast<unsigned>(
+        std::ranges::count_if(Machines_, [&](const SizedMachine &M) {
+          return M.Pool_ == PoolId(Pool);
+        }));
+  }
+  unsigned working(const std::string &Pool) const {
+    return static_cast<unsigned>(
+        std::ranges::count_if(Machines_, [&](const SizedMachine &M) {
+          return M.Pool_ == PoolId(Pool) && M.Up_;
+        }));
+  }
+
+  void run(Micros For) {
+    for (const Instant End = Now_ + For; Now_ < End; Now_ += Millis(100))
+      tick();
+  }
+
+private:
+  void tick() {
+    for (SizedMachine &M : Machines_)
+      if (M.Arriving_ && ArriveAt_[M.Id_] <= Now_) {
+        M.Arriving_ = false;
+        M.Up_ = true;
+      }
+    const SizingStep S = Sizing_.step(Needs_, Machines_, Standby, Now_);
+    for (const MachineMove &Move : S.Moves_) {
+      auto &M =
+          *std::ranges::find(Machines_, Move.Machine_, &SizedMachine::Id_);
+      ++Moves_;
+      MovedBusy_ += M.Runs_ > 0 || !M.Vacating_ ? 1 : 0;
+      M.Pool_ = Move.To_;
+      M.Up_ = false;
+      M.Arriving_ = true;
+      ArriveAt_[M.Id_] = Now_ + Millis(1500);
+    }
+    for (SizedMachine &M : Machines_)
+      M.Vacating_ = M.Pool_ == Standby || S.Vacate_.contains(M.Id_);
+  }
+};
+
+} // namespace
+
+// The load: demand turns from one pool to the other at several times what the
+// pool holds.
+HEATHERCROSS_STORY(TurningDemand, "machines follow a turn of demand") {
+  ModelFleet F;
+  F.add("quotes", 4, 1);
+  F.add("quotes", 5);
+  F.add("bookings", 4, 1);
+  F.add("bookings", 5);
+  F.add("standby", 4);
+  F.Needs_[PoolId("quotes")] = {10, 0, 4};
+  F.Needs_[PoolId("bookings")] = {10, 0, 4};
+  section("while all is quiet only what lasting tasks need stays on", [&] {
+    F.run(Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(5U, F.size("quotes"));
+    CPPUNIT_ASSERT_EQUAL(5U, F.size("bookings"));
+    CPPUNIT_ASSERT_EQUAL(12U, F.size("standby"));
+  });
+  section("a pool whose turn comes has its machines within two seconds", [&] {
+    F.Needs_[PoolId("quotes")] = {400, 0, 4};
+    F.run(Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(14U, F.working("quotes"));
+  });
+  section("they pass to the next pool without a stop in between", [&] {
+    const auto Before = F.Moves_;
+    F.Needs_[PoolId("quotes")] = {10, 0, 4};
+    F.Needs_[PoolId("bookings")] = {400, 0, 4};
+    F.run(Seconds(4));
+    CPPUNIT_ASSERT_EQUAL(14U, F.working("bookings"));
+    CPPUNIT_ASSERT(F.Moves_ - Before <= 18);
+  });
+  section("late work keeps machines, but gives them to work in time", [&] {
+    F.Needs_[PoolId("bookings")] = {10, 400, 4};
+    F.run(Seconds(3));
+    CPPUNIT_ASSERT(F.working("bookings") >= 13);
+    F.Needs_[PoolId("quotes")] = {400, 0, 4};
+    F.run(Seconds(4));
+    CPPUNIT_ASSERT(F.working("quotes") >= 13);
+  });
+  CPPUNIT_ASSERT_EQUAL(0U, F.MovedBusy_);
+}
+
+namespace {
+
+void runChangingNeeds() {
+  const auto Script = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      20, rc::gen::pair(rc::gen::inRange(0, 600), rc::gen::inRange(0, 600)));
+  ModelFleet F;
+  F.add("quotes", 3, 1);
+  F.add("quotes", 6);
+  F.add("bookings", 9);
+  F.add("standby", 3);
+  for (const auto &[A, B] : Script) {
+    F.Needs_[PoolId("quotes")] = {double(A), double(B), 3};
+    F.Needs_[PoolId("bookings")] = {double(B), double(A), 0};
+    for (SizedMachine &M : F.Machines_)
+      if (M.Up_ && !M.Vacating_ && M.Pool_ != Standby)
+        M.Runs_ = static_cast<std::uint32_t>((A + B) % 3) + M.Lasting_;
+      else if (M.Vacating_)
+        M.Runs_ = M.Lasting_;
+    F.run(Millis(500));
+    RC_ASSERT(F.MovedBusy_ == 0U);
+  }
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(SizingProperty, "no machine at work is ever moved") {
+  HEATHERCROSS_PROPERTY("whatever the needs are", [] { runChangingNeeds(); });
+}
+
+HEATHERCROSS_STORY(Waves,
+                   "a wave takes machines out one group after the other") {
+  UpkeepWave W;
+  W.Number_ = 1;
+  W.MaxAtOnce_ = 3;
+  W.Within_ = Millis(25'000);
+  std::map<MachineId, Machine> Machines;
+  std::map<MachineId, MachineLoad> Loads;
+  for (int I = 0; I < 12; ++I) {
+    const MachineId Id("m" + std::to_string(I));
+    W.Machines_.push_back(Id);
+    Machines[Id] = {Id, PoolId("quotes"), MachineState::Up, {}, {}, {}, {}};
+    Loads[Id] = {static_cast<std::uint32_t>(I % 3), 0, false, true};
+  }
+  Instant Now{Seconds(5)};
+  WavePlan Plan(W, Now);
+  section("nothing is ordered before a machine is seen to be empty", [&] {
+    const WaveStep S = Plan.step(Machines, Loads, Seconds(2), Now);
+    CPPUNIT_ASSERT(S.Order_.empty());
+    CPPUNIT_ASSERT(!S.Vacate_.empty() && S.Vacate_.size() <= 3);
+  });
+  section("it ends in time, and never more are away than allowed", [&] {
+    std::map<MachineId, Instant> AwayUntil;
+    bool Complete = false;
+    for (; Now < Instant(Seconds(30)) && !Complete; Now += Millis(100)) {
+      const WaveStep S = Plan.step(Machines, Loads, Seconds(2), Now);
+      for (auto &[Id, L] : Loads)
+        L.Vacating_ = false;
+      for (const MachineId &Id : S.Vacate_)
+        Loads[Id] = {0, 0, true, true};
+      for (const MachineId &Id : S.Order_) {
+        Plan.ordered(Id);
+        Plan.began(Id, Now);
+        AwayUntil[Id] = Now + Seconds(2);
+      }
+      CPPUNIT_ASSERT(std::ranges::count_if(AwayUntil, [&](const auto &E) {
+                       return E.second > Now;
+                     }) <= 3);
+      Complete = S.Complete_;
+    }
+    CPPUNIT_ASSERT(Complete);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, Plan.begun().size());
+    CPPUNIT_ASSERT(Now <= Instant(Seconds(5)) + W.Within_);
+  });
+  section("a later holder goes on with what is left", [&] {
+    WavePlan Later(W, Now);
+    Later.restore({MachineId("m0"), MachineId("m1")}, Now);
+    const WaveStep S = Later.step(Machines, Loads, Seconds(2), Now);
+    CPPUNIT_ASSERT(!S.Complete_);
+    CPPUNIT_ASSERT(std::ranges::find(S.Vacate_, MachineId("m0")) ==
+                   S.Vacate_.end());
+  });
+}
