A refused claim blames nobody

A refused claim now counts silence anew for all duties. Test: the story of the store that takes no writes.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -75,7 +75,7 @@
           return;
         }
         if (R.Outcome_ != StoreOutcome::Ok)
-          return Knowledge_.hurryDuties();
+          return Knowledge_.duties().refused(Now);
         Knowledge_.duties().saw(C.Pool_, {Self, R.Version_}, Now);
         begin(C.Pool_, Self, R.Version_);
       }));
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -38,10 +38,14 @@
   W.QuietSince_ = Now;
 }
 
+void DutyWatch::refused(Instant Now) {
+  for (auto &[Pool, W] : Watches_)
+    W.QuietSince_ = Now;
+}
+
 void DutyWatch::polled(Instant Now) {
   if (Now - LastPoll_ > MaxPollGap)
-    for (auto &[Pool, W] : Watches_)
-      W.QuietSince_ = Now;
+    refused(Now);
   LastPoll_ = Now;
 }
 
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -43,6 +43,10 @@
   /// The store answered; rows that it didn't report stand as they were.
   void polled(Instant Now);
 
+  /// A claim was turned away: the store takes no writes, so holders can't show
+  /// that they live. Silence is counted anew.
+  void refused(Instant Now);
+
   /// The duty to take now, if any. Held is how many duties this entry has; an
   /// entry with many waits longer, so that duties spread.
   std::optional<Claim> due(std::size_t Held, Instant Now);
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -68,6 +68,12 @@
     CPPUNIT_ASSERT(Now - Since >= Millis(1800));
     CPPUNIT_ASSERT(Now - Since <= Millis(2500));
   });
+  section("a store that takes no writes silences all, and nobody is blamed",
+          [&] {
+            W.refused(Now);
+            CPPUNIT_ASSERT(!poll(W, Now, Millis(1400)));
+            CPPUNIT_ASSERT(poll(W, Now, Seconds(2)).has_value());
+          });
   section("a holder doesn't take its own duty", [&] {
     W.saw(Quotes, holder("e1", 30), Now);
     CPPUNIT_ASSERT(!poll(W, Now, Seconds(5)));
