--- a/src/entry/fleet-keeper.cc
+++ b/src/entry/fleet-keeper.cc
@@ -7,6 +7,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
+#include <cmath>
 #include <utility>
 
 namespace heathercross::entry {
@@ -201,6 +202,7 @@
                    P.Demand_.WaitingLate_, P.Demand_.MinWorkers_};
   }
   const auto Step = Sizing_.step(Needs, sizedMachines(), standby(), Now);
+  logSizes(Step.Sizes_, Needs);
   for (const MachineId &Id : Step.Vacate_)
     vacate(Id);
   if (mayOrder())
@@ -214,6 +216,25 @@
       vacate(Id);
 }
 
+void FleetKeeper::logSizes(const std::map<PoolId, schedule::PoolSize> &Sizes,
+                           const std::map<PoolId, schedule::PoolNeed> &Needs) {
+  for (const auto &[Pool, Size] : Sizes) {
+    if (Sizes_[Pool] == Size)
+      continue;
+    Sizes_[Pool] = Size;
+    const schedule::PoolNeed &N = Needs.at(Pool);
+    Context_.Log_.write("pool-sized",
+                        {{"pool", text(Pool.str())},
+                         {"have", static_cast<int>(Size.Have_)},
+                         {"target", static_cast<int>(Size.Target_)},
+                         {"keep", static_cast<int>(Size.Keep_)},
+                         {"in_time_cores", std::round(N.InTimeCores_)},
+                         {"late_cores", std::round(N.LateCores_)},
+                         {"min_machines", static_cast<int>(N.MinMachines_)}},
+                        process::LineClass::Routine);
+  }
+}
+
 void FleetKeeper::orderMove(const schedule::MachineMove &M) {
   if (Lost_)
     return;
--- a/src/entry/fleet-keeper.h
+++ b/src/entry/fleet-keeper.h
@@ -47,6 +47,8 @@
   void ordered(std::uint64_t Wave, const schedule::MachineId &Id,
                platform_api::MachineOutcome O);
   void sizePools();
+  void logSizes(const std::map<PoolId, schedule::PoolSize> &Sizes,
+                const std::map<PoolId, schedule::PoolNeed> &Needs);
   void orderMove(const schedule::MachineMove &M);
   void moved(const schedule::MachineMove &M, platform_api::MachineOutcome O);
   std::vector<schedule::SizedMachine> sizedMachines() const;
@@ -82,6 +84,8 @@
   std::map<PoolId, DatedPicture> Pictures_;
   std::set<PoolId> Asking_;
   schedule::PoolSizing Sizing_;
+  /// The sizes that were logged last.
+  std::map<PoolId, schedule::PoolSize> Sizes_;
   /// Moves that were ordered and don't show in the list yet, and when the
   /// platform answered them.
   struct Moving {
--- a/src/schedule/pool-sizing.cc
+++ b/src/schedule/pool-sizing.cc
@@ -16,6 +16,9 @@
 constexpr Millis ParkAfter{600};
 /// Late work keeps the machines that are there, but brings only so many.
 constexpr double MaxLateMachines = 2;
+/// Machines that stand ready in each pool, for the time until more arrive when
+/// its turn comes.
+constexpr std::uint32_t IdleMachines = 3;
 /// Machines that a pool keeps beyond its need, for the first jobs of a burst.
 constexpr std::uint32_t SpareMachines = 1;
 
@@ -54,8 +57,10 @@
   Plan P;
   std::map<PoolId, PoolState> Pools = survey(Needs, Machines, Standby, P, Now);
   std::uint32_t Lacking = 0;
-  for (const auto &[Pool, S] : Pools)
+  for (const auto &[Pool, S] : Pools) {
+    P.Out_.Sizes_[Pool] = {S.Have_, S.Target_, S.Keep_};
     Lacking += S.Target_ > S.Have_ ? S.Target_ - S.Have_ : 0;
+  }
   const auto Supply = static_cast<std::uint32_t>(P.Parked_.size());
   for (auto &[Pool, S] : Pools) {
     std::uint32_t Surplus = S.Have_ > S.Keep_ ? S.Have_ - S.Keep_ : 0;
@@ -115,7 +120,7 @@
     const double Each = S.CoresEach_ > 0 ? S.CoresEach_ : AnyCores;
     const double Steady = steadyNeed(Pool, Need.InTimeCores_, Now);
     const std::uint32_t ForLasting =
-        Need.MinMachines_ > 0 ? Need.MinMachines_ + SpareMachines : 0;
+        Need.MinMachines_ > 0 ? Need.MinMachines_ + IdleMachines : 0;
     const double Late = std::min(Need.LateCores_, MaxLateMachines * Each);
     S.Target_ =
         std::max(ForLasting, machinesFor(Steady + Late, Each) + SpareMachines);
--- a/src/schedule/pool-sizing.h
+++ b/src/schedule/pool-sizing.h
@@ -49,7 +49,16 @@
   auto operator<=>(const MachineMove &) const = default;
 };
 
+/// A pool's machines against what they were decided to be.
+struct PoolSize {
+  std::uint32_t Have_ = 0;
+  std::uint32_t Target_ = 0;
+  std::uint32_t Keep_ = 0;
+  bool operator==(const PoolSize &) const = default;
+};
+
 struct SizingStep {
+  std::map<PoolId, PoolSize> Sizes_;
   std::vector<MachineMove> Moves_;
   /// Machines on which nothing more shall start.
   std::set<MachineId> Vacate_;
