Queues with a placement policy: advice and tickets

Cause: a queue whose policy names the workers for each step could not start anything (no ticket). The scheduler names the most pressing step and 30 of the emptiest workers; one call is out at a time, the tickets go with the starts and are asked for anew when they have expired or a worker started again. Test: the story of the queue with a policy.

--- a/src/entry/context.h
+++ b/src/entry/context.h
@@ -3,6 +3,7 @@
 
 #include "entry/entry-settings.h"
 #include "http/http-client.h"
+#include "platform/advice.h"
 #include "platform/machines.h"
 #include "platform/store.h"
 #include "platform/workers.h"
@@ -26,6 +27,7 @@
   platform_api::Store &Store_;
   platform_api::Workers &Workers_;
   platform_api::Machines &Machines_;
+  platform_api::Advice &Advice_;
   /// For calls to other entries.
   http::Client &Peers_;
 };
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -53,9 +53,10 @@
   auto &Workers = Kernel_.add<platform_api::Workers>("workers", WorkerHttp);
   auto &Machines = Kernel_.add<platform_api::Machines>(
       "machines", StoreHttp, Settings_.Machines_.str());
+  auto &Advice = Kernel_.add<platform_api::Advice>("advice", StoreHttp);
   Context_ = std::make_unique<Context>(
       Context{Settings_, incarnation(Settings_, Clock), Clock, Log, Metrics,
-              Store, Workers, Machines, PeerHttp});
+              Store, Workers, Machines, Advice, PeerHttp});
   Knowledge::Handlers Handlers;
   Handlers.OnConfiguration_ = [this] {
     Kernel_.find<Duties>("duties").onConfiguration();
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -31,6 +31,8 @@
 constexpr Millis ReadTimeout{1500};
 /// Workers answer in a few milliseconds.
 constexpr Millis OrderTimeout{700};
+/// The placement service takes a while for each worker that it is asked about.
+constexpr Millis AdviceTimeout{3000};
 /// How long a renewal waits at a worker for an end of a run.
 constexpr Millis RenewWait{700};
 constexpr Millis RenewTimeout{800};
@@ -400,6 +402,7 @@
   if (Ready_) {
     if (!Leaving_ && mayOrder())
       deliver(Scheduler_.step(Context_.Clock_.now(), Context_.Clock_.wall()));
+    askAdvice();
     storeChanges();
     logDecisions();
     updateRoster();
@@ -658,6 +661,35 @@
   kick();
 }
 
+void PoolHolder::askAdvice() {
+  const Instant Now = Context_.Clock_.now();
+  const auto &Address = Context_.Settings_.Advice_;
+  if (AskingAdvice_ || Now < NextAdvice_ || !Address)
+    return;
+  const auto Wish = Scheduler_.adviceWish(Now, Context_.Clock_.wall());
+  if (!Wish)
+    return;
+  AskingAdvice_ = true;
+  Context_.Advice_.ask(
+      Address->str(), Wish->Step_, Wish->Workers_, AdviceTimeout,
+      guarded(this, [this, Step = Wish->Step_,
+                     Now](std::optional<platform_api::AdviceReply> R) {
+        AskingAdvice_ = false;
+        QJsonObject F = fields(Step.Job_);
+        F["step"] = static_cast<qint64>(Step.Step_);
+        F["allowed"] = R ? static_cast<qint64>(R->Tickets_.size()) : -1;
+        Context_.Log_.write("advice", F, LineClass::Routine);
+        const Instant At = Context_.Clock_.now();
+        if (!R)
+          NextAdvice_ = At + RenewRetry;
+        else
+          // Validity counts from the service's answer, which came after the
+          // question left.
+          Scheduler_.advised(Step, std::move(R->Tickets_), Now + R->Valid_);
+        kick();
+      }));
+}
+
 void PoolHolder::deliver(schedule::Orders Orders) {
   for (const schedule::StopOrder &O : Orders.Stops_)
     deliverStop(O);
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -138,6 +138,7 @@
   void renew(const InstanceId &Id, Link &L);
   void renewed(const InstanceId &Id, const platform_api::RenewReply &R,
                Instant SentAt, std::int64_t GrantedMs);
+  void askAdvice();
   void deliver(schedule::Orders Orders);
   void deliverStart(const schedule::StartOrder &O);
   void deliverStop(const schedule::StopOrder &O);
@@ -181,6 +182,9 @@
   bool Ready_ = false;
   bool Lost_ = false;
   bool Leaving_ = false;
+  /// The placement service takes one call of an entry at a time.
+  bool AskingAdvice_ = false;
+  Instant NextAdvice_;
   std::function<void()> OnHandedOver_;
   QTimer Soon_;
   QTimer Regular_;
--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -122,6 +122,22 @@
   double ObjectiveFactor_ = 1;
   /// and this much more.
   Millis ObjectiveSlack_{0};
+  /// Only workers that the placement service names may run a step.
+  bool NeedsAdvice_ = false;
+};
+
+/// A worker that may run a step, and the ticket that shows it.
+struct PlacementTicket {
+  InstanceId Worker_;
+  std::string Ticket_;
+};
+
+/// One step of one occurrence of a job.
+struct StepKey {
+  JobId Job_;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  auto operator<=>(const StepKey &) const = default;
 };
 
 /// A worker as it registers itself.
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <ranges>
 
 namespace heathercross::schedule {
@@ -27,6 +28,9 @@
 /// Over which the rate of arriving work is taken: a turn of demand lasts some
 /// seconds, and a machine takes 1.5 s to arrive.
 constexpr Millis ArrivalMemory{700};
+/// Workers asked about at once: each costs time, and the objective allows for
+/// advice on 30 a step.
+constexpr std::size_t MaxAdvised = 30;
 /// At work, as workers report it.
 constexpr std::uint32_t AtWork = 100;
 
@@ -230,8 +234,12 @@
 std::vector<Candidate>
 PoolScheduler::candidates(const Job &J, const ReadyStep &S, Instant Now) {
   std::vector<Candidate> Found;
+  const bool Advised = settings(J.queue()).NeedsAdvice_;
+  const Advice *Known = Advised ? adviceFor(J, S, Now) : nullptr;
+  if (Advised && !Known)
+    return Found;
   for (auto &[Id, W] : Workers_) {
-    if (!mayTake(W, Now))
+    if (!mayTake(W, Now) || (Known && !Known->Tickets_.contains(Id)))
       continue;
     const auto First =
         W.runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
@@ -281,7 +289,12 @@
   if (J.state() == JobState::Queued)
     J.setState(JobState::Active);
   Out.Starts_.push_back(
-      {W.info().Id_, Key, A, J.spec().Payload_, T.Checkpoint_});
+      {W.info().Id_, Key, A, J.spec().Payload_, T.Checkpoint_, ""});
+  if (const auto It = Advice_.find({Key.Job_, Key.Occurrence_, Key.Step_});
+      It != Advice_.end())
+    if (const auto Ticket = It->second.Tickets_.find(W.info().Id_);
+        Ticket != It->second.Tickets_.end())
+      Out.Starts_.back().Ticket_ = Ticket->second;
 }
 
 void PoolScheduler::startTasks(const ReadyStep &S, Instant Now, Orders &Out) {
@@ -368,6 +381,52 @@
       startTasks(S, Now, Out);
 }
 
+const PoolScheduler::Advice *
+PoolScheduler::adviceFor(const Job &J, const ReadyStep &S, Instant Now) const {
+  const auto It = Advice_.find({J.id(), S.Occurrence_, S.Step_});
+  const bool Valid = It != Advice_.end() && Now < It->second.ValidUntil_;
+  return Valid ? &It->second : nullptr;
+}
+
+void PoolScheduler::advised(const StepKey &Key,
+                            std::vector<PlacementTicket> Tickets,
+                            Instant ValidUntil) {
+  Advice A;
+  A.ValidUntil_ = ValidUntil;
+  for (PlacementTicket &T : Tickets)
+    A.Tickets_[T.Worker_] = std::move(T.Ticket_);
+  Advice_[Key] = std::move(A);
+}
+
+void PoolScheduler::dropAdvice(const JobId &Id) {
+  Advice_.erase(Advice_.lower_bound({Id, 0, 0}),
+                Advice_.upper_bound({Id, ~0U, ~0U}));
+}
+
+std::optional<PoolScheduler::AdviceWish>
+PoolScheduler::adviceWish(Instant Now, WallTime Wall) {
+  for (const ReadyStep &S : readySteps(Now, Wall)) {
+    const Job &J = *S.Job_;
+    if (!settings(J.queue()).NeedsAdvice_ || adviceFor(J, S, Now))
+      continue;
+    // The emptiest workers first: the service answers for so many at once.
+    std::vector<const Worker *> Able;
+    for (const auto &[Id, W] : Workers_)
+      if (mayTake(W, Now))
+        Able.push_back(&W);
+    std::ranges::stable_sort(Able, std::greater(), [](const Worker *W) {
+      return W->free().CpuMilli_;
+    });
+    AdviceWish Wish{{J.id(), S.Occurrence_, S.Step_}, {}};
+    for (const Worker *W : Able)
+      if (Wish.Workers_.size() < MaxAdvised)
+        Wish.Workers_.push_back(W->info().Id_);
+    if (!Wish.Workers_.empty())
+      return Wish;
+  }
+  return std::nullopt;
+}
+
 std::uint32_t PoolScheduler::queued(const QueueId &Queue) const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(Open_, [&](const JobId &Id) {
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -144,6 +144,7 @@
 void PoolScheduler::endJob(Job &J, JobState State) {
   J.setState(State);
   Open_.erase(J.id());
+  dropAdvice(J.id());
   Changed_.insert(J.id());
   for (auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs())
@@ -231,6 +232,7 @@
   Changed_.insert(J.id());
   if (J.state() == JobState::Complete) {
     Open_.erase(J.id());
+    dropAdvice(J.id());
     note("job-complete", Key, 0, {}, "");
   }
 }
@@ -420,9 +422,13 @@
     W->PausedUntil_ = Now + RefusalPause;
     release(*W, Key, "refused");
     return;
+  case StartAnswer::NoTicket:
+    // The ticket was valid for another life of the worker, or too long ago.
+    Advice_.erase({Key.Job_, Key.Occurrence_, Key.Step_});
+    release(*W, Key, "no-ticket");
+    return;
   case StartAnswer::Outdated:
   case StartAnswer::LeaseExpired:
-  case StartAnswer::NoTicket:
   case StartAnswer::Malformed:
     release(*W, Key, "refused");
     return;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -20,6 +20,8 @@
   Attempt Attempt_ = 0;
   std::string Payload_;
   std::string Checkpoint_;
+  /// Empty for queues that need no advice.
+  std::string Ticket_;
 };
 
 struct StopOrder {
@@ -135,6 +137,17 @@
   void stopped(const InstanceId &Id, const TaskKey &Key, Attempt A,
                StopAnswer Answer, Instant Now);
 
+  /// The workers that may run a step, as the placement service said; valid
+  /// until a time.
+  void advised(const StepKey &Key, std::vector<PlacementTicket> Tickets,
+               Instant ValidUntil);
+  /// The most pressing step that needs advice, and the workers to ask about.
+  struct AdviceWish {
+    StepKey Step_;
+    std::vector<InstanceId> Workers_;
+  };
+  std::optional<AdviceWish> adviceWish(Instant Now, WallTime Wall);
+
   /// Workers that shall become empty, until a time.
   void vacate(const std::set<InstanceId> &Workers, Instant Until);
 
@@ -164,6 +177,10 @@
   bool everFits(const StepSpec &S) const;
 
 private:
+  struct Advice {
+    std::map<InstanceId, std::string> Tickets_;
+    Instant ValidUntil_;
+  };
   struct ReadyStep {
     Rank Rank_;
     Job *Job_ = nullptr;
@@ -203,6 +220,9 @@
   std::vector<Candidate> candidates(const Job &J, const ReadyStep &S,
                                     Instant Now);
   bool mayTake(const Worker &W, Instant Now) const;
+  /// The advice for a step, or null while there is none that is valid.
+  const Advice *adviceFor(const Job &J, const ReadyStep &S, Instant Now) const;
+  void dropAdvice(const JobId &Id);
   PlacementRequest request(const Job &J, const ReadyStep &S,
                            const TaskState &T) const;
   std::uint32_t away(const Job &J, std::uint32_t OccurrenceIndex,
@@ -219,6 +239,7 @@
   std::set<InstanceId> Awaited_;
   Instant AwaitUntil_;
   std::map<InstanceId, Worker> Workers_;
+  std::map<StepKey, Advice> Advice_;
   std::set<JobId> Changed_;
   std::vector<Decision> Log_;
   Resources Largest_;
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -286,6 +286,33 @@
   });
 }
 
+HEATHERCROSS_STORY(Advised, "a queue with a policy runs where it is allowed") {
+  ModelPool P;
+  QueueSettings Q = P.Scheduler_.settings(P.Queue_);
+  Q.NeedsAdvice_ = true;
+  P.Scheduler_.setQueues({{P.Queue_, Q}});
+  P.addWorker("w1");
+  P.addWorker("w2");
+  P.submit("j1", job({step(2, 1000, Millis(200))}));
+  section("nothing starts without advice", [&] {
+    P.run(Millis(300));
+    CPPUNIT_ASSERT_EQUAL(0U, P.Starts_);
+    const auto Wish = P.Scheduler_.adviceWish(P.Now_, P.wall());
+    CPPUNIT_ASSERT(Wish && Wish->Workers_.size() == 2);
+    CPPUNIT_ASSERT(Wish->Step_ == (StepKey{JobId("j1"), 0, 0}));
+  });
+  section("then it runs on the workers that were named", [&] {
+    P.Scheduler_.advised({JobId("j1"), 0, 0}, {{InstanceId("w2"), "t"}},
+                         P.Now_ + Seconds(3));
+    CPPUNIT_ASSERT(!P.Scheduler_.adviceWish(P.Now_, P.wall()));
+    P.run(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                         P.Workers_.at(InstanceId("w2")).Running_.size());
+    P.run(Seconds(1));
+    CPPUNIT_ASSERT(P.state("j1") == JobState::Complete);
+  });
+}
+
 HEATHERCROSS_STORY(Gangs, "a gang starts whole or not at all") {
   ModelPool P;
   P.addWorker("w1", "r1", 4000);
