Duties go to entries with processor time first

Cause: on the grown chipledger an entry with 0.12 of a core held a busy pool (551 answers 504, 610 deadlines passed, AVAIL 5, LOST 2). An entry's patience now follows its share of a core. Sites with equal entries are not affected by the rule. Test: the story of the strong entry.

--- a/src/entry/knowledge.cc
+++ b/src/entry/knowledge.cc
@@ -34,9 +34,8 @@
 
 Knowledge::Knowledge(Context &C, Handlers H)
     : Context_(C), Handlers_(std::move(H)),
-      Duties_(
-          C.Incarnation_,
-          std::max(1.0, UsualCpuShare / std::max(0.01, C.Settings_.CpuShare_))),
+      Duties_(C.Incarnation_,
+              UsualCpuShare / std::max(0.01, C.Settings_.CpuShare_)),
       OperatorFollower_(
           C, {platform_api::OperatorTable, OperatorWait, OperatorPause},
           {wholeTable, [this](const auto &Rows) { takeOperatorRows(Rows); },
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -14,6 +14,8 @@
 constexpr Millis MaxPollGap{1000};
 /// How much longer an entry waits for each duty that it has.
 constexpr Millis DelayPerDuty{250};
+/// How much longer an entry waits that has half of the usual processor time.
+constexpr Millis WeakDelay{800};
 /// Entries that wait equally long are set apart by up to this much.
 constexpr std::uint64_t SpreadMs = 200;
 
@@ -55,7 +57,10 @@
   const double Delay =
       static_cast<double>(DelayPerDuty.count()) * static_cast<double>(Held) +
       static_cast<double>(Mixed % SpreadMs);
-  return Millis(static_cast<std::int64_t>(Delay * Weight_));
+  // Entries with less processor time than usual let the others go first.
+  const double Deference =
+      static_cast<double>(WeakDelay.count()) * std::max(0.0, Weight_ - 1);
+  return Millis(static_cast<std::int64_t>(Delay * Weight_ + Deference));
 }
 
 std::optional<Claim> DutyWatch::due(std::size_t Held, Instant Now) {
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -33,8 +33,8 @@
 /// refuse its lower epoch; it only costs a restart of the pool's scheduler.
 class DutyWatch {
 public:
-  /// Weight is above 1 for an entry with less processor time than usual; it
-  /// then waits longer before it takes a duty.
+  /// Weight is the usual processor time against this entry's: above 1 it waits
+  /// longer before it takes a duty, below 1 less long.
   DutyWatch(EntryId Self, double Weight);
 
   /// The duties that need a holder.
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -43,6 +43,20 @@
     CPPUNIT_ASSERT(!poll(Busy, Then, Millis(900), 4));
     CPPUNIT_ASSERT(poll(Busy, Then, Seconds(1), 4).has_value());
   });
+  section("one with little processor time lets a strong one go first", [&] {
+    for (const char *Weak : {"e3", "e4", "e5"})
+      for (const char *Strong : {"e6", "e7", "e8"}) {
+        DutyWatch Small(EntryId(Weak), 2);
+        DutyWatch Large(EntryId(Strong), 0.5);
+        Instant A{Seconds(10)};
+        Instant B{Seconds(10)};
+        Small.setPools({Quotes}, A);
+        Large.setPools({Quotes}, B);
+        CPPUNIT_ASSERT(poll(Small, A, Seconds(5)).has_value());
+        CPPUNIT_ASSERT(poll(Large, B, Seconds(5), 2).has_value());
+        CPPUNIT_ASSERT(B < A);
+      }
+  });
 }
 
 HEATHERCROSS_STORY(SilentHolders, "a duty is taken from a silent holder only") {
