Entries that the store turns away ask the others; a job's story from logs

They now ask a known holder's entry for the holder rows and the configuration. heathercross explain JOB LOG... prints a job's story from the logs of all entries with the turning points of its pool. Rejections are logged with the work ahead, the cores and how long the store has been away.

--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -61,8 +61,9 @@
 
 CommandList gatherCommands() {
   CommandList All;
-  for (const auto &Group : {ticketCommands(), fleetCommands(), waveCommands(),
-                            jobCommands(), processCommands(), tokenCommands()})
+  for (const auto &Group :
+       {ticketCommands(), fleetCommands(), waveCommands(), jobCommands(),
+        processCommands(), tokenCommands(), explainCommands()})
     std::ranges::copy(Group, std::back_inserter(All));
   return All;
 }
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -37,6 +37,7 @@
 CommandList jobCommands();
 CommandList processCommands();
 CommandList tokenCommands();
+CommandList explainCommands();
 
 /// All commands in the order in which --help shows them.
 const CommandList &commands();
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -238,6 +238,10 @@
     Shared->respond(Picture ? pictureResponse(*Picture) : None);
     return;
   }
+  if (isKnowledgeCall(R)) {
+    Shared->respond(knowledgeResponse(Knowledge_.shared()));
+    return;
+  }
   const auto Job = parseJobCall(R);
   if (!Job) {
     http::Response None;
--- a/src/entry/knowledge.cc
+++ b/src/entry/knowledge.cc
@@ -25,6 +25,9 @@
 /// Rows of workers that vanish while the store is away are back within 2 s of
 /// its return.
 constexpr Millis MissingGrace{2500};
+/// While the store turns this entry away it asks the others.
+constexpr int PeerPollMs = 250;
+constexpr Millis PeerTimeout{600};
 /// Entries with less than this share of a core hold fewer duties.
 constexpr double UsualCpuShare = 0.25;
 
@@ -69,6 +72,50 @@
 void Knowledge::start() {
   OperatorFollower_.start();
   DutiesFollower_.start();
+  connect(&PeerPoll_, &QTimer::timeout, this, [this] {
+    if (DutiesFollower_.failing() || OperatorFollower_.failing())
+      askPeer();
+  });
+  PeerPoll_.start(PeerPollMs);
+}
+
+// The store may turn this entry away and serve the others.
+void Knowledge::askPeer() {
+  std::set<std::string> Addresses;
+  for (const PoolId &P : Duties_.pools())
+    if (const auto H = Duties_.holder(P))
+      Addresses.insert(H->Row_.Address_);
+  Addresses.erase(Context_.Settings_.Peers_.str());
+  if (Addresses.empty() || AskingPeer_)
+    return;
+  const auto Chosen =
+      std::next(Addresses.begin(),
+                static_cast<std::ptrdiff_t>(NextPeer_++ % Addresses.size()));
+  AskingPeer_ = true;
+  askKnowledge(Context_, *Chosen, PeerTimeout,
+               guarded(this, [this](const std::optional<SharedKnowledge> &K) {
+                 AskingPeer_ = false;
+                 if (K)
+                   takeShared(*K);
+               }));
+}
+
+void Knowledge::takeShared(const SharedKnowledge &K) {
+  const Instant Now = Context_.Clock_.now();
+  for (const auto &[Pool, Holder] : K.Holders_)
+    Duties_.saw(Pool, Holder, Now);
+  if (!K.Configuration_.empty())
+    takeConfiguration(K.Configuration_, K.ConfigurationRow_);
+}
+
+SharedKnowledge Knowledge::shared() const {
+  SharedKnowledge K;
+  for (const PoolId &P : Duties_.pools())
+    if (const auto H = Duties_.holder(P))
+      K.Holders_[P] = *H;
+  K.Configuration_ = ConfigurationText_;
+  K.ConfigurationRow_ = ConfigurationRow_;
+  return K;
 }
 
 void Knowledge::followWorkers(bool Follow) {
@@ -89,7 +136,7 @@
     if (Row.Removed_)
       continue;
     if (Row.Place_.Key_ == platform_api::ConfigurationKey)
-      takeConfiguration(Row);
+      takeConfiguration(Row.Value_, Row.Version_);
     else if (auto W = platform_api::parseWave(Row.Place_.Key_, Row.Value_)) {
       NewWave = true;
       Waves_[W->Number_] = std::move(*W);
@@ -99,12 +146,11 @@
     Handlers_.OnWaves_();
 }
 
-void Knowledge::takeConfiguration(const StoredRow &Row) {
-  auto C = platform_api::parseConfiguration(Row.Value_);
+void Knowledge::takeConfiguration(const std::string &Text, RowVersion Row) {
+  auto C = platform_api::parseConfiguration(Text);
   if (!C) {
-    Context_.Log_.write(
-        "configuration-unreadable",
-        {{"row_version", static_cast<qint64>(Row.Version_.value())}});
+    Context_.Log_.write("configuration-unreadable",
+                        {{"row_version", static_cast<qint64>(Row.value())}});
     return;
   }
   if (Configuration_ && Configuration_->Version_ >= C->Version_)
@@ -113,6 +159,8 @@
                       {{"version", static_cast<qint64>(C->Version_)},
                        {"routes", static_cast<qint64>(C->Routes_.size())}});
   Configuration_ = std::move(C);
+  ConfigurationText_ = Text;
+  ConfigurationRow_ = Row;
   std::set<PoolId> Pools{FleetDuty};
   for (const schedule::Route &R : Configuration_->Routes_)
     Pools.insert(R.Settings_.Pool_);
--- a/src/entry/knowledge.h
+++ b/src/entry/knowledge.h
@@ -1,6 +1,7 @@
 // What an entry knows of configuration, workers and duties.
 #pragma once
 
+#include "entry/peer-calls.h"
 #include "entry/table-follower.h"
 #include "schedule/configuration.h"
 #include "schedule/duty-watch.h"
@@ -42,6 +43,8 @@
   const schedule::DutyWatch &duties() const { return Duties_; }
   /// Whether the store answered lately.
   bool storeAnswers() const { return !DutiesFollower_.failing(); }
+  /// What other entries may be told.
+  SharedKnowledge shared() const;
   /// Workers matter only to an entry that holds a duty.
   void followWorkers(bool Follow);
   /// Reads the holder rows at once.
@@ -49,7 +52,9 @@
 
 private:
   void takeOperatorRows(const std::vector<platform_api::StoredRow> &Rows);
-  void takeConfiguration(const platform_api::StoredRow &Row);
+  void takeConfiguration(const std::string &Text, RowVersion Row);
+  void askPeer();
+  void takeShared(const SharedKnowledge &K);
   void takeWorkerRow(const platform_api::StoredRow &Row);
   void dropMissing();
   void takeHolderRows(const std::vector<platform_api::StoredRow> &Rows);
@@ -63,6 +68,11 @@
   std::map<InstanceId, Instant> Missing_;
   std::map<std::uint64_t, schedule::UpkeepWave> Waves_;
   schedule::DutyWatch Duties_;
+  std::string ConfigurationText_;
+  RowVersion ConfigurationRow_;
+  QTimer PeerPoll_;
+  std::size_t NextPeer_ = 0;
+  bool AskingPeer_ = false;
   bool WorkersFollowed_ = false;
   TableFollower OperatorFollower_;
   TableFollower WorkersFollower_;
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -13,6 +13,7 @@
 constexpr int Ok = 200;
 constexpr std::string_view CallPath = "/call";
 constexpr std::string_view VacatePath = "/vacate";
+constexpr std::string_view KnowledgePath = "/knowledge";
 constexpr std::array<const char *, 4> KindNames{"submit", "state", "cancel",
                                                 "queued"};
 constexpr std::array<const char *, 6> AnswerNames{
@@ -64,6 +65,24 @@
   return A;
 }
 
+std::optional<SharedKnowledge> parseKnowledge(const QByteArray &Body) {
+  const auto O = objectOf(Body);
+  if (!O || !O->value("holders").isObject())
+    return std::nullopt;
+  SharedKnowledge K;
+  K.Configuration_ = str(O->value("configuration"));
+  K.ConfigurationRow_ = RowVersion(
+      static_cast<std::uint64_t>(O->value("configuration_row").toDouble()));
+  const QJsonObject Holders = O->value("holders").toObject();
+  for (auto It = Holders.begin(); It != Holders.end(); ++It) {
+    const QJsonArray Row = It.value().toArray();
+    if (const auto H = decodeHolder(str(Row.at(0))))
+      K.Holders_[PoolId(It.key().toStdString())] = {
+          *H, RowVersion(static_cast<std::uint64_t>(Row.at(1).toDouble()))};
+  }
+  return K;
+}
+
 std::optional<PoolPicture> parsePicture(const QByteArray &Body) {
   const auto O = objectOf(Body);
   if (!O || !O->value("loads").isObject())
@@ -157,6 +176,31 @@
                 });
 }
 
+void askKnowledge(Context &C, const std::string &Address, Millis Timeout,
+                  std::function<void(std::optional<SharedKnowledge>)> OnDone) {
+  C.Peers_.send(post(Address, KnowledgePath, {}, Timeout),
+                [OnDone = std::move(OnDone)](const http::Reply &R) {
+                  const bool Good = R.Delivery_ == http::Delivery::Answered &&
+                                    R.Status_ == Ok;
+                  OnDone(Good ? parseKnowledge(R.Body_) : std::nullopt);
+                });
+}
+
+bool isKnowledgeCall(const http::Request &R) {
+  return R.Path_ == QByteArrayView(KnowledgePath.data(), KnowledgePath.size());
+}
+
+http::Response knowledgeResponse(const SharedKnowledge &K) {
+  QJsonObject Holders;
+  for (const auto &[Pool, H] : K.Holders_)
+    Holders[text(Pool.str())] = QJsonArray{
+        text(encodeHolder(H.Row_)), static_cast<qint64>(H.Version_.value())};
+  return jsonResponse({{"holders", Holders},
+                       {"configuration", text(K.Configuration_)},
+                       {"configuration_row",
+                        static_cast<qint64>(K.ConfigurationRow_.value())}});
+}
+
 std::optional<VacateCall> parseVacateCall(const http::Request &R) {
   if (R.Path_ != QByteArrayView(VacatePath.data(), VacatePath.size()))
     return std::nullopt;
--- a/src/entry/peer-calls.h
+++ b/src/entry/peer-calls.h
@@ -4,6 +4,7 @@
 #include "entry/context.h"
 #include "entry/pool-holder.h"
 #include "http/http-server.h"
+#include "schedule/duty-watch.h"
 
 #include <functional>
 #include <string>
@@ -41,6 +42,19 @@
 std::optional<JobCall> parseJobCall(const http::Request &R);
 http::Response peerResponse(const JobAnswer &A);
 
+/// What an entry passes on to those that the store turns away.
+struct SharedKnowledge {
+  std::map<PoolId, schedule::KnownHolder> Holders_;
+  /// The operators' configuration as it stands in the store; empty without.
+  std::string Configuration_;
+  RowVersion ConfigurationRow_;
+};
+
+void askKnowledge(Context &C, const std::string &Address, Millis Timeout,
+                  std::function<void(std::optional<SharedKnowledge>)> OnDone);
+bool isKnowledgeCall(const http::Request &R);
+http::Response knowledgeResponse(const SharedKnowledge &K);
+
 /// Vacating is asked for again all the while it matters, and ends by itself.
 inline constexpr Millis VacateFor{1500};
 
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -7,6 +7,7 @@
 #include <QJsonArray>
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 #include <utility>
 
@@ -290,10 +291,24 @@
   if (!Spec)
     return OnAnswer(Kind::Malformed);
   const Instant Now = Context_.Clock_.now();
+  const Job J(Id, Queue, *Spec, Now);
+  const double Ahead = Scheduler_.workAhead(J, Now, Context_.Clock_.wall());
   const auto Reject = [&](const char *Cause, Millis RetryAfter) {
     JobAnswer A{Kind::Rejected};
     A.RetryAfter_ = RetryAfter;
     A.Cause_ = Cause;
+    QJsonObject F = fields(Id);
+    F["queue"] = text(Queue.str());
+    F["cause"] = Cause;
+    F["cores"] = std::round(Scheduler_.cores());
+    F["work_ahead_core_s"] = std::round(Ahead);
+    F["store_away_ms"] = static_cast<qint64>(
+        Journal_.failingSince()
+            ? toMillis(Now - *Journal_.failingSince()).count()
+            : 0);
+    Context_.Log_.write("job-rejected", F);
+    Context_.Metrics_.add("heathercross_jobs_rejected_total",
+                          "Jobs that were turned away.");
     OnAnswer(A);
   };
   if (Journal_.failingSince() &&
@@ -303,8 +318,6 @@
         return Scheduler_.everFits(S);
       }))
     return Reject("larger-than-any-worker", RetryAfterBurst);
-  const Job J(Id, Queue, *Spec, Now);
-  const double Ahead = Scheduler_.workAhead(J, Now, Context_.Clock_.wall());
   if (!schedule::worthAccepting(J, Scheduler_.settings(Queue), Ahead,
                                 Scheduler_.cores()))
     return Reject("too-much-ahead", RetryAfterBurst);
