Duties of a machine that started again are taken at once

A row held by the same machine's former start is taken at once; one whose address has nobody is taken after 0.8 s. Ruled out: shorter patience for all; a slow holder would lose its duties. Tests: two sections in the story of silent holders.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -51,6 +51,10 @@
     claim(*C);
 }
 
+void Duties::unreachable(const PoolId &Pool) {
+  Knowledge_.duties().unreachable(Pool);
+}
+
 void Duties::claim(const schedule::Claim &C) {
   Claiming_ = true;
   const schedule::HolderRow Self{Context_.Incarnation_,
--- a/src/entry/duties.h
+++ b/src/entry/duties.h
@@ -26,6 +26,9 @@
   /// The scheduler of a pool, if this entry runs it.
   PoolHolder *holder(const PoolId &Pool) const;
 
+  /// Nobody was at the address of a pool's holder.
+  void unreachable(const PoolId &Pool);
+
   /// Gives all duties back and takes no more; then calls back.
   void stop(std::function<void()> OnDone);
   QJsonObject dump() const;
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -144,6 +144,7 @@
                C->Uncertain_ = true;
                return again(C);
              case PeerReply::Kind::Unreachable:
+               Duties_.unreachable(C->Job_.Pool_);
                return again(C);
              }
            }));
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -10,6 +10,8 @@
 
 /// Three renewals of a holder, which come about every 0.6 s.
 constexpr Millis SilentAfter{1800};
+/// Two renewals: a process that has ended leaves its port closed.
+constexpr Millis UnreachableAfter{800};
 /// After a gap between polls, silence is counted anew: nothing could be seen.
 constexpr Millis MaxPollGap{1000};
 /// How much longer an entry waits for each duty that it has.
@@ -19,6 +21,11 @@
 /// Entries that wait equally long are set apart by up to this much.
 constexpr std::uint64_t SpreadMs = 200;
 
+/// The entry's name without what tells its starts apart.
+std::string nameOf(const EntryId &Id) {
+  return Id.str().substr(0, Id.str().find('/'));
+}
+
 } // namespace
 
 DutyWatch::DutyWatch(EntryId Self, double Weight)
@@ -38,6 +45,22 @@
     return;
   W.Known_ = Holder;
   W.QuietSince_ = Now;
+  W.Unreachable_ = false;
+}
+
+void DutyWatch::unreachable(const PoolId &Pool) {
+  Watches_[Pool].Unreachable_ = true;
+}
+
+std::pair<Millis, const char *> DutyWatch::quietLimit(const Watch &W) const {
+  if (!W.Known_ || W.Known_->Row_.Holder_.empty())
+    return {Millis(0), "vacant"};
+  // This very machine held it before it started again.
+  if (nameOf(W.Known_->Row_.Holder_) == nameOf(Self_))
+    return {Millis(0), "own-restart"};
+  if (W.Unreachable_)
+    return {UnreachableAfter, "unreachable"};
+  return {SilentAfter, "silent"};
 }
 
 void DutyWatch::refused(Instant Now) {
@@ -70,17 +93,18 @@
   Micros BestOver{0};
   for (const PoolId &P : Pools_) {
     const Watch &W = Watches_[P];
-    const bool Vacant = !W.Known_ || W.Known_->Row_.Holder_.empty();
-    if (!Vacant && W.Known_->Row_.Holder_ == Self_)
+    if (W.Known_ && W.Known_->Row_.Holder_ == Self_)
       continue;
-    const Micros Limit = (Vacant ? Millis(0) : SilentAfter) + patience(P, Held);
+    const auto [Quiet, Cause] = quietLimit(W);
+    const bool Own =
+        W.Known_ && Quiet == Millis(0) && !W.Known_->Row_.Holder_.empty();
+    const Micros Limit = Own ? Millis(0) : Quiet + patience(P, Held);
     const Micros Over = Now - W.QuietSince_ - Limit;
     if (Over < Micros(0) || (Best && Over <= BestOver))
       continue;
     BestOver = Over;
     Best = Claim{P, W.Known_ ? W.Known_->Version_ : RowVersion(),
-                 W.Known_ ? W.Known_->Row_.Epoch_.next() : Epoch(1),
-                 Vacant ? "vacant" : "silent"};
+                 W.Known_ ? W.Known_->Row_.Epoch_.next() : Epoch(1), Cause};
   }
   return Best;
 }
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -33,6 +33,7 @@
 /// refuse its lower epoch; it only costs a restart of the pool's scheduler.
 class DutyWatch {
 public:
+  /// Self is the entry's name, a slash, and what tells its starts apart.
   /// Weight is the usual processor time against this entry's: above 1 it waits
   /// longer before it takes a duty, below 1 less long.
   DutyWatch(EntryId Self, double Weight);
@@ -43,6 +44,8 @@
   /// The store answered; rows that it didn't report stand as they were.
   void polled(Instant Now);
 
+  /// A call to the holder found nobody at its address.
+  void unreachable(const PoolId &Pool);
   /// A claim was turned away: the store takes no writes, so holders can't show
   /// that they live. Silence is counted anew.
   void refused(Instant Now);
@@ -60,9 +63,13 @@
     std::optional<KnownHolder> Known_;
     /// Since when the row stands still while the store answers.
     Instant QuietSince_;
+    /// Nobody was at the holder's address since then.
+    bool Unreachable_ = false;
   };
 
   Millis patience(const PoolId &Pool, std::size_t Held) const;
+  /// How long the row of a duty has to stand still, and why.
+  std::pair<Millis, const char *> quietLimit(const Watch &W) const;
 
   EntryId Self_;
   double Weight_;
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -88,6 +88,22 @@
             CPPUNIT_ASSERT(!poll(W, Now, Millis(1400)));
             CPPUNIT_ASSERT(poll(W, Now, Seconds(2)).has_value());
           });
+  section("sooner when nobody is at its address", [&] {
+    W.saw(Quotes, holder("e2", 25), Now);
+    const Instant Since = Now;
+    W.unreachable(Quotes);
+    CPPUNIT_ASSERT(poll(W, Now, Seconds(3)).has_value());
+    CPPUNIT_ASSERT(Now - Since >= Millis(800));
+    CPPUNIT_ASSERT(Now - Since <= Millis(1500));
+  });
+  section("at once by the machine that held it before it started again", [&] {
+    DutyWatch Again(EntryId("e2/200"), 1);
+    Again.setPools({Quotes}, Now);
+    Again.saw(Quotes, holder("e2/100", 27), Now);
+    const Instant Since = Now;
+    CPPUNIT_ASSERT(poll(Again, Now, Seconds(1), 3).has_value());
+    CPPUNIT_ASSERT(Now - Since <= Millis(400));
+  });
   section("a holder doesn't take its own duty", [&] {
     W.saw(Quotes, holder("e1", 30), Now);
     CPPUNIT_ASSERT(!poll(W, Now, Seconds(5)));
