Each failed attempt counts once, in whatever order it is heard of

All failed attempts are kept now. Open besides: a failure behind a cut that isn't known yet when the next run starts.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -170,6 +170,9 @@
 
 void Entry::watchStop() {
   const Micros Since = Context_->Clock_.now() - StopAt_;
+  // The balancer has noticed by now; connections that stayed open are told.
+  if (Since > BalancerDelay)
+    Kernel_.find<Front>("front").close();
   const auto Pending = Kernel_.find<Front>("front").pending();
   const bool Drained = HandedOver_ && Pending == 0 && Since > BalancerDelay;
   if (!Drained && Since < Settings_.StopGrace_ - KillMargin)
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -66,6 +66,8 @@
   C->To_ = std::move(To);
   C->Arrived_ = Context_.Clock_.now();
   ++Pending_;
+  if (Closed_)
+    return answer(C, Unavailable, {}, "stopping", RetryAfterTakeover);
   const auto &Configuration = Knowledge_.configuration();
   if (!Configuration)
     return answer(C, Unavailable, {}, "no-configuration", RetryAfterTakeover);
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -22,6 +22,9 @@
   /// A request of another entry.
   void servePeer(http::Request &&R, http::Responder &&To);
 
+  /// From now on new requests are turned away: the process is about to end.
+  void close() { Closed_ = true; }
+
   /// Requests of callers without an answer.
   std::size_t pending() const { return Pending_; }
 
@@ -55,6 +58,7 @@
   const Knowledge &Knowledge_;
   Duties &Duties_;
   std::size_t Pending_ = 0;
+  bool Closed_ = false;
 };
 
 } // namespace heathercross::entry
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -703,7 +703,7 @@
       }));
 }
 
-void PoolHolder::deliver(schedule::Orders Orders) {
+void PoolHolder::deliver(const schedule::Orders &Orders) {
   for (const schedule::StopOrder &O : Orders.Stops_)
     deliverStop(O);
   for (const schedule::PaceOrder &O : Orders.Paces_) {
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -139,7 +139,7 @@
   void renewed(const InstanceId &Id, const platform_api::RenewReply &R,
                Instant SentAt, std::int64_t GrantedMs);
   void askAdvice();
-  void deliver(schedule::Orders Orders);
+  void deliver(const schedule::Orders &Orders);
   void deliverStart(const schedule::StartOrder &O);
   void deliverStop(const schedule::StopOrder &O);
   std::int64_t clockOf(const Link &L) const;
--- a/src/process/event-log.cc
+++ b/src/process/event-log.cc
@@ -14,7 +14,7 @@
 namespace {
 
 /// Room for lines while the reader is slow.
-constexpr std::size_t MaxBufferBytes = 256 * 1024;
+constexpr std::size_t MaxBufferBytes = std::size_t{256} * 1024;
 constexpr std::size_t MaxPieceBytes = 4096;
 /// Lines of one routine kind in a second.
 constexpr std::uint32_t MaxRoutineLines = 150;
--- a/src/process/event-log.h
+++ b/src/process/event-log.h
@@ -51,7 +51,6 @@
   std::string Buffer_;
   std::map<std::string, Rate> Rates_;
   std::uint64_t Dropped_ = 0;
-  std::uint64_t DroppedSaid_ = 0;
   QTimer Flush_;
 };
 
--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -15,7 +15,7 @@
 constexpr char StepEnd = '.';
 constexpr char AttemptEnd = ';';
 constexpr char FirstFailures = '0';
-constexpr std::uint32_t MaxFailuresKept = 9;
+
 /// One letter a state, in the order of JobState.
 constexpr std::string_view StateLetters = "qacfx";
 
@@ -30,16 +30,16 @@
   return std::vector<Occurrence>(Spec.occurrences(), O);
 }
 
-/// A task that isn't done: its failures, and the attempt of the last one.
+/// A task that isn't done: its failures, and their attempts.
 void appendTask(std::string &Text, const TaskState &T) {
   if (T.Phase_ == TaskPhase::Done) {
     Text += DoneMark;
     return;
   }
-  Text +=
-      static_cast<char>(FirstFailures + std::min(T.Failures_, MaxFailuresKept));
-  if (T.Failures_ > 0)
-    Text += std::to_string(T.FailedAttempt_) + AttemptEnd;
+  const auto Count = static_cast<std::uint32_t>(T.FailedAttempts_.size());
+  Text += static_cast<char>(FirstFailures + Count);
+  for (const Attempt A : T.FailedAttempts_)
+    Text += std::to_string(A) + AttemptEnd;
 }
 
 /// Reads a progress text letter by letter.
@@ -190,7 +190,11 @@
           continue;
         }
         T.Failures_ = static_cast<std::uint32_t>(Mark - FirstFailures);
-        T.FailedAttempt_ = T.Failures_ > 0 ? In.attempt() : 0;
+        if (T.Failures_ > MaxFailuresKept)
+          In.fail("unknown task state");
+        T.FailedAttempts_.clear();
+        for (std::uint32_t I = 0; I < T.Failures_; ++I)
+          T.FailedAttempts_.push_back(In.attempt());
       }
       if (In.next() != StepEnd)
         In.fail("wrong length");
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -6,11 +6,15 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace heathercross::schedule {
 
 enum class TaskPhase : std::uint8_t { Waiting, Placed, Done };
 
+/// So many failures of a task are told apart; more don't matter.
+inline constexpr std::uint32_t MaxFailuresKept = 9;
+
 struct TaskState {
   TaskPhase Phase_ = TaskPhase::Waiting;
   /// The highest attempt that this holder ordered or saw.
@@ -18,8 +22,8 @@
   /// New attempts are above this one: earlier holders may have used it.
   Attempt Floor_ = 0;
   std::uint32_t Failures_ = 0;
-  /// The last attempt whose failure was counted.
-  Attempt FailedAttempt_ = 0;
+  /// The attempts whose failures were counted.
+  std::vector<Attempt> FailedAttempts_;
   /// The worker of the present run, or of the last one that failed.
   InstanceId Worker_;
   std::string Checkpoint_;
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -33,10 +33,10 @@
     Log_.push_back({Kind, Key, A, Worker, std::move(Cause)});
 }
 
-void PoolScheduler::setQueues(std::map<QueueId, QueueSettings> Queues) {
+void PoolScheduler::setQueues(const std::map<QueueId, QueueSettings> &Queues) {
   // A queue that is gone from the configuration keeps its rules for the jobs
   // that it accepted.
-  for (auto &[Id, Settings] : Queues)
+  for (const auto &[Id, Settings] : Queues)
     Queues_[Id] = Settings;
 }
 
@@ -217,7 +217,8 @@
 
 void PoolScheduler::loseRuns(Worker &W, const char *Cause) {
   std::vector<TaskKey> Keys;
-  std::ranges::copy(W.runs() | std::views::keys, std::back_inserter(Keys));
+  for (const auto &[Key, R] : W.runs())
+    Keys.push_back(Key);
   for (const TaskKey &Key : Keys)
     release(W, Key, Cause);
 }
@@ -255,9 +256,10 @@
     return;
   // The end may be listed again although it is stored: its acknowledgement
   // was lost with an earlier holder.
-  if (A <= T.FailedAttempt_)
+  if (std::ranges::find(T.FailedAttempts_, A) != T.FailedAttempts_.end() ||
+      T.Failures_ >= MaxFailuresKept)
     return;
-  T.FailedAttempt_ = A;
+  T.FailedAttempts_.push_back(A);
   ++T.Failures_;
   Changed_.insert(J.id());
   std::uint32_t Failures = T.Failures_;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -100,7 +100,7 @@
 /// time runs it, under a fencing epoch that workers check.
 class PoolScheduler {
 public:
-  void setQueues(std::map<QueueId, QueueSettings> Queues);
+  void setQueues(const std::map<QueueId, QueueSettings> &Queues);
 
   /// A worker that is registered. A worker of another pool is forgotten once
   /// nothing of it can run any more.
--- a/test/cli/docs-test.cc
+++ b/test/cli/docs-test.cc
@@ -15,7 +15,7 @@
 
 namespace {
 
-const fs::path Root = fs::path(__FILE__).parent_path() / "../..";
+const fs::path Root = HEATHERCROSS_SOURCE;
 
 std::string read(const fs::path &File) {
   std::ifstream Input(File);
@@ -91,7 +91,7 @@
   section("each metric of the operators' page is reported", [] {
     const std::string Page = read(Root / "docs/OPERATIONS.md");
     expectAll(matches(Page, "`(heathercross_[a-z_]+)`"),
-              sourcesIn("src/daemon"));
+              sourcesIn("src"));
   });
 }
 
--- /dev/null
+++ b/test/entry/rows-test.cc
@@ -0,0 +1,92 @@
+// Tests of an entry's rows and settings.
+#include "entry/entry-settings.h"
+#include "entry/rows.h"
+#include "support/story.h"
+
+#include <fstream>
+#include <iterator>
+
+using namespace heathercross;
+using namespace heathercross::entry;
+using heathercross::test::section;
+
+namespace {
+
+const char *const Settings = R"([entry]
+name = edge-1
+zone = a
+cpu_share = 0.25
+[listen]
+front = 10.1.0.9:8624
+ready = 10.1.0.9:8622
+peers = 10.1.0.9:7060
+[store]
+address = 10.2.0.7:8621
+[machines]
+address = 10.2.0.8:8621
+orders_per_s = 64.0
+[advice]
+address =
+[bounds]
+run_lease_max_ms = 10000
+order_lease_ms = 3000
+status_kept_s = 120
+stop_grace_s = 6
+move_s = 1.5
+upkeep_s = 2
+)";
+
+std::string problemsOf(const std::string &Text) {
+  try {
+    parseEntrySettings(Text, "f");
+  } catch (const settings::SettingsError &E) {
+    std::string All;
+    for (const auto &P : E.problems())
+      All += P.Section_ + "." + P.Key_ + " " + std::string(name(P.Kind_)) + ";";
+    return All;
+  }
+  return {};
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(EntryRows, "rows are read as they were written") {
+  const schedule::HolderRow H{EntryId("edge-1/17"), "10.0.0.1:7060", Epoch(3),
+                              41};
+  CPPUNIT_ASSERT(decodeHolder(encodeHolder(H)) == H);
+  CPPUNIT_ASSERT(!decodeHolder("{}"));
+  const JobRow J{schedule::QueueId("q"), R"({"spec":"\"ä"})",
+                 schedule::WallTime(Millis(1'700'000'000'123)), Epoch(2)};
+  const auto Read = decodeJob(encodeJob(J));
+  CPPUNIT_ASSERT(Read && Read->Body_ == J.Body_ &&
+                 Read->Accepted_ == J.Accepted_ && Read->Epoch_ == J.Epoch_);
+  CPPUNIT_ASSERT(!decodeJob("[]"));
+  const Roster R{{InstanceId("i-1"), "10.0.0.2:80"}};
+  CPPUNIT_ASSERT(decodeRoster(encodeRoster(R)) == R);
+  CPPUNIT_ASSERT(decodeRoster("odd").empty());
+}
+
+HEATHERCROSS_STORY(EntrySettingsFile, "settings are checked as a whole") {
+  section("a sound file is taken", [] {
+    const EntrySettings S = parseEntrySettings(Settings, "f");
+    CPPUNIT_ASSERT_EQUAL(Millis(1500).count(), S.Move_.count());
+    CPPUNIT_ASSERT(!S.Advice_);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.9:7060"), S.Peers_.str());
+  });
+  section("each problem is named", [] {
+    std::string Text = Settings;
+    Text.replace(Text.find("cpu_share = 0.25"), 16, "cpu_share = much");
+    Text.replace(Text.find("10.1.0.9:8622"), 13, "somewhere");
+    Text.replace(Text.find("zone = a"), 8, "town = a");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("entry.zone missing;entry.cpu_share wrong-type;"
+                    "listen.ready wrong-type;entry.town unknown-key;"),
+        problemsOf(Text));
+  });
+  section("the template that the platform fills in has the same keys", [] {
+    std::ifstream In(HEATHERCROSS_SOURCE "/deploy/entry.ini.template");
+    std::string Text{std::istreambuf_iterator<char>(In), {}};
+    CPPUNIT_ASSERT(problemsOf(Text).find("unknown-key") == std::string::npos);
+    CPPUNIT_ASSERT(problemsOf(Text).find("missing") == std::string::npos);
+  });
+}
--- /dev/null
+++ b/test/platform/documents-test.cc
@@ -0,0 +1,103 @@
+// Tests of the documents of operators, workers and submitters.
+#include "platform/documents.h"
+#include "platform/ingress.h"
+#include "platform/names.h"
+#include "support/story.h"
+
+using namespace heathercross;
+using namespace heathercross::platform_api;
+using heathercross::test::section;
+
+namespace {
+
+const char *const Configuration = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","prefix":"/q/","service":"s1","prio":1,
+   "attempts":2,"slo_factor":1.6,"slo_ms":600,"timeout_ms":3000},
+  {"name":"r2","host":"a.example","prefix":"/q/deep/","service":"s2",
+   "hint":{"decide_ms":5,"each_ms":1,"valid_ms":3000}},
+  {"name":"broken","host":3}],
+  "services":[{"name":"s1"},{"name":"off","standby":true}],
+  "limits":{"max_body_bytes":1000},"news":true})";
+
+const char *const Worker = R"({"service":"s1","addr":"10.0.0.9:8080",
+  "zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,
+  "capacity":{"cpu":16000,"mem_mb":32768},"labels":["a","r1-2"],"seq":4})";
+
+} // namespace
+
+HEATHERCROSS_STORY(Configurations, "the configuration is read whole") {
+  const auto C = parseConfiguration(Configuration);
+  CPPUNIT_ASSERT(C && C->Version_ == 7U);
+  section("routes that can't be read are left out", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, C->Routes_.size());
+    CPPUNIT_ASSERT_EQUAL(2U, C->Routes_[0].Settings_.MaxFailures_);
+    CPPUNIT_ASSERT(!C->Routes_[0].Settings_.NeedsAdvice_);
+    CPPUNIT_ASSERT(C->Routes_[1].Settings_.NeedsAdvice_);
+    CPPUNIT_ASSERT(C->Pools_[1].Standby_);
+  });
+  section("the longest prefix decides", [&] {
+    CPPUNIT_ASSERT(C->route("a.example", "/q/x")->Queue_.str() == "r1");
+    CPPUNIT_ASSERT(C->route("a.example", "/q/deep/x")->Queue_.str() == "r2");
+    CPPUNIT_ASSERT(!C->route("b.example", "/q/x"));
+  });
+  section("anything else isn't a configuration", [&] {
+    for (const char *Bad : {"", "[]", "{}", R"({"version":"7","routes":[]})"})
+      CPPUNIT_ASSERT(!parseConfiguration(Bad));
+  });
+}
+
+HEATHERCROSS_STORY(Registrations, "only sound registrations name a worker") {
+  const auto W = parseWorker("i-1", Worker);
+  CPPUNIT_ASSERT(W && W->Rack_ == RackId("r1-2") && !W->Draining_);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, W->Capacity_.CpuMilli_);
+  const std::string Text = Worker;
+  const auto With = [&](const std::string &Old, const std::string &New) {
+    std::string Changed = Text;
+    return Changed.replace(Changed.find(Old), Old.size(), New);
+  };
+  CPPUNIT_ASSERT(parseWorker("i-1", With("ready", "draining"))->Draining_);
+  for (const auto &Bad :
+       {With("\"ready\"", "\"odd\""), With("\"s1\"", "4"),
+        With("{\"cpu\":16000,\"mem_mb\":32768}", "16000"),
+        With("16000", "\"x\""), std::string("\xff\xfe"), std::string("7")})
+    CPPUNIT_ASSERT(!parseWorker("i-1", Bad));
+}
+
+HEATHERCROSS_STORY(Submissions, "a job is read, or turned away as malformed") {
+  const auto J = parseJob(R"({"spec":"x","phases":[
+    {"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"data_rack":"r1-3"},
+    {"count":2,"cpu":2000,"after":[0],"checkpoint":true,"service_mode":true,
+     "lossy":1,"anti_affinity":1,"fills":true}],"new":1})");
+  CPPUNIT_ASSERT(J && J->Steps_.size() == 2 && J->lasting());
+  CPPUNIT_ASSERT_EQUAL(1U, J->Steps_[1].MayBeAway_);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, J->Steps_[1].reserved().CpuMilli_);
+  for (const char *Bad :
+       {"", "{}", R"({"spec":"x","phases":[]})", R"({"phases":[{"count":0}]})",
+        R"({"phases":[{"count":1,"after":[0]}]})",
+        R"({"phases":[{"count":1,"cpu":-1}]})",
+        R"({"phases":[{"count":1,"cpu":"much"}]})"})
+    CPPUNIT_ASSERT(!parseJob(Bad));
+}
+
+HEATHERCROSS_STORY(WaveRows, "a wave is read and its state is written") {
+  const auto W = parseWave(
+      "wave/3",
+      R"({"wave":3,"machines":["m1","m2"],"within_s":20.5,"max_count":2})");
+  CPPUNIT_ASSERT(W && W->Number_ == 3 && W->MaxAtOnce_ == 2);
+  CPPUNIT_ASSERT_EQUAL(Millis(20'500).count(), W->Within_.count());
+  CPPUNIT_ASSERT(!parseWave("config", "{}"));
+  CPPUNIT_ASSERT(!parseWave("wave/4", "{}"));
+  CPPUNIT_ASSERT_EQUAL(std::string("wave/3"), waveStatusKey(3));
+  CPPUNIT_ASSERT(waveStatusText(3, true).find("complete") != std::string::npos);
+}
+
+HEATHERCROSS_STORY(TaskNames, "task names are read as they were written") {
+  const schedule::TaskKey Key{JobId("5c0e7a21d94b36f8"), 0, 1, 17};
+  CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.0.1.17"), taskName(Key));
+  CPPUNIT_ASSERT(parseTaskName(taskName(Key)) == Key);
+  for (const char *Bad : {"", "a", "a.1.2", "a.1.x.3", ".1.2.3", "a.1.2.-3"})
+    CPPUNIT_ASSERT(!parseTaskName(Bad));
+  CPPUNIT_ASSERT(isJobId(JobId("5c0e7a21d94b36f8")));
+  CPPUNIT_ASSERT(!isJobId(JobId("5c0e7a21d94b36f")));
+  CPPUNIT_ASSERT(!isJobId(JobId("5c0e7a21d94b36fx")));
+}
--- /dev/null
+++ b/test/platform/store-test.cc
@@ -0,0 +1,119 @@
+// Tests of the store's client against answers of every kind.
+#include "http/http-server.h"
+#include "platform/store.h"
+#include "support/event-loop.h"
+#include "support/story.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+using namespace heathercross;
+using namespace heathercross::platform_api;
+using heathercross::test::section;
+using heathercross::test::startQt;
+using heathercross::test::waitFor;
+
+namespace {
+
+/// A store that answers every call in one way.
+struct ModelStore {
+  int Status_ = 200;
+  QByteArray Body_ = R"({"ver":12,"now_ms":5})";
+  bool Silent_ = false;
+  QByteArray LastBody_;
+  QByteArray LastPath_;
+  QByteArray LastQuery_;
+  std::vector<http::Responder> Kept_;
+  http::Server Server_{{}, [this](http::Request &&R, http::Responder &&To) {
+                         LastBody_ = R.Body_;
+                         LastPath_ = R.Path_;
+                         LastQuery_ = R.Query_;
+                         if (Silent_)
+                           return Kept_.push_back(To);
+                         http::Response Out;
+                         Out.Status_ = Status_;
+                         Out.Body_ = Body_;
+                         To.respond(Out);
+                       }};
+
+  ModelStore() { Server_.listen(QHostAddress::LocalHost, 0); }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Server_.port());
+  }
+};
+
+StoreReply call(ModelStore &M, const StoreTransaction &T) {
+  http::Client Http;
+  Store S(Http, M.address());
+  std::optional<StoreReply> Reply;
+  S.transact(T, Millis(300), [&](const StoreReply &R) { Reply = R; });
+  waitFor([&] { return Reply.has_value(); });
+  return *Reply;
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(StoreAnswers, "each answer of the store has its meaning") {
+  startQt();
+  ModelStore M;
+  const StoreTransaction T{
+      {{{"t", "p", "k"}, RowVersion(3)}},
+      {{{"t", "p", "k"}, "value"}, {{"t", "p", "gone"}, std::nullopt}}};
+  section("a transaction is spelled as the store wants it", [&] {
+    const StoreReply R = call(M, T);
+    CPPUNIT_ASSERT(R.Outcome_ == StoreOutcome::Ok);
+    CPPUNIT_ASSERT(R.Version_ == RowVersion(12));
+    const QJsonObject O = QJsonDocument::fromJson(M.LastBody_).object();
+    CPPUNIT_ASSERT_EQUAL(3, O["precondition"][0]["ver"].toInt());
+    CPPUNIT_ASSERT(O["set_keys"][0]["value"].toString() == "dmFsdWU=");
+    CPPUNIT_ASSERT(O["remove"][0]["key"].toString() == "gone");
+  });
+  section("refusals did nothing, all else may have", [&] {
+    const std::vector<std::pair<int, StoreOutcome>> Meanings{
+        {429, StoreOutcome::Refused},  {503, StoreOutcome::Refused},
+        {412, StoreOutcome::Conflict}, {410, StoreOutcome::HistoryGone},
+        {500, StoreOutcome::Unknown},  {502, StoreOutcome::Unknown},
+        {400, StoreOutcome::Rejected}, {403, StoreOutcome::Rejected}};
+    for (const auto &[Status, Outcome] : Meanings) {
+      M.Status_ = Status;
+      CPPUNIT_ASSERT(call(M, T).Outcome_ == Outcome);
+    }
+    M.Status_ = 200;
+  });
+  section("an answer that can't be read may have done something", [&] {
+    M.Body_ = "{";
+    CPPUNIT_ASSERT(call(M, T).Outcome_ == StoreOutcome::Unknown);
+  });
+  section("so may no answer", [&] {
+    M.Silent_ = true;
+    CPPUNIT_ASSERT(call(M, T).Outcome_ == StoreOutcome::Unknown);
+  });
+  section("a call that never left did nothing", [&] {
+    http::Client Http;
+    Store S(Http, "127.0.0.1:1");
+    std::optional<StoreReply> Reply;
+    S.transact(T, Millis(500), [&](const StoreReply &R) { Reply = R; });
+    waitFor([&] { return Reply.has_value(); });
+    CPPUNIT_ASSERT(Reply->Outcome_ == StoreOutcome::Refused);
+  });
+}
+
+HEATHERCROSS_STORY(StoreRows, "rows are read with their versions") {
+  startQt();
+  ModelStore M;
+  M.Body_ = R"({"rows":[
+    {"table":"t","part":"p","key":"a","value":"b25l","ver":4},
+    {"table":"t","part":"p","key":"b","deleted":true,"ver":5},
+    {"odd":1}],"has_more":true,"ver":9})";
+  http::Client Http;
+  Store S(Http, M.address());
+  std::optional<StoreReply> Reply;
+  S.read("t", "a part", "from me", Millis(1000),
+         [&](const StoreReply &R) { Reply = R; });
+  waitFor([&] { return Reply.has_value(); });
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Reply->Rows_.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("one"), Reply->Rows_[0].Value_);
+  CPPUNIT_ASSERT(Reply->Rows_[1].Removed_ && Reply->More_);
+  CPPUNIT_ASSERT(M.LastQuery_ == "table=t&part=a%20part&from=from%20me");
+}
--- a/test/schedule/job-test.cc
+++ b/test/schedule/job-test.cc
@@ -27,7 +27,7 @@
   J.finishTask({JobId("j"), 0, 0, 1});
   TaskState &T = J.task({JobId("j"), 0, 1, 0});
   T.Failures_ = 2;
-  T.FailedAttempt_ = 17;
+  T.FailedAttempts_ = {1, 17};
   J.setState(JobState::Active);
   const std::string Text = J.encodeProgress();
   section("by another holder", [&] {
@@ -36,7 +36,8 @@
     CPPUNIT_ASSERT_EQUAL(Text, Other.encodeProgress());
     CPPUNIT_ASSERT(Other.state() == JobState::Active);
     CPPUNIT_ASSERT_EQUAL(2U, Other.task({JobId("j"), 0, 1, 0}).Failures_);
-    CPPUNIT_ASSERT_EQUAL(17U, Other.task({JobId("j"), 0, 1, 0}).FailedAttempt_);
+    CPPUNIT_ASSERT_EQUAL(
+        17U, Other.task({JobId("j"), 0, 1, 0}).FailedAttempts_.at(1));
     CPPUNIT_ASSERT_EQUAL(1U, Other.occurrences()[0].Steps_[0].Done_);
   });
   section("and a text of another form is reported", [&] {
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -255,6 +255,29 @@
   CPPUNIT_ASSERT(P.state("j1") == JobState::Complete);
 }
 
+HEATHERCROSS_STORY(FailureLate,
+                   "a failure counts, however late it is heard of") {
+  ModelPool P;
+  P.addWorker("w1").FailsAll_ = true;
+  P.submit("j1", job({step(1, 1000, Millis(300))}));
+  CPPUNIT_ASSERT(P.runUntil(Seconds(1), [&] { return P.Starts_ == 1; }));
+  // The first run fails behind a cut; the second one fails elsewhere.
+  P.Workers_.at(InstanceId("w1")).Cut_ = true;
+  ModelWorker &Second = P.addWorker("w2");
+  Second.FailsAll_ = true;
+  CPPUNIT_ASSERT(P.runUntil(Seconds(9), [&] { return P.Starts_ == 2; }));
+  Second.FailsAll_ = false;
+  Second.Slowness_ = 10;
+  P.run(Millis(200));
+  CPPUNIT_ASSERT_EQUAL(3U, P.Starts_);
+  P.Workers_.at(InstanceId("w1")).Cut_ = false;
+  P.run(Millis(100));
+  CPPUNIT_ASSERT_EQUAL(
+      2U,
+      P.Scheduler_.find(JobId("j1"))->task({JobId("j1"), 0, 0, 0}).Failures_);
+  CPPUNIT_ASSERT(P.state("j1") == JobState::Failed);
+}
+
 HEATHERCROSS_STORY(Draining, "workers are emptied without harm") {
   ModelPool P;
   for (const char *Id : {"w1", "w2", "w3"})
