--- a/test/cli/docs-test.cc
+++ b/test/cli/docs-test.cc
@@ -90,8 +90,7 @@
   });
   section("each metric of the operators' page is reported", [] {
     const std::string Page = read(Root / "docs/OPERATIONS.md");
-    expectAll(matches(Page, "`(heathercross_[a-z_]+)`"),
-              sourcesIn("src"));
+    expectAll(matches(Page, "`(heathercross_[a-z_]+)`"), sourcesIn("src"));
   });
 }
 
--- a/test/schedule/machines-test.cc
+++ b/test/schedule/machines-test.cc
@@ -5,6 +5,8 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace heathercross;
 using namespace heathercross::schedule;
 using heathercross::test::section;
