What nothing used is gone from the holder, the scheduler and the knowledge

An unused parameter each in renewed and moveLasting, a counter that nobody read, a handler without work, and a const_cast.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -62,7 +62,6 @@
     Kernel_.find<Duties>("duties").onConfiguration();
   };
   Handlers.OnWorkers_ = [this] { Kernel_.find<Duties>("duties").onWorkers(); };
-  Handlers.OnWaves_ = [] {};
   Handlers.OnDuties_ = [this] { Kernel_.find<Duties>("duties").onDuties(); };
   auto &Known =
       Kernel_.add<Knowledge>("knowledge", *Context_, std::move(Handlers));
--- a/src/entry/knowledge.cc
+++ b/src/entry/knowledge.cc
@@ -131,19 +131,14 @@
 }
 
 void Knowledge::takeOperatorRows(const std::vector<StoredRow> &Rows) {
-  bool NewWave = false;
   for (const StoredRow &Row : Rows) {
     if (Row.Removed_)
       continue;
     if (Row.Place_.Key_ == platform_api::ConfigurationKey)
       takeConfiguration(Row.Value_, Row.Version_);
-    else if (auto W = platform_api::parseWave(Row.Place_.Key_, Row.Value_)) {
-      NewWave = true;
+    else if (auto W = platform_api::parseWave(Row.Place_.Key_, Row.Value_))
       Waves_[W->Number_] = std::move(*W);
-    }
   }
-  if (NewWave)
-    Handlers_.OnWaves_();
 }
 
 void Knowledge::takeConfiguration(const std::string &Text, RowVersion Row) {
--- a/src/entry/knowledge.h
+++ b/src/entry/knowledge.h
@@ -20,7 +20,6 @@
   struct Handlers {
     std::function<void()> OnConfiguration_;
     std::function<void()> OnWorkers_;
-    std::function<void()> OnWaves_;
     /// The holder rows are current.
     std::function<void()> OnDuties_;
   };
--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -91,12 +91,12 @@
   L.RenewInFlight_ = true;
   Context_.Workers_.renew({Id, L.Address_}, Call, RenewTimeout,
                           guarded(this, [this, Id, Now](const RenewReply &R) {
-                            renewed(Id, R, Now, 0);
+                            renewed(Id, R, Now);
                           }));
 }
 
 void PoolHolder::renewed(const InstanceId &Id, const RenewReply &R,
-                         Instant SentAt, std::int64_t) {
+                         Instant SentAt) {
   const auto It = Links_.find(Id);
   if (Lost_ || It == Links_.end())
     return;
@@ -113,14 +113,12 @@
     return kick();
   case WorkerCallOutcome::Refused:
   case WorkerCallOutcome::Unknown:
-    ++L.Failures_;
     L.NextRenew_ = Now + RetryPause;
     Scheduler_.silent(Id, Now);
     return kick();
   case WorkerCallOutcome::Ok:
     break;
   }
-  L.Failures_ = 0;
   if (L.Born_ != R.Report_.Born_)
     L.EndsStored_ = 0;
   L.Born_ = R.Report_.Born_;
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -105,7 +105,6 @@
     /// Ends up to this one are durable.
     std::uint64_t EndsStored_ = 0;
     std::int64_t Born_ = 0;
-    std::uint32_t Failures_ = 0;
   };
   struct Waiter {
     schedule::PoolJournal::Ticket Ticket_ = 0;
@@ -137,7 +136,7 @@
 
   void renew(const InstanceId &Id, Link &L);
   void renewed(const InstanceId &Id, const platform_api::RenewReply &R,
-               Instant SentAt, std::int64_t GrantedMs);
+               Instant SentAt);
   void askAdvice();
   void deliver(const schedule::Orders &Orders);
   void deliverStart(const schedule::StartOrder &O);
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -52,7 +52,7 @@
 Orders PoolScheduler::step(Instant Now, WallTime Wall) {
   Orders Out;
   expire(Now);
-  moveLasting(Now, Out);
+  moveLasting(Now);
   orderStops(Now, Out);
   orderPaces(Now, Out);
   orderStarts(Now, Wall, Out);
@@ -115,7 +115,7 @@
   return Away;
 }
 
-void PoolScheduler::moveLasting(Instant Now, Orders &) {
+void PoolScheduler::moveLasting(Instant Now) {
   for (auto &[Id, W] : Workers_) {
     const bool Leaving = W.info().Draining_;
     if (!Leaving && W.VacateUntil_ <= Now)
@@ -131,7 +131,7 @@
       const std::uint32_t Limit = std::max(1U, S.MayBeAway_);
       if (!Leaving && Away >= Limit)
         continue;
-      const ReadyStep Step{{}, findJob(Key.Job_), Key.Occurrence_, Key.Step_};
+      const ReadyStep Step{{}, J, Key.Occurrence_, Key.Step_};
       TaskState Elsewhere = J->task(Key);
       if (!choose(candidates(*J, Step, Now), request(*J, Step, Elsewhere)))
         continue;
@@ -215,8 +215,7 @@
   for (const JobId &Id : Open_) {
     if (!RestoredToo && Restored_.contains(Id))
       continue;
-    // The scheduler owns its jobs; the const view only keeps this a query.
-    auto &J = const_cast<Job &>(Jobs_.at(Id));
+    const Job &J = Jobs_.at(Id);
     for (std::uint32_t O = 0; O < J.occurrences().size(); ++O)
       for (std::uint32_t S = 0; S < J.spec().Steps_.size(); ++S) {
         const StepState &State = J.occurrences()[O].Steps_[S];
@@ -298,7 +297,7 @@
 }
 
 void PoolScheduler::startTasks(const ReadyStep &S, Instant Now, Orders &Out) {
-  Job &J = *S.Job_;
+  Job &J = *findJob(S.Job_->id());
   std::vector<Candidate> Places = candidates(J, S, Now);
   auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
@@ -315,7 +314,7 @@
 }
 
 void PoolScheduler::startGang(const ReadyStep &S, Instant Now, Orders &Out) {
-  Job &J = *S.Job_;
+  Job &J = *findJob(S.Job_->id());
   const StepSpec &Spec = J.spec().Steps_[S.Step_];
   auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
   const auto IsWaiting = [](TaskPhase P) { return P == TaskPhase::Waiting; };
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -183,7 +183,7 @@
   };
   struct ReadyStep {
     Rank Rank_;
-    Job *Job_ = nullptr;
+    const Job *Job_ = nullptr;
     std::uint32_t Occurrence_ = 0;
     std::uint32_t Step_ = 0;
   };
@@ -207,7 +207,7 @@
   void expire(Instant Now);
   void orderStops(Instant Now, Orders &Out);
   void findStuck(Worker &W, Instant Now);
-  void moveLasting(Instant Now, Orders &Out);
+  void moveLasting(Instant Now);
   void orderPaces(Instant Now, Orders &Out);
   void orderStarts(Instant Now, WallTime Wall, Orders &Out);
   void startTasks(const ReadyStep &S, Instant Now, Orders &Out);
