Machines are ordered on counted arrivals; calls follow a new holder

(1) The rate of arriving work was an average over 0.7 s, so a pool whose turn came got its machines one to two seconds late. (2) A call to a holder in a zone that had just been cut off hung for 1.6 s and was then given up, though another entry held the duty by then; entries in the cut zone kept callers until their deadline. (3) Tasks went on being ordered on workers that owed answers; each of them waited for the end of its leases. (4) A new holder of the fleet's duty ordered nothing for 3.3 s, also after a planned handover and after its own restart.

Ruled out: a longer Retry-After for callers in a cut zone. A caller has 3 s in all, so a later return is no return.

The front checks a holder that owes an answer, and offers hung calls to the next holder; a call is meant for one epoch of the duty, so that it can't be carried out later by the same entry. Without store and other zones an entry answers at once and isn't ready. A worker that owes an answer for 0.3 s gets no more orders. A holder that gives the fleet's duty back names the machines that it ordered lately; only those wait.

Story "a pool gives its surplus, and no more" failed first.

Not covered by a test yet: the front's checking of holders, readiness of cut entries, the late orders of a handover.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -45,7 +45,7 @@
     const bool Running =
         P == FleetDuty ? Fleet_ != nullptr : Holders_.contains(P);
     if (Known && Known->Row_.Holder_ == Context_.Incarnation_ && !Running)
-      begin(P, Known->Row_, Known->Version_);
+      begin(P, Known->Row_, Known->Version_, schedule::ClaimCause::Silent);
   }
   if (const auto C = Knowledge_.duties().due(held(), Context_.Clock_.now()))
     claim(*C);
@@ -69,7 +69,7 @@
             {{"pool", C.Pool_.str().c_str()},
              {"epoch", static_cast<qint64>(C.Epoch_.value())},
              {"row_version", static_cast<qint64>(C.Version_.value())},
-             {"cause", C.Cause_},
+             {"cause", schedule::causeName(C.Cause_)},
              {"outcome", platform_api::outcomeName(R.Outcome_)}});
         const Instant Now = Context_.Clock_.now();
         if (R.Outcome_ == StoreOutcome::Conflict) {
@@ -81,12 +81,12 @@
         if (R.Outcome_ != StoreOutcome::Ok)
           return Knowledge_.duties().refused(Now);
         Knowledge_.duties().saw(C.Pool_, {Self, R.Version_}, Now);
-        begin(C.Pool_, Self, R.Version_);
+        begin(C.Pool_, Self, R.Version_, C.Cause_);
       }));
 }
 
 void Duties::begin(const PoolId &Pool, const schedule::HolderRow &Self,
-                   RowVersion Guard) {
+                   RowVersion Guard, schedule::ClaimCause Cause) {
   if (Stopping_)
     return;
   Knowledge_.followWorkers(true);
@@ -98,7 +98,7 @@
   };
   if (Pool == FleetDuty) {
     Fleet_ = std::make_unique<FleetKeeper>(
-        Context_, Knowledge_, Self, Guard,
+        Context_, Knowledge_, Self, Guard, Cause,
         [this](const PoolId &P) { return holder(P); }, OnLost);
     return;
   }
--- a/src/entry/duties.h
+++ b/src/entry/duties.h
@@ -36,7 +36,7 @@
 private:
   void claim(const schedule::Claim &C);
   void begin(const PoolId &Pool, const schedule::HolderRow &Self,
-             RowVersion Guard);
+             RowVersion Guard, schedule::ClaimCause Cause);
   void ended(const PoolId &Pool);
   std::size_t held() const;
   void handedOver();
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -62,7 +62,10 @@
     Kernel_.find<Duties>("duties").onConfiguration();
   };
   Handlers.OnWorkers_ = [this] { Kernel_.find<Duties>("duties").onWorkers(); };
-  Handlers.OnDuties_ = [this] { Kernel_.find<Duties>("duties").onDuties(); };
+  Handlers.OnDuties_ = [this] {
+    Kernel_.find<Duties>("duties").onDuties();
+    Kernel_.find<Front>("front").onDuties();
+  };
   auto &Known =
       Kernel_.add<Knowledge>("knowledge", *Context_, std::move(Handlers));
   auto &Held = Kernel_.add<Duties>("duties", *Context_, Known);
@@ -99,8 +102,8 @@
 }
 
 bool Entry::ready() const {
-  return !Stopping_ &&
-         Kernel_.find<Knowledge>("knowledge").configuration().has_value();
+  const auto &Known = Kernel_.find<Knowledge>("knowledge");
+  return !Stopping_ && Known.configuration().has_value() && !Known.isolated();
 }
 
 void Entry::serveReady(http::Request &&, http::Responder &&To) {
--- a/src/entry/fleet-keeper.cc
+++ b/src/entry/fleet-keeper.cc
@@ -36,14 +36,17 @@
 /// A machine that moved is listed in its pool, and its new instance
 /// registered, this much later than the move takes.
 constexpr Millis MoveMargin{400};
+/// The row with the machines that a holder ordered before it gave the duty
+/// back; other rows of the table are named by a wave's number.
+constexpr const char *LateOrdersKey = "late-orders";
 /// Room for clocks and calls on top of the platform's order lease.
 constexpr Millis OrderLeaseMargin{300};
 
 QString text(const std::string &T) { return QString::fromStdString(T); }
 
-std::string encodeMachines(const std::map<MachineId, Instant> &Begun) {
+std::string encodeMachines(const std::set<MachineId> &Ids) {
   QJsonArray A;
-  for (const auto &[Id, At] : Begun)
+  for (const MachineId &Id : Ids)
     A.append(text(Id.str()));
   return QJsonDocument(A).toJson(QJsonDocument::Compact).toStdString();
 }
@@ -61,12 +64,13 @@
 
 FleetKeeper::FleetKeeper(Context &C, const Knowledge &K,
                          schedule::HolderRow Self, RowVersion Guard,
-                         LocalHolder Local, std::function<void()> OnLost)
+                         schedule::ClaimCause Cause, LocalHolder Local,
+                         std::function<void()> OnLost)
     : Context_(C), Knowledge_(K), Local_(std::move(Local)),
       OnLost_(std::move(OnLost)),
       Writer_(C, FleetDuty, std::move(Self), Guard,
               {[] {}, [this] { lose("row-taken"); }}),
-      Since_(C.Clock_.now()) {
+      Since_(C.Clock_.now()), Cause_(Cause) {
   connect(&Tick_, &QTimer::timeout, this, [this] { tick(); });
   Tick_.start(TickMs);
   load();
@@ -80,9 +84,14 @@
           QTimer::singleShot(OrderRetry, this, [this] { load(); });
           return;
         }
-        for (const auto &Row : R.Rows_)
+        for (const auto &Row : R.Rows_) {
+          if (Row.Place_.Key_ == LateOrdersKey) {
+            FormerOrders_ = decodeMachines(Row.Value_);
+            continue;
+          }
           Stored_[std::strtoull(Row.Place_.Key_.c_str(), nullptr, 10)] =
               decodeMachines(Row.Value_);
+        }
         Loaded_ = true;
         Context_.Log_.write(
             "duty-loaded",
@@ -106,12 +115,32 @@
 }
 
 bool FleetKeeper::mayOrder() const {
+  return Loaded_ && !Leaving_ &&
+         Context_.Clock_.now() - Writer_.journal().renewedAt() < MaxRenewalAge;
+}
+
+bool FleetKeeper::heldBack(const MachineId &Id) const {
+  if (Context_.Clock_.now() - Since_ >=
+      Context_.Settings_.OrderLease_ + OrderLeaseMargin)
+    return false;
+  // A holder that gave the duty back named the machines; one that ran on this
+  // machine before has ended.
+  if (Cause_ == schedule::ClaimCause::Vacant)
+    return FormerOrders_.contains(Id);
+  return Cause_ != schedule::ClaimCause::OwnRestart;
+}
+
+void FleetKeeper::noteOrder(const MachineId &Id) {
+  Orders_[Id] = Context_.Clock_.now();
+}
+
+std::set<MachineId> FleetKeeper::lateOrders() const {
   const Instant Now = Context_.Clock_.now();
-  const bool First = Writer_.journal().self().Epoch_ == Epoch(1);
-  const Millis Wait =
-      First ? Millis(0) : Context_.Settings_.OrderLease_ + OrderLeaseMargin;
-  return Loaded_ && !Leaving_ && Now - Since_ >= Wait &&
-         Now - Writer_.journal().renewedAt() < MaxRenewalAge;
+  std::set<MachineId> Late;
+  for (const auto &[Id, At] : Orders_)
+    if (Now - At < Context_.Settings_.OrderLease_ + CallTimeout)
+      Late.insert(Id);
+  return Late;
 }
 
 void FleetKeeper::tick() {
@@ -175,7 +204,7 @@
     S.Lasting_ = L.Lasting_;
     S.Vacating_ = L.Vacating_;
     S.Known_ = L.Known_;
-    S.Reserved_ = Reserved_.contains(Id);
+    S.Reserved_ = Reserved_.contains(Id) || heldBack(Id);
     if (const auto It = Moving_.find(Id); It != Moving_.end()) {
       S.Pool_ = It->second.To_;
       S.Up_ = false;
@@ -196,9 +225,10 @@
   std::map<PoolId, schedule::PoolNeed> Needs;
   for (const auto &[Pool, Dated] : Pictures_) {
     const PoolPicture &P = Dated.Picture_;
-    Needs[Pool] = {std::max(P.Demand_.Running_ + P.Demand_.WaitingInTime_,
-                            P.Demand_.Arriving_) +
-                       P.Demand_.Lasting_,
+    // What waits comes on top of what keeps up with the arrivals, or it would
+    // wait until the arrivals end.
+    Needs[Pool] = {std::max(P.Demand_.Running_, P.Demand_.Arriving_) +
+                       P.Demand_.WaitingInTime_ + P.Demand_.Lasting_,
                    P.Demand_.WaitingLate_, P.Demand_.MinWorkers_};
   }
   const auto Step = Sizing_.step(Needs, sizedMachines(), standby(), Now);
@@ -208,6 +238,7 @@
   if (mayOrder())
     for (const schedule::MachineMove &M : Step.Moves_) {
       Moving_[M.Machine_] = {M.To_, std::nullopt};
+      noteOrder(M.Machine_);
       orderMove(M);
     }
   // What moves takes nothing new until the order's fate is known.
@@ -344,6 +375,9 @@
   }
   if (mayOrder())
     for (const MachineId &Id : Step.Order_) {
+      if (heldBack(Id))
+        continue;
+      noteOrder(Id);
       W.Plan_.ordered(Id);
       orderUpkeep(W.Plan_.wave().Number_, Id);
     }
@@ -400,9 +434,12 @@
   if (W.Plan_.begun().size() == W.StoredCount_)
     return;
   W.StoredCount_ = W.Plan_.begun().size();
+  std::set<MachineId> Begun;
+  for (const auto &[Id, At] : W.Plan_.begun())
+    Begun.insert(Id);
   W.Ticket_ = Writer_.journal().put({schedule::RowKind::Wave,
                                      std::to_string(W.Plan_.wave().Number_),
-                                     encodeMachines(W.Plan_.begun())},
+                                     encodeMachines(Begun)},
                                     true, Context_.Clock_.now());
 }
 
@@ -427,11 +464,10 @@
 }
 
 void FleetKeeper::askHolders() {
-  std::set<PoolId> Pools;
-  for (const auto &[Id, M] : Machines_)
-    if (Knowledge_.duties().pools().contains(M.Pool_))
-      Pools.insert(M.Pool_);
-  for (const PoolId &P : Pools) {
+  // Also pools that have no machine at the moment.
+  for (const PoolId &P : Knowledge_.duties().pools()) {
+    if (P == FleetDuty)
+      continue;
     const std::set<InstanceId> &Workers = Vacating_[P];
     if (PoolHolder *H = Local_(P)) {
       if (!Workers.empty())
@@ -457,6 +493,9 @@
 
 void FleetKeeper::handOver(std::function<void()> OnDone) {
   Leaving_ = true;
+  Writer_.journal().put(
+      {schedule::RowKind::Wave, LateOrdersKey, encodeMachines(lateOrders())},
+      true, Context_.Clock_.now());
   OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
     Writer_.giveBack(guarded(this, [this, OnDone] {
       lose("handed-over");
--- a/src/entry/fleet-keeper.h
+++ b/src/entry/fleet-keeper.h
@@ -21,7 +21,7 @@
   using LocalHolder = std::function<PoolHolder *(const PoolId &)>;
 
   FleetKeeper(Context &C, const Knowledge &K, schedule::HolderRow Self,
-              RowVersion Guard, LocalHolder Local,
+              RowVersion Guard, schedule::ClaimCause Cause, LocalHolder Local,
               std::function<void()> OnLost);
 
   void handOver(std::function<void()> OnDone);
@@ -57,6 +57,12 @@
   void storeWave(WaveState &W);
   void writeStatus(WaveState &W, bool Complete);
   bool mayOrder() const;
+  /// Whether a former holder may have ordered the machine so lately that
+  /// another one may not yet.
+  bool heldBack(const schedule::MachineId &Id) const;
+  void noteOrder(const schedule::MachineId &Id);
+  /// Machines that this holder ordered within the platform's order lease.
+  std::set<schedule::MachineId> lateOrders() const;
   std::map<schedule::MachineId, schedule::MachineLoad> loads() const;
   void lose(const char *Cause);
 
@@ -66,6 +72,12 @@
   std::function<void()> OnLost_;
   JournalWriter Writer_;
   Instant Since_;
+  schedule::ClaimCause Cause_;
+  /// Machines that the former holder had ordered shortly before it gave the
+  /// duty back.
+  std::set<schedule::MachineId> FormerOrders_;
+  /// When this holder ordered each machine last.
+  std::map<schedule::MachineId, Instant> Orders_;
   bool Loaded_ = false;
   bool Lost_ = false;
   bool Leaving_ = false;
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -28,9 +28,16 @@
 
 /// Until a request is offered to a holder again.
 constexpr Millis RetryPause{70};
-/// A submission waits this long for a pool without a reachable holder; its
-/// caller comes again when the duty has been taken over.
-constexpr Millis HolderPatience{1200};
+/// A submission waits this long for a pool without a reachable holder: a duty
+/// is taken over within 2 s.
+constexpr Millis HolderPatience{2200};
+/// A holder that hasn't answered for so long is checked: a call usually takes
+/// 30 ms, and several times that on a slow entry.
+constexpr Millis CheckAfter{250};
+constexpr Millis PingTimeout{300};
+/// For so long an entry that the store doesn't answer relies on the last
+/// contact with a holder, or on the lack of one.
+constexpr Millis ContactAge{500};
 /// An answer is sent this long before the caller stops to wait.
 constexpr Millis AnswerMargin{150};
 /// A call to another entry that takes longer is repeated; ids make it safe.
@@ -116,7 +123,7 @@
         guarded(this, [this, C](const JobAnswer &A) { take(C, A); }));
   if (!Known || Known->Row_.Holder_ == Context_.Incarnation_)
     return again(C);
-  askHolder(C, Known->Row_.Address_);
+  askHolder(C, *Known);
 }
 
 void Front::askLocal(PoolHolder &H, const JobCall &Job,
@@ -133,12 +140,108 @@
   }
 }
 
-void Front::askHolder(const CallPtr &C, const std::string &Address) {
+void Front::onDuties() {
+  std::vector<CallPtr> Moved;
+  std::erase_if(Asking_, [&](const std::weak_ptr<Call> &Weak) {
+    const CallPtr C = Weak.lock();
+    if (!C || C->Answered_ || !C->Asked_)
+      return true;
+    const auto Known = Knowledge_.duties().holder(C->Job_.Pool_);
+    if (!Known || Known->Row_.Epoch_ <= *C->Asked_)
+      return false;
+    Moved.push_back(C);
+    return true;
+  });
+  for (const CallPtr &C : Moved) {
+    C->Asked_.reset();
+    C->Uncertain_ = true;
+    attempt(C);
+  }
+}
+
+void Front::checkHolder(const PoolId &Pool,
+                        const schedule::KnownHolder &Holder) {
+  Contact &At = Contacts_[Holder.Row_.Address_];
+  if (std::exchange(At.Checking_, true))
+    return;
+  ping(Context_, Holder.Row_.Address_, PingTimeout,
+       guarded(this, [this, Pool, Holder](bool Answered) {
+         checked(Pool, Holder, Answered);
+       }));
+}
+
+void Front::checked(const PoolId &Pool, const schedule::KnownHolder &Holder,
+                    bool Answered) {
+  const Instant Now = Context_.Clock_.now();
+  Contact &At = Contacts_[Holder.Row_.Address_];
+  At.Checking_ = false;
+  (Answered ? At.Heard_ : At.Missed_) = Now;
+  std::vector<CallPtr> Waiting = std::exchange(At.Waiting_, {});
+  if (Answered) {
+    for (const CallPtr &C : Waiting)
+      send(C, Holder);
+    return;
+  }
+  Context_.Log_.write(
+      "holder-unreachable",
+      {{"pool", text(Pool.str())},
+       {"holder", text(Holder.Row_.Holder_.str())},
+       {"epoch", static_cast<qint64>(Holder.Row_.Epoch_.value())},
+       {"row_version", static_cast<qint64>(Holder.Version_.value())},
+       {"store_answers", Knowledge_.storeAnswers()}});
+  Duties_.unreachable(Pool);
+  // With the store, another holder will be known soon; without it, nothing
+  // can be done for these callers here.
+  if (Knowledge_.storeAnswers())
+    return;
+  for (const std::weak_ptr<Call> &Weak : Asking_)
+    if (const CallPtr C = Weak.lock();
+        C && C->Asked_ == Holder.Row_.Epoch_ && C->Job_.Pool_ == Pool) {
+      C->Uncertain_ = true;
+      Waiting.push_back(C);
+    }
+  for (const CallPtr &C : Waiting)
+    giveUp(C);
+}
+
+void Front::askHolder(const CallPtr &C, const schedule::KnownHolder &Holder) {
+  if (Knowledge_.storeAnswers())
+    return send(C, Holder);
+  // An entry without the store may be cut off from the holder, too. A request
+  // that was never sent can be rejected for certain.
+  const Instant Now = Context_.Clock_.now();
+  Contact &At = Contacts_[Holder.Row_.Address_];
+  if (Now - At.Heard_ < ContactAge)
+    return send(C, Holder);
+  if (Now - At.Missed_ < ContactAge)
+    return giveUp(C);
+  At.Waiting_.push_back(C);
+  checkHolder(C->Job_.Pool_, Holder);
+}
+
+void Front::send(const CallPtr &C, const schedule::KnownHolder &Holder) {
+  if (C->Answered_)
+    return;
+  const Epoch E = Holder.Row_.Epoch_;
+  C->Asked_ = E;
+  C->Job_.Epoch_ = E;
+  Asking_.push_back(C);
+  QTimer::singleShot(CheckAfter, this, [this, C, E, Holder] {
+    if (!C->Answered_ && C->Asked_ == E)
+      checkHolder(C->Job_.Pool_, Holder);
+  });
   const Millis Left = toMillis(C->Deadline_ - Context_.Clock_.now());
   const Millis Timeout =
       std::max(AnswerMargin, std::min(PeerTimeout, Left - AnswerMargin));
-  callPeer(Context_, Address, C->Job_, Timeout,
-           guarded(this, [this, C](const PeerReply &R) {
+  callPeer(Context_, Holder.Row_.Address_, C->Job_, Timeout,
+           guarded(this, [this, C, E,
+                          Address = Holder.Row_.Address_](const PeerReply &R) {
+             // The call went to another holder in the meantime.
+             if (C->Asked_ != E)
+               return;
+             C->Asked_.reset();
+             if (R.Kind_ == PeerReply::Kind::Answered)
+               Contacts_[Address].Heard_ = Context_.Clock_.now();
              switch (R.Kind_) {
              case PeerReply::Kind::Answered:
                return take(C, R.Answer_);
@@ -241,6 +344,10 @@
     Shared->respond(Picture ? pictureResponse(*Picture) : None);
     return;
   }
+  if (isPing(R)) {
+    Shared->respond(http::Response());
+    return;
+  }
   if (isKnowledgeCall(R)) {
     Shared->respond(knowledgeResponse(Knowledge_.shared()));
     return;
@@ -253,7 +360,7 @@
     return;
   }
   PoolHolder *H = Duties_.holder(Job->Pool_);
-  if (!H) {
+  if (!H || H->self().Epoch_ != Job->Epoch_) {
     Shared->respond(peerResponse(AnswerKind::NotHolder));
     return;
   }
--- a/src/entry/knowledge.cc
+++ b/src/entry/knowledge.cc
@@ -28,6 +28,9 @@
 /// While the store turns this entry away it asks the others.
 constexpr int PeerPollMs = 250;
 constexpr Millis PeerTimeout{600};
+/// The store and other zones are away this long before an entry tells the
+/// balancer: two rounds of asking the others.
+constexpr Millis IsolatedAfter{700};
 /// Entries with less than this share of a core hold fewer duties.
 constexpr double UsualCpuShare = 0.25;
 
@@ -102,14 +105,24 @@
 
 void Knowledge::takeShared(const SharedKnowledge &K) {
   const Instant Now = Context_.Clock_.now();
+  if (K.Zone_ != Context_.Settings_.Zone_)
+    OtherZoneHeard_ = Now;
   for (const auto &[Pool, Holder] : K.Holders_)
     Duties_.saw(Pool, Holder, Now);
   if (!K.Configuration_.empty())
     takeConfiguration(K.Configuration_, K.ConfigurationRow_);
 }
 
+bool Knowledge::isolated() const {
+  const Instant Now = Context_.Clock_.now();
+  const auto Since = DutiesFollower_.failingSince();
+  return Since && Now - *Since > IsolatedAfter &&
+         Now - OtherZoneHeard_ > IsolatedAfter;
+}
+
 SharedKnowledge Knowledge::shared() const {
   SharedKnowledge K;
+  K.Zone_ = Context_.Settings_.Zone_;
   for (const PoolId &P : Duties_.pools())
     if (const auto H = Duties_.holder(P))
       K.Holders_[P] = *H;
--- a/src/entry/knowledge.h
+++ b/src/entry/knowledge.h
@@ -42,6 +42,9 @@
   const schedule::DutyWatch &duties() const { return Duties_; }
   /// Whether the store answered lately.
   bool storeAnswers() const { return !DutiesFollower_.failing(); }
+  /// Whether neither the store nor an entry of another zone answers: callers
+  /// are better served in other zones.
+  bool isolated() const;
   /// What other entries may be told.
   SharedKnowledge shared() const;
   /// Workers matter only to an entry that holds a duty.
@@ -72,6 +75,8 @@
   QTimer PeerPoll_;
   std::size_t NextPeer_ = 0;
   bool AskingPeer_ = false;
+  /// When an entry of another zone answered last.
+  Instant OtherZoneHeard_;
   bool WorkersFollowed_ = false;
   TableFollower OperatorFollower_;
   TableFollower WorkersFollower_;
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -13,6 +13,7 @@
 constexpr int Ok = 200;
 constexpr std::string_view CallPath = "/call";
 constexpr std::string_view VacatePath = "/vacate";
+constexpr std::string_view PingPath = "/ping";
 constexpr std::string_view KnowledgePath = "/knowledge";
 constexpr std::array<const char *, 4> KindNames{"submit", "state", "cancel",
                                                 "queued"};
@@ -73,6 +74,7 @@
   K.Configuration_ = str(O->value("configuration"));
   K.ConfigurationRow_ = RowVersion(
       static_cast<std::uint64_t>(O->value("configuration_row").toDouble()));
+  K.Zone_ = ZoneId(str(O->value("zone")));
   const QJsonObject Holders = O->value("holders").toObject();
   for (auto It = Holders.begin(); It != Holders.end(); ++It) {
     const QJsonArray Row = It.value().toArray();
@@ -121,6 +123,7 @@
       {"pool", text(Call.Pool_.str())},
       {"queue", text(Call.Queue_.str())},
       {"job", text(Call.Job_.str())},
+      {"epoch", static_cast<qint64>(Call.Epoch_.value())},
       {"body", QString::fromUtf8(Call.Body_)}};
   C.Peers_.send(post(Address, CallPath, Body, Timeout),
                 [OnDone = std::move(OnDone)](const http::Reply &R) {
@@ -146,9 +149,12 @@
   if (!Kind)
     return std::nullopt;
   return JobCall{
-      static_cast<JobCall::Kind>(*Kind), PoolId(str(O->value("pool"))),
-      schedule::QueueId(str(O->value("queue"))), JobId(str(O->value("job"))),
-      O->value("body").toString().toUtf8()};
+      static_cast<JobCall::Kind>(*Kind),
+      PoolId(str(O->value("pool"))),
+      schedule::QueueId(str(O->value("queue"))),
+      JobId(str(O->value("job"))),
+      O->value("body").toString().toUtf8(),
+      Epoch(static_cast<std::uint64_t>(O->value("epoch").toDouble()))};
 }
 
 http::Response peerResponse(const JobAnswer &A) {
@@ -176,6 +182,23 @@
                 });
 }
 
+void ping(Context &C, const std::string &Address, Millis Timeout,
+          std::function<void(bool Answered)> OnDone) {
+  http::Call Call;
+  Call.Url_ = "http://" + Address + std::string(PingPath);
+  Call.Timeout_ = Timeout;
+  // A connection that has gone silent says nothing of the process.
+  Call.Fresh_ = true;
+  C.Peers_.send(std::move(Call),
+                [OnDone = std::move(OnDone)](const http::Reply &R) {
+                  OnDone(R.Delivery_ == http::Delivery::Answered);
+                });
+}
+
+bool isPing(const http::Request &R) {
+  return R.Path_ == QByteArrayView(PingPath.data(), PingPath.size());
+}
+
 void askKnowledge(Context &C, const std::string &Address, Millis Timeout,
                   std::function<void(std::optional<SharedKnowledge>)> OnDone) {
   C.Peers_.send(post(Address, KnowledgePath, {}, Timeout),
@@ -197,6 +220,7 @@
         text(encodeHolder(H.Row_)), static_cast<qint64>(H.Version_.value())};
   return jsonResponse({{"holders", Holders},
                        {"configuration", text(K.Configuration_)},
+                       {"zone", text(K.Zone_.str())},
                        {"configuration_row",
                         static_cast<qint64>(K.ConfigurationRow_.value())}});
 }
--- a/src/entry/peer-calls.h
+++ b/src/entry/peer-calls.h
@@ -19,6 +19,10 @@
   schedule::QueueId Queue_;
   JobId Job_;
   QByteArray Body_;
+  /// The holder's epoch for which the call is meant. A call that arrives late,
+  /// when the same entry holds the duty again, must not be carried out: its
+  /// caller may have been told since that the job never runs.
+  Epoch Epoch_;
 };
 
 /// How a call to another entry went.
@@ -48,6 +52,8 @@
   /// The operators' configuration as it stands in the store; empty without.
   std::string Configuration_;
   RowVersion ConfigurationRow_;
+  /// Where the entry is that says so.
+  ZoneId Zone_;
 };
 
 void askKnowledge(Context &C, const std::string &Address, Millis Timeout,
@@ -55,6 +61,11 @@
 bool isKnowledgeCall(const http::Request &R);
 http::Response knowledgeResponse(const SharedKnowledge &K);
 
+/// Asks whether the process at an address answers at all.
+void ping(Context &C, const std::string &Address, Millis Timeout,
+          std::function<void(bool Answered)> OnDone);
+bool isPing(const http::Request &R);
+
 /// Vacating is asked for again all the while it matters, and ends by itself.
 inline constexpr Millis VacateFor{1500};
 
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -33,7 +33,6 @@
 /// The store doesn't answer: submissions are rejected after this long.
 constexpr Millis StoreAwayAfter{400};
 /// When a caller may come again.
-constexpr Millis RetrySoon{1000};
 constexpr Millis RetryAfterBurst{4000};
 /// A worker is reported as being emptied only while that lasts long enough for
 /// the report to arrive and an order for its machine to be carried out.
@@ -150,7 +149,8 @@
   };
   if (Journal_.failingSince() &&
       Now - *Journal_.failingSince() > StoreAwayAfter)
-    return Reject("store-away", RetrySoon);
+    return Reject("store-away",
+                  schedule::returnAfterOutage(Now - *Journal_.failingSince()));
   if (!std::ranges::all_of(Spec->Steps_, [this](const schedule::StepSpec &S) {
         return Scheduler_.everFits(S);
       }))
--- a/src/entry/table-follower.h
+++ b/src/entry/table-follower.h
@@ -41,6 +41,7 @@
   /// Reads changes as soon as possible.
   void hurry();
   bool failing() const { return FailingSince_.has_value(); }
+  std::optional<Instant> failingSince() const { return FailingSince_; }
   /// When the last answer came; the local clock's start without one.
   Instant currentAt() const { return CurrentAt_; }
 
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -28,6 +28,20 @@
 
 } // namespace
 
+const char *causeName(ClaimCause C) {
+  switch (C) {
+  case ClaimCause::Vacant:
+    return "vacant";
+  case ClaimCause::OwnRestart:
+    return "own-restart";
+  case ClaimCause::Unreachable:
+    return "unreachable";
+  case ClaimCause::Silent:
+    return "silent";
+  }
+  return "unknown";
+}
+
 DutyWatch::DutyWatch(EntryId Self, double Weight)
     : Self_(std::move(Self)), Weight_(Weight) {}
 
@@ -52,15 +66,14 @@
   Watches_[Pool].Unreachable_ = true;
 }
 
-std::pair<Millis, const char *> DutyWatch::quietLimit(const Watch &W) const {
+std::pair<Millis, ClaimCause> DutyWatch::quietLimit(const Watch &W) const {
   if (!W.Known_ || W.Known_->Row_.Holder_.empty())
-    return {Millis(0), "vacant"};
-  // This very machine held it before it started again.
+    return {Millis(0), ClaimCause::Vacant};
   if (nameOf(W.Known_->Row_.Holder_) == nameOf(Self_))
-    return {Millis(0), "own-restart"};
+    return {Millis(0), ClaimCause::OwnRestart};
   if (W.Unreachable_)
-    return {UnreachableAfter, "unreachable"};
-  return {SilentAfter, "silent"};
+    return {UnreachableAfter, ClaimCause::Unreachable};
+  return {SilentAfter, ClaimCause::Silent};
 }
 
 void DutyWatch::refused(Instant Now) {
@@ -96,8 +109,7 @@
     if (W.Known_ && W.Known_->Row_.Holder_ == Self_)
       continue;
     const auto [Quiet, Cause] = quietLimit(W);
-    const bool Own =
-        W.Known_ && Quiet == Millis(0) && !W.Known_->Row_.Holder_.empty();
+    const bool Own = Cause == ClaimCause::OwnRestart;
     const Micros Limit = Own ? Millis(0) : Quiet + patience(P, Held);
     const Micros Over = Now - W.QuietSince_ - Limit;
     if (Over < Micros(0) || (Best && Over <= BestOver))
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -17,14 +17,28 @@
   RowVersion Version_;
 };
 
+/// Why a duty may be taken.
+enum class ClaimCause : std::uint8_t {
+  /// Nobody had it yet, or its holder gave it back.
+  Vacant,
+  /// This very machine held it before it started again.
+  OwnRestart,
+  /// Nobody is at the holder's address.
+  Unreachable,
+  /// The holder's row stands still.
+  Silent,
+};
+
+/// The name of a cause in logs.
+const char *causeName(ClaimCause C);
+
 /// A wish to take a duty: write a holder row of this epoch if the row still
 /// has this version.
 struct Claim {
   PoolId Pool_;
   RowVersion Version_;
   Epoch Epoch_;
-  /// Why: "vacant" or "silent".
-  const char *Cause_ = "";
+  ClaimCause Cause_ = ClaimCause::Vacant;
 };
 
 /// Watches the holder rows. A holder writes its row about twice a second; one
@@ -69,7 +83,7 @@
 
   Millis patience(const PoolId &Pool, std::size_t Held) const;
   /// How long the row of a duty has to stand still, and why.
-  std::pair<Millis, const char *> quietLimit(const Watch &W) const;
+  std::pair<Millis, ClaimCause> quietLimit(const Watch &W) const;
 
   EntryId Self_;
   double Weight_;
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -2,7 +2,6 @@
 #include "schedule/pool-scheduler.h"
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <ranges>
 
@@ -15,6 +14,9 @@
 constexpr Millis StuckAfter{3000};
 /// A worker with a stuck task gets nothing so long.
 constexpr Millis StuckPause{4000};
+/// Workers answer an order in a few milliseconds, busy entries take 0.25 s to
+/// read the answer.
+constexpr Millis OrderPatience{300};
 /// New tasks need a lease that lasts at least this long.
 constexpr Millis MinLease{500};
 /// Of a latency goal: above the first share fillers slow down, below the
@@ -25,9 +27,6 @@
 constexpr Millis PaceInterval{700};
 constexpr std::uint32_t PaceStep = 25;
 constexpr std::uint32_t FullPace = 100;
-/// Over which the rate of arriving work is taken: a turn of demand lasts some
-/// seconds, and a machine takes 1.5 s to arrive.
-constexpr Millis ArrivalMemory{700};
 /// Workers asked about at once: each costs time, and the objective allows for
 /// advice on 30 a step.
 constexpr std::size_t MaxAdvised = 30;
@@ -41,12 +40,6 @@
   return Now - J.accepted();
 }
 
-/// What is left of an amount of which each part counts for about ArrivalMemory.
-double faded(double Amount, Micros Since) {
-  return Amount * std::exp(-std::chrono::duration<double>(Since) /
-                           std::chrono::duration<double>(ArrivalMemory));
-}
-
 } // namespace
 
 Orders PoolScheduler::step(Instant Now, WallTime Wall) {
@@ -62,6 +55,13 @@
 void PoolScheduler::expire(Instant Now) {
   std::vector<InstanceId> Gone;
   for (auto &[Id, W] : Workers_) {
+    const bool Late = std::ranges::any_of(W.runs(), [Now](const auto &Entry) {
+      const Run &R = Entry.second;
+      return R.Phase_ == RunPhase::Ordered && Now - R.Ordered_ > OrderPatience;
+    });
+    if (std::exchange(W.AnswersLate_, Late) != Late)
+      note(Late ? "worker-answers-late" : "worker-answers", {}, 0, Id,
+           "runs=" + std::to_string(W.runs().size()));
     if (W.SilentSince_ && !W.runs().empty() && Now >= W.LeasesEnd_)
       loseRuns(W, "lease-expired");
     const bool Awaited = Awaited_.contains(Id) && Now < AwaitUntil_;
@@ -193,8 +193,8 @@
 
 bool PoolScheduler::mayTake(const Worker &W, Instant Now) const {
   return W.heard() && W.Registered_ && W.Rostered_ && !W.info().Draining_ &&
-         !W.SilentSince_ && Now >= W.PausedUntil_ && Now >= W.VacateUntil_ &&
-         W.LeasesEnd_ > Now + MinLease;
+         !W.SilentSince_ && !W.AnswersLate_ && Now >= W.PausedUntil_ &&
+         Now >= W.VacateUntil_ && W.LeasesEnd_ > Now + MinLease;
 }
 
 Rank PoolScheduler::rank(const Job &J, std::uint32_t OccurrenceIndex,
@@ -435,10 +435,8 @@
 }
 
 void PoolScheduler::noteArrival(const Job &J, Instant Now) {
-  ArrivedWork_ = faded(ArrivedWork_, Now - ArrivedAt_);
-  ArrivedAt_ = Now;
   if (!J.spec().lasting() && J.spec().Repeats_ == 0)
-    ArrivedWork_ += J.remainingWork();
+    Arrivals_[J.queue()].arrived(J.remainingWork(), Now);
 }
 
 double PoolScheduler::cores() const {
@@ -464,8 +462,8 @@
 
 Demand PoolScheduler::demand(Instant Now, WallTime Wall) const {
   Demand D;
-  D.Arriving_ = faded(ArrivedWork_, Now - ArrivedAt_) /
-                std::chrono::duration<double>(ArrivalMemory).count();
+  for (const auto &[Queue, Rate] : Arrivals_)
+    D.Arriving_ += Rate.cores(Now);
   for (const auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs()) {
       const double Cores = coresFor(R.Reserved_);
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -1,6 +1,7 @@
 // Decides what runs where in one pool.
 #pragma once
 
+#include "schedule/arrival-rate.h"
 #include "schedule/job.h"
 #include "schedule/ranking.h"
 #include "schedule/task-placement.h"
@@ -91,7 +92,7 @@
   double Lasting_ = 0;
   /// The fewest workers on which the tasks that last can be placed.
   std::uint32_t MinWorkers_ = 0;
-  /// Work that arrives, in core-seconds a second.
+  /// What keeps up with the work that arrives.
   double Arriving_ = 0;
 };
 
@@ -243,9 +244,7 @@
   std::set<JobId> Changed_;
   std::vector<Decision> Log_;
   Resources Largest_;
-  /// Work that arrived lately, in core-seconds, faded up to a time.
-  double ArrivedWork_ = 0;
-  Instant ArrivedAt_;
+  std::map<QueueId, ArrivalRate> Arrivals_;
 };
 
 } // namespace heathercross::schedule
--- a/src/schedule/pool-sizing.cc
+++ b/src/schedule/pool-sizing.cc
@@ -68,6 +68,7 @@
       if (Surplus == 0)
         break;
       --Surplus;
+      --S.Have_;
       release(*M, Now, P);
     }
   }
@@ -119,11 +120,10 @@
     PoolState &S = Pools[Pool];
     const double Each = S.CoresEach_ > 0 ? S.CoresEach_ : AnyCores;
     const double Steady = steadyNeed(Pool, Need.InTimeCores_, Now);
-    const std::uint32_t ForLasting =
-        Need.MinMachines_ > 0 ? Need.MinMachines_ + IdleMachines : 0;
+    const std::uint32_t Ready = Need.MinMachines_ + IdleMachines;
     const double Late = std::min(Need.LateCores_, MaxLateMachines * Each);
     S.Target_ =
-        std::max(ForLasting, machinesFor(Steady + Late, Each) + SpareMachines);
+        std::max(Ready, machinesFor(Steady + Late, Each) + SpareMachines);
     S.Keep_ = std::max(S.Target_, machinesFor(Steady + Need.LateCores_, Each));
     std::ranges::stable_sort(S.Movable_, {}, [](const SizedMachine *M) {
       return std::pair(!empty(*M), M->Runs_);
--- a/src/schedule/ranking.cc
+++ b/src/schedule/ranking.cc
@@ -1,6 +1,8 @@
 // The order in which waiting work gets capacity.
 #include "schedule/ranking.h"
 
+#include <algorithm>
+
 namespace heathercross::schedule {
 
 namespace {
@@ -9,6 +11,10 @@
 /// rules of credit).
 constexpr int LateFactor = 3;
 constexpr double MillisPerSecond = 1000.0;
+/// Bounds of Retry-After: it counts in seconds, and outages of the store last
+/// 4 to 9 s on the users' days.
+constexpr Millis ShortestReturn{1000};
+constexpr Millis LongestReturn{4000};
 
 } // namespace
 
@@ -41,4 +47,8 @@
   return EndMs <= static_cast<double>(objective(J, Q).count()) * LateFactor;
 }
 
+Millis returnAfterOutage(Micros Lasted) {
+  return std::clamp(toMillis(Lasted), ShortestReturn, LongestReturn);
+}
+
 } // namespace heathercross::schedule
--- a/src/schedule/ranking.h
+++ b/src/schedule/ranking.h
@@ -49,4 +49,9 @@
 bool worthAccepting(const Job &J, const QueueSettings &Q,
                     double CoreSecondsAhead, double Cores);
 
+/// When a caller that was rejected because of an outage may come again: after
+/// as long as the outage has lasted, since short outages are the most frequent
+/// and a caller has few tries.
+Millis returnAfterOutage(Micros Lasted);
+
 } // namespace heathercross::schedule
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -101,6 +101,9 @@
   /// Failed runs since the last one that ended well, and of how many jobs.
   std::uint32_t FailuresInRow_ = 0;
   JobId LastFailedJob_;
+  /// An order to start has waited unusually long for its answer: the worker
+  /// may be out of reach, and gets no more orders until it answers.
+  bool AnswersLate_ = false;
   /// The worker shall become empty: no new task starts there until then.
   Instant VacateUntil_;
 
--- /dev/null
+++ b/test/entry/peer-calls-test.cc
@@ -0,0 +1,31 @@
+// Tests of what entries say to each other.
+#include "entry/peer-calls.h"
+#include "support/story.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+using namespace heathercross;
+using namespace heathercross::entry;
+using heathercross::test::section;
+
+HEATHERCROSS_STORY(CallForAnEpoch, "a call is meant for one epoch of a duty") {
+  http::Request R;
+  R.Path_ = "/call";
+  R.Body_ = QJsonDocument(QJsonObject{{"kind", "submit"},
+                                      {"pool", "quotes"},
+                                      {"queue", "q"},
+                                      {"job", "5c0e7a21d94b36f8"},
+                                      {"epoch", 7},
+                                      {"body", "{}"}})
+                .toJson();
+  section("the epoch is read", [&] {
+    const auto Call = parseJobCall(R);
+    CPPUNIT_ASSERT(Call && Call->Epoch_ == Epoch(7));
+  });
+  section("a call without one is meant for no epoch that exists", [&] {
+    R.Body_.replace(R"("epoch":7,)", "").replace("\"epoch\": 7,", "");
+    const auto Call = parseJobCall(R);
+    CPPUNIT_ASSERT(Call && Call->Epoch_ == Epoch(0));
+  });
+}
--- a/test/schedule/job-test.cc
+++ b/test/schedule/job-test.cc
@@ -90,3 +90,10 @@
     CPPUNIT_ASSERT(!worthAccepting(Small, Q, 600, 100));
   });
 }
+
+// The load: the store is away for some seconds, and each caller has few tries.
+HEATHERCROSS_STORY(ReturnAfterOutage, "callers return after an outage") {
+  CPPUNIT_ASSERT(Seconds(1) == returnAfterOutage(Millis(400)));
+  CPPUNIT_ASSERT(Millis(2500) == returnAfterOutage(Millis(2500)));
+  CPPUNIT_ASSERT(Seconds(4) == returnAfterOutage(Seconds(30)));
+}
--- a/test/schedule/machines-test.cc
+++ b/test/schedule/machines-test.cc
@@ -126,6 +126,19 @@
   CPPUNIT_ASSERT_EQUAL(0U, F.MovedBusy_);
 }
 
+// The load: one pool's work has just ended while another one asks for more
+// than there is.
+HEATHERCROSS_STORY(SurplusOnce, "a pool gives its surplus, and no more") {
+  ModelFleet F;
+  F.add("quotes", 7);
+  F.add("bookings", 7);
+  F.Needs_[PoolId("quotes")] = {10, 0, 0};
+  F.Needs_[PoolId("bookings")] = {2000, 0, 0};
+  F.run(Seconds(6));
+  CPPUNIT_ASSERT(F.size("quotes") >= 2);
+  CPPUNIT_ASSERT(F.size("bookings") >= 9);
+}
+
 namespace {
 
 void runChangingNeeds() {
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -171,6 +171,47 @@
   CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
 }
 
+// The load: a zone is cut off in the middle of a burst. Each task ordered there
+// until the worker counts as silent waits for the end of its leases.
+HEATHERCROSS_STORY(AnswersLate,
+                   "a worker that owes an answer gets no more orders") {
+  PoolScheduler S;
+  const InstanceId Cut("w1");
+  Instant Now{Seconds(100)};
+  const auto Hear = [&](const char *Id) {
+    S.setWorker(workerInfo(Id, "r1", 4000));
+    S.report(InstanceId(Id), {1, {}, {}}, Now, Now);
+    S.setRostered(InstanceId(Id), true);
+    S.leaseGranted(InstanceId(Id), Now + Seconds(6));
+  };
+  const auto Submit = [&](const char *Id, std::uint32_t Count) {
+    S.admit(Job(JobId(Id), QueueId("q"), job({step(Count, 1000, Millis(900))}),
+                Now));
+    return S.step(Now, WallTime()).Starts_;
+  };
+  Hear("w1");
+  auto Starts = Submit("j1", 1);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts.size());
+  Hear("w2");
+  Now += Millis(400);
+  section("new tasks go to the other worker", [&] {
+    Starts = Submit("j2", 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Starts.size());
+    for (const StartOrder &O : Starts) {
+      CPPUNIT_ASSERT(O.Worker_ != Cut);
+      S.started(O.Worker_, O.Task_, O.Attempt_, StartAnswer::Started, Now);
+    }
+  });
+  section("with its answer it takes part again", [&] {
+    S.started(Cut, {JobId("j1"), 0, 0, 0}, 1, StartAnswer::Started, Now);
+    S.step(Now, WallTime());
+    Starts = Submit("j3", 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Starts.size());
+    CPPUNIT_ASSERT(std::ranges::any_of(
+        Starts, [&](const StartOrder &O) { return O.Worker_ == Cut; }));
+  });
+}
+
 HEATHERCROSS_STORY(Lost, "what a lost worker ran starts again, but not early") {
   ModelPool P;
   P.addWorker("w1");
