Pools share machines by need while they are short

Change: PoolSizing divides what there is above each pool's ready machines by the pools' needs. A pool keeps two more than its share, since shares change with each job. Story "pools share what is short by their need" failed on the code before.

--- a/src/schedule/pool-sizing.cc
+++ b/src/schedule/pool-sizing.cc
@@ -21,6 +21,9 @@
 constexpr std::uint32_t IdleMachines = 3;
 /// Machines that a pool keeps beyond its need, for the first jobs of a burst.
 constexpr std::uint32_t SpareMachines = 1;
+/// While machines are short a pool keeps so many more than its share: shares
+/// change with each job, and a move costs a machine 1.7 s of work.
+constexpr std::uint32_t ShareSlack = 2;
 
 bool empty(const SizedMachine &M) {
   return M.Up_ && M.Known_ && M.Vacating_ && M.Runs_ == 0;
@@ -56,6 +59,7 @@
                             const PoolId &Standby, Instant Now) {
   Plan P;
   std::map<PoolId, PoolState> Pools = survey(Needs, Machines, Standby, P, Now);
+  const bool Divided = divide(Pools, P.Parked_.size());
   std::uint32_t Lacking = 0;
   for (const auto &[Pool, S] : Pools) {
     P.Out_.Sizes_[Pool] = {S.Have_, S.Target_, S.Keep_};
@@ -79,7 +83,7 @@
           : 0;
   for (auto &[Pool, S] : Pools)
     for (const SizedMachine *M : S.Movable_) {
-      if (Short == 0 || S.Have_ <= S.Target_)
+      if (Short == 0 || S.Have_ <= S.Target_ + (Divided ? ShareSlack : 0))
         break;
       if (P.Spare_.contains(M->Id_))
         continue;
@@ -120,10 +124,10 @@
     PoolState &S = Pools[Pool];
     const double Each = S.CoresEach_ > 0 ? S.CoresEach_ : AnyCores;
     const double Steady = steadyNeed(Pool, Need.InTimeCores_, Now);
-    const std::uint32_t Ready = Need.MinMachines_ + IdleMachines;
+    S.Ready_ = Need.MinMachines_ + IdleMachines;
     const double Late = std::min(Need.LateCores_, MaxLateMachines * Each);
     S.Target_ =
-        std::max(Ready, machinesFor(Steady + Late, Each) + SpareMachines);
+        std::max(S.Ready_, machinesFor(Steady + Late, Each) + SpareMachines);
     S.Keep_ = std::max(S.Target_, machinesFor(Steady + Need.LateCores_, Each));
     std::ranges::stable_sort(S.Movable_, {}, [](const SizedMachine *M) {
       return std::pair(!empty(*M), M->Runs_);
@@ -132,6 +136,35 @@
   return Pools;
 }
 
+bool PoolSizing::divide(std::map<PoolId, PoolState> &Pools,
+                        std::size_t Parked) {
+  auto All = static_cast<std::uint32_t>(Parked);
+  std::uint32_t Wanted = 0;
+  for (const auto &[Pool, S] : Pools) {
+    All += S.Have_;
+    Wanted += S.Target_;
+  }
+  if (Wanted <= All)
+    return false;
+  // A burst can ask for many times what there is; it still gets no more than
+  // its part of that.
+  std::uint32_t Ready = 0;
+  std::uint32_t Excess = 0;
+  for (auto &[Pool, S] : Pools) {
+    S.Target_ = std::min(S.Target_, All);
+    Ready += std::min(S.Ready_, S.Target_);
+    Excess += S.Target_ - std::min(S.Ready_, S.Target_);
+  }
+  const std::uint32_t Left = All > Ready ? All - Ready : 0;
+  for (auto &[Pool, S] : Pools) {
+    const std::uint32_t Least = std::min(S.Ready_, S.Target_);
+    if (Excess > 0)
+      S.Target_ = Least + Left * (S.Target_ - Least) / Excess;
+    S.Keep_ = std::min(S.Keep_, S.Target_ + ShareSlack);
+  }
+  return true;
+}
+
 void PoolSizing::assign(const std::map<PoolId, PoolState> &Pools, Plan &P) {
   std::vector<std::pair<std::uint32_t, PoolId>> Lacking;
   for (const auto &[Pool, S] : Pools)
--- a/src/schedule/pool-sizing.h
+++ b/src/schedule/pool-sizing.h
@@ -86,6 +86,8 @@
     /// Machines that work or are about to.
     std::uint32_t Have_ = 0;
     std::uint32_t Target_ = 0;
+    /// What it has even while it has next to no work.
+    std::uint32_t Ready_ = 0;
     /// Beyond the target, machines that still finish late work.
     std::uint32_t Keep_ = 0;
     double CoresEach_ = 0;
@@ -104,6 +106,9 @@
                                      const std::vector<SizedMachine> &Machines,
                                      const PoolId &Standby, Plan &P,
                                      Instant Now);
+  /// Divides the machines among the pools when they ask for more than there
+  /// are; false when there are enough.
+  static bool divide(std::map<PoolId, PoolState> &Pools, std::size_t Parked);
   void release(const SizedMachine &M, Instant Now, Plan &P);
   static void assign(const std::map<PoolId, PoolState> &Pools, Plan &P);
   double steadyNeed(const PoolId &Pool, double Cores, Instant Now);
--- a/test/schedule/machines-test.cc
+++ b/test/schedule/machines-test.cc
@@ -126,6 +126,24 @@
   CPPUNIT_ASSERT_EQUAL(0U, F.MovedBusy_);
 }
 
+// The load: all machines work for one pool, as after an outage, when the turn
+// of another one begins. Both together ask for more than there is.
+HEATHERCROSS_STORY(SharedShortage, "pools share what is short by their need") {
+  ModelFleet F;
+  F.add("quotes", 30);
+  F.add("bookings", 6);
+  F.Needs_[PoolId("quotes")] = {800, 0, 2};
+  F.Needs_[PoolId("bookings")] = {1600, 0, 2};
+  F.run(Seconds(4));
+  CPPUNIT_ASSERT(F.working("bookings") >= 16);
+  CPPUNIT_ASSERT(F.working("quotes") >= 12);
+  section("it settles", [&] {
+    const auto Before = F.Moves_;
+    F.run(Seconds(4));
+    CPPUNIT_ASSERT_EQUAL(Before, F.Moves_);
+  });
+}
+
 // The load: one pool's work has just ended while another one asks for more
 // than there is.
 HEATHERCROSS_STORY(SurplusOnce, "a pool gives its surplus, and no more") {
