One client for the platform's store; the stand-in speaks its protocol

Cause: the product's own path had a client and a protocol of its own beside platform/store, with a stand-in that spoke nothing else.

Change: src/platform is gone. src/store maps the product's rows, objects and instance list onto platform_api::Store: the first segment of a key names the table, all rows share one partition, the writing attempt stands in front of the value. Scans read the change feed and, when its history is gone or nothing is known yet, the whole table and then what changed meanwhile. standin-platform serves rows-tx, rows-get, rows-feed and blobs, and turns workers' announcements into registrations. Transactions of this path keep a connection of their own: libcurl may send a request twice on one that it kept open, and the second would be in conflict with the first.

--- a/src/daemon/control-service.cc
+++ b/src/daemon/control-service.cc
@@ -56,7 +56,7 @@
 
 ControlService::ControlService(ControlConfig Config, process::Clock &C,
                                History &H, process::Metrics &M,
-                               platform::Client &Platform,
+                               store::TableClient &Platform,
                                WorkerClient &Workers, FleetFeed &Feed)
     : Config_(std::move(Config)), Clock_(C), History_(H), Metrics_(M),
       Platform_(Platform), Workers_(Workers),
@@ -155,7 +155,7 @@
 }
 
 void ControlService::carryOut(const PoolId &Pool, const ReadLease &E) {
-  Platform_.readRow(E.Key_, [this, Pool](const platform::RowResult &R) {
+  Platform_.readRow(E.Key_, [this, Pool](const store::RowResult &R) {
     const auto It = Leases_.find(Pool);
     if (It == Leases_.end())
       return;
@@ -226,7 +226,7 @@
   Left.pop_back();
   Platform_.readRow(
       fleet::permitKey(Pool), [this, Pool, Left = std::move(Left),
-                               S = std::move(S)](const platform::RowResult &R) {
+                               S = std::move(S)](const store::RowResult &R) {
         fleet::Snapshot Next = S;
         // A pool whose permits can't be read isn't worked on in this step.
         if (!R.Answered_)
@@ -244,15 +244,14 @@
 }
 
 void ControlService::readList(fleet::Snapshot S) {
-  Platform_.listInstances(
-      [this, S = std::move(S)](const platform::ListResult &R) {
-        fleet::Snapshot Next = S;
-        if (R.Answered_)
-          Next.Listed_.emplace();
-        for (const ListedInstance &L : R.Instances_)
-          Next.Listed_->emplace(L.Name_, L);
-        decide(std::move(Next));
-      });
+  Platform_.listInstances([this, S = std::move(S)](const store::ListResult &R) {
+    fleet::Snapshot Next = S;
+    if (R.Answered_)
+      Next.Listed_.emplace();
+    for (const ListedInstance &L : R.Instances_)
+      Next.Listed_->emplace(L.Name_, L);
+    decide(std::move(Next));
+  });
 }
 
 void ControlService::decide(fleet::Snapshot S) {
--- a/src/daemon/control-service.h
+++ b/src/daemon/control-service.h
@@ -40,7 +40,7 @@
 class ControlService : public QObject {
 public:
   ControlService(ControlConfig Config, process::Clock &C, History &H,
-                 process::Metrics &M, platform::Client &Platform,
+                 process::Metrics &M, store::TableClient &Platform,
                  WorkerClient &Workers, FleetFeed &Feed);
 
   void start();
@@ -86,7 +86,7 @@
   process::Clock &Clock_;
   History &History_;
   process::Metrics &Metrics_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   WorkerClient &Workers_;
   FleetFeed &Feed_;
   std::vector<EntryId> Entries_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -20,9 +20,9 @@
 #include "daemon/worker-client.h"
 #include "http/http-client.h"
 #include "http/http-server.h"
-#include "platform/platform-client.h"
 #include "process/clock.h"
 #include "process/metrics.h"
+#include "store/table-client.h"
 #include "view/codec.h"
 
 #include <QCoreApplication>
@@ -75,9 +75,11 @@
   return L;
 }
 
-platform::ClientConfig platformConfig(const settings::Settings &S) {
-  return {S.Platform_.Address_.str(), S.Entry_.Zone_.str(), S.Entry_.Id_.str(),
-          S.Platform_.Timeout_};
+platform_api::StoreConfig storeConfig(const settings::Settings &S) {
+  return {
+      S.Platform_.Address_.str(),
+      {"X-Zone: " + S.Entry_.Zone_.str(), "X-Process: " + S.Entry_.Id_.str()},
+      true};
 }
 
 FeedConfig feedConfig(const settings::Settings &S) {
@@ -138,8 +140,9 @@
   auto &A = Kernel_.add<access::Access>(
       "access", access::loadTokens(S.Access_.TokensFile_));
   auto &Http = Kernel_.add<http::Client>("http-client");
+  auto &Store = Kernel_.add<platform_api::Store>("store", Http, storeConfig(S));
   auto &Platform =
-      Kernel_.add<platform::Client>("platform", Http, platformConfig(S));
+      Kernel_.add<store::TableClient>("platform", Store, S.Platform_.Timeout_);
   auto &Workers = Kernel_.add<WorkerClient>("workers", Http);
   auto &ViewKeeper = Kernel_.add<ViewService>(
       "view", ViewConfig{S.Platform_.Poll_, seedOf(S)}, C, H, Platform);
@@ -221,7 +224,7 @@
 }
 
 void Daemon::applyCut(const std::set<std::string> &Cut) {
-  Kernel_.find<platform::Client>("platform")
+  Kernel_.find<store::TableClient>("platform")
       .setCut(Cut.contains(Settings_.Platform_.Address_.str()));
   Kernel_.find<WorkerClient>("workers").setCut({Cut.begin(), Cut.end()});
   Kernel_.find<PeerService>("peers").setCut(Cut);
@@ -339,7 +342,7 @@
   auto &M = Kernel_.find<process::Metrics>("metrics");
   const auto &Requests = Kernel_.find<RequestService>("requests");
   const auto &Feed = Kernel_.find<FleetFeed>("fleet");
-  const auto &Platform = Kernel_.find<platform::Client>("platform");
+  const auto &Platform = Kernel_.find<store::TableClient>("platform");
   M.set("heathercross_requests_open", "Requests without an answer.",
         static_cast<double>(Requests.pending()));
   M.set("heathercross_requests_queued", "Requests that wait for a worker.",
--- a/src/daemon/fleet-api.cc
+++ b/src/daemon/fleet-api.cc
@@ -119,7 +119,7 @@
   Left.pop_back();
   Platform_.readRow(
       fleet::permitKey(Pool),
-      [this, Pool, Left, S, To](const platform::RowResult &R) mutable {
+      [this, Pool, Left, S, To](const store::RowResult &R) mutable {
         if (!R.Answered_) {
           To.respond(errorResponse(Unavailable, PlatformAway()));
           return;
--- a/src/daemon/fleet-api.h
+++ b/src/daemon/fleet-api.h
@@ -4,7 +4,7 @@
 #include "daemon/fleet-feed.h"
 #include "daemon/view-service.h"
 #include "http/http-server.h"
-#include "platform/platform-client.h"
+#include "store/table-client.h"
 
 #include <QJsonObject>
 
@@ -16,7 +16,7 @@
 /// Answers GET /v1/view, /v1/pools, /v1/instances and /v1/waves.
 class FleetApi {
 public:
-  FleetApi(process::Clock &C, platform::Client &Platform, ViewService &View,
+  FleetApi(process::Clock &C, store::TableClient &Platform, ViewService &View,
            FleetFeed &Feed)
       : Clock_(C), Platform_(Platform), View_(View), Feed_(Feed) {}
 
@@ -36,7 +36,7 @@
                    http::Responder To);
 
   process::Clock &Clock_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   ViewService &View_;
   FleetFeed &Feed_;
 };
--- a/src/daemon/fleet-feed.cc
+++ b/src/daemon/fleet-feed.cc
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr unsigned ScanLimit = 500;
 constexpr int SoonMs = 30;
 constexpr Millis MaxBackoff{8000};
 constexpr Millis ListInterval{2000};
@@ -40,7 +39,7 @@
 } // namespace
 
 FleetFeed::FleetFeed(FeedConfig Config, process::Clock &C, History &H,
-                     platform::Client &Platform, WorkerClient &Workers,
+                     store::TableClient &Platform, WorkerClient &Workers,
                      ViewService &View)
     : Config_(std::move(Config)), Clock_(C), History_(H), Platform_(Platform),
       Workers_(Workers), View_(View), ZoneEntries_{Config_.Entry_},
@@ -89,7 +88,7 @@
   if (!ListedAt_.time_since_epoch().count() ||
       Now - ListedAt_ >= ListInterval) {
     ListedAt_ = Now;
-    Platform_.listInstances([this](const platform::ListResult &R) {
+    Platform_.listInstances([this](const store::ListResult &R) {
       for (const ListedInstance &L : R.Instances_) {
         Sizes_[L.Name_] = {Millis(0), L.Cores_, L.MemoryMb_};
         if (L.Leaving_)
@@ -114,21 +113,18 @@
 
 void FleetFeed::readInstancesNow(std::function<void(bool)> OnDone) {
   Platform_.scan(
-      "instance/", InstanceVersion_, ScanLimit,
-      [this, OnDone = std::move(OnDone)](const platform::ScanResult &R) {
+      "instance/", InstanceVersion_,
+      [this, OnDone = std::move(OnDone)](const store::ScanResult &R) {
         if (R.Answered_)
           takeInstances(R);
-        if (R.Answered_ && R.More_)
-          return readInstancesNow(OnDone);
         OnDone(R.Answered_);
       });
 }
 
-void FleetFeed::takeInstances(const platform::ScanResult &R) {
-  const bool First = !InstancesRead_ && !R.More_;
+void FleetFeed::takeInstances(const store::ScanResult &R) {
+  const bool First = !std::exchange(InstancesRead_, true);
   for (const Row &One : R.Rows_)
     InstanceVersion_ = std::max(InstanceVersion_, One.Version_);
-  InstancesRead_ = InstancesRead_ || !R.More_;
   takeRows(R.Rows_);
   if (First)
     publishSoon();
--- a/src/daemon/fleet-feed.h
+++ b/src/daemon/fleet-feed.h
@@ -7,9 +7,9 @@
 #include "fleet/model.h"
 #include "heathercross/fleet-model.h"
 #include "job/job-row.h"
-#include "platform/platform-client.h"
 #include "process/clock.h"
 #include "request/events.h"
+#include "store/table-client.h"
 
 #include <QObject>
 #include <QTimer>
@@ -38,7 +38,7 @@
 class FleetFeed : public QObject {
 public:
   FleetFeed(FeedConfig Config, process::Clock &C, History &H,
-            platform::Client &Platform, WorkerClient &Workers,
+            store::TableClient &Platform, WorkerClient &Workers,
             ViewService &View);
 
   void start();
@@ -89,7 +89,7 @@
 private:
   void poll();
   void readList();
-  void takeInstances(const platform::ScanResult &R);
+  void takeInstances(const store::ScanResult &R);
   void takeRow(fleet::InstanceRecord Record);
   void takeStatus(const InstanceId &Worker, const StatusReply &R);
   void pollWorkers();
@@ -99,7 +99,7 @@
   FeedConfig Config_;
   process::Clock &Clock_;
   History &History_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   WorkerClient &Workers_;
   ViewService &View_;
   RowVersion InstanceVersion_;
--- a/src/daemon/job-index.cc
+++ b/src/daemon/job-index.cc
@@ -8,25 +8,14 @@
 
 namespace heathercross::daemon {
 
-namespace {
-constexpr unsigned PageRows = 200;
-} // namespace
-
-void JobIndex::refresh(Done OnDone) { read({}, std::move(OnDone)); }
-
-void JobIndex::read(std::vector<Row> Have, Done OnDone) {
-  Platform_.scan(std::string(job::JobPrefix), Cursor_, PageRows,
-                 [this, Have = std::move(Have), OnDone = std::move(OnDone)](
-                     const platform::ScanResult &R) mutable {
-                   if (!R.Answered_)
-                     return OnDone(false, Have);
-                   for (const Row &One : R.Rows_)
-                     take(One);
-                   std::ranges::copy(R.Rows_, std::back_inserter(Have));
-                   if (R.More_ && !R.Rows_.empty())
-                     return read(std::move(Have), std::move(OnDone));
-                   OnDone(true, Have);
-                 });
+void JobIndex::refresh(Done OnDone) {
+  Platform_.scan(
+      std::string(job::JobPrefix), Cursor_,
+      [this, OnDone = std::move(OnDone)](const store::ScanResult &R) {
+        for (const Row &One : R.Rows_)
+          take(One);
+        OnDone(R.Answered_, R.Rows_);
+      });
 }
 
 void JobIndex::take(const Row &R) {
--- a/src/daemon/job-index.h
+++ b/src/daemon/job-index.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "job/job-row.h"
-#include "platform/platform-client.h"
+#include "store/table-client.h"
 
 #include <functional>
 #include <map>
@@ -23,7 +23,7 @@
     Row Row_;
   };
 
-  explicit JobIndex(platform::Client &Platform) : Platform_(Platform) {}
+  explicit JobIndex(store::TableClient &Platform) : Platform_(Platform) {}
 
   /// Reads what changed; Done gets the changed rows, or false when the table
   /// didn't answer.
@@ -36,10 +36,9 @@
   std::uint32_t activeOf(const TeamId &Team) const;
 
 private:
-  void read(std::vector<Row> Have, Done OnDone);
   void take(const Row &R);
 
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   std::map<JobId, Entry> Jobs_;
   RowVersion Cursor_;
 };
--- a/src/daemon/job-runner.cc
+++ b/src/daemon/job-runner.cc
@@ -87,7 +87,7 @@
 } // namespace
 
 JobRunner::JobRunner(std::string Incarnation, process::Clock &C, History &H,
-                     process::Metrics &M, platform::Client &Platform,
+                     process::Metrics &M, store::TableClient &Platform,
                      WorkerClient &Workers, FleetFeed &Feed,
                      ControlService &Control, JobIndex &Index)
     : Incarnation_(std::move(Incarnation)), Clock_(C), History_(H), Metrics_(M),
@@ -193,7 +193,7 @@
   auto Left = std::make_shared<std::size_t>(E.Jobs_.size());
   for (const JobId &Id : E.Jobs_)
     Platform_.readRow(job::rowKey(Id),
-                      [this, Pool, Rows, Left](const platform::RowResult &R) {
+                      [this, Pool, Rows, Left](const store::RowResult &R) {
                         if (R.Row_)
                           Rows->push_back(*R.Row_);
                         const auto It = Duties_.find(Pool);
@@ -252,15 +252,14 @@
 void JobRunner::storeResult(const PoolId &Pool, const job::TaskReply &Reply) {
   const std::string Name =
       "result/" + Reply.Job_.str() + "/" + std::to_string(Reply.Epoch_.value());
-  Platform_.putObject(
-      Name, QByteArray::fromStdString(Reply.Result_),
-      [this, Pool, Reply, Name](const platform::ObjectResult &R) {
-        if (!R.Exists_)
-          return;
-        job::TaskReply Short = Reply;
-        Short.Result_ = ObjectPrefix + Name;
-        replied(Pool, Short);
-      });
+  Platform_.putObject(Name, QByteArray::fromStdString(Reply.Result_),
+                      [this, Pool, Reply, Name](const store::ObjectResult &R) {
+                        if (!R.Exists_)
+                          return;
+                        job::TaskReply Short = Reply;
+                        Short.Result_ = ObjectPrefix + Name;
+                        replied(Pool, Short);
+                      });
 }
 
 std::string JobRunner::dump() const {
--- a/src/daemon/job-runner.h
+++ b/src/daemon/job-runner.h
@@ -23,7 +23,7 @@
 class JobRunner : public QObject {
 public:
   JobRunner(std::string Incarnation, process::Clock &C, History &H,
-            process::Metrics &M, platform::Client &Platform,
+            process::Metrics &M, store::TableClient &Platform,
             WorkerClient &Workers, FleetFeed &Feed, ControlService &Control,
             JobIndex &Index);
 
@@ -53,7 +53,7 @@
   process::Clock &Clock_;
   History &History_;
   process::Metrics &Metrics_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   WorkerClient &Workers_;
   FleetFeed &Feed_;
   ControlService &Control_;
--- a/src/daemon/job-service.cc
+++ b/src/daemon/job-service.cc
@@ -70,7 +70,7 @@
 };
 
 JobService::JobService(std::string Incarnation, History &H,
-                       platform::Client &Platform, FleetFeed &Feed,
+                       store::TableClient &Platform, FleetFeed &Feed,
                        JobIndex &Index)
     : Incarnation_(std::move(Incarnation)), History_(H), Platform_(Platform),
       Feed_(Feed), Index_(Index) {}
@@ -95,13 +95,12 @@
   Index_.refresh([this, S](bool Read, const std::vector<Row> &) {
     if (!Read)
       return tryAgain(S);
-    Platform_.readRow(
-        job::rowKey(S->Spec_.Job_),
-        [this, S](const platform::RowResult &R) { decide(S, R); });
+    Platform_.readRow(job::rowKey(S->Spec_.Job_),
+                      [this, S](const store::RowResult &R) { decide(S, R); });
   });
 }
 
-void JobService::decide(const SubmissionPtr &S, const platform::RowResult &R) {
+void JobService::decide(const SubmissionPtr &S, const store::RowResult &R) {
   if (!R.Answered_)
     return tryAgain(S);
   job::JobContext Context{Feed_.view(), Feed_.sizesOf(S->Spec_.Pool_),
@@ -145,7 +144,7 @@
 void JobService::show(const JobId &Job, http::Responder To,
                       const TeamId &Team) {
   Platform_.readRow(
-      job::rowKey(Job), [Job, Team, To](const platform::RowResult &R) mutable {
+      job::rowKey(Job), [Job, Team, To](const store::RowResult &R) mutable {
         if (!R.Answered_) {
           To.respond(errorResponse(Unavailable, PlatformAway()));
           return;
@@ -158,41 +157,40 @@
 
 void JobService::result(const JobId &Job, http::Responder To,
                         const TeamId &Team) {
-  Platform_.readRow(
-      job::rowKey(Job),
-      [this, Job, Team, To](const platform::RowResult &R) mutable {
-        if (!R.Answered_) {
-          To.respond(errorResponse(Unavailable, PlatformAway()));
-          return;
-        }
-        std::string Result;
-        try {
-          Result = job::resultFor(Team, Job, R.Row_);
-        } catch (const job::NoSuchJob &E) {
-          To.respond(errorResponse(NotFound, E));
-          return;
-        } catch (const Error &E) {
-          To.respond(errorResponse(Conflict, E));
-          return;
-        }
-        http::Response Whole;
-        Whole.Type_ = "application/octet-stream";
-        Whole.Body_ = QByteArray::fromStdString(Result);
-        if (!Result.starts_with(ObjectPrefix)) {
-          To.respond(Whole);
-          return;
-        }
-        Platform_.getObject(
-            Result.substr(ObjectPrefix.size()),
-            [To, Whole](const platform::ObjectResult &O) mutable {
-              if (!O.Exists_) {
-                To.respond(errorResponse(Unavailable, PlatformAway()));
-                return;
-              }
-              Whole.Body_ = O.Bytes_;
-              To.respond(Whole);
-            });
-      });
+  Platform_.readRow(job::rowKey(Job), [this, Job, Team,
+                                       To](const store::RowResult &R) mutable {
+    if (!R.Answered_) {
+      To.respond(errorResponse(Unavailable, PlatformAway()));
+      return;
+    }
+    std::string Result;
+    try {
+      Result = job::resultFor(Team, Job, R.Row_);
+    } catch (const job::NoSuchJob &E) {
+      To.respond(errorResponse(NotFound, E));
+      return;
+    } catch (const Error &E) {
+      To.respond(errorResponse(Conflict, E));
+      return;
+    }
+    http::Response Whole;
+    Whole.Type_ = "application/octet-stream";
+    Whole.Body_ = QByteArray::fromStdString(Result);
+    if (!Result.starts_with(ObjectPrefix)) {
+      To.respond(Whole);
+      return;
+    }
+    Platform_.getObject(Result.substr(ObjectPrefix.size()),
+                        [To, Whole](const store::ObjectResult &O) mutable {
+                          if (!O.Exists_) {
+                            To.respond(
+                                errorResponse(Unavailable, PlatformAway()));
+                            return;
+                          }
+                          Whole.Body_ = O.Bytes_;
+                          To.respond(Whole);
+                        });
+  });
 }
 
 void JobService::list(const std::string &State, http::Responder To,
--- a/src/daemon/job-service.h
+++ b/src/daemon/job-service.h
@@ -22,7 +22,7 @@
 /// committed.
 class JobService : public QObject {
 public:
-  JobService(std::string Incarnation, History &H, platform::Client &Platform,
+  JobService(std::string Incarnation, History &H, store::TableClient &Platform,
              FleetFeed &Feed, JobIndex &Index);
 
   void submit(const http::Request &R, http::Responder To, const TeamId &Team);
@@ -37,7 +37,7 @@
   struct Submission;
   using SubmissionPtr = std::shared_ptr<Submission>;
 
-  void decide(const SubmissionPtr &S, const platform::RowResult &R);
+  void decide(const SubmissionPtr &S, const store::RowResult &R);
   void tryAgain(const SubmissionPtr &S);
   void readAndDecide(const SubmissionPtr &S);
   void accepted(const SubmissionPtr &S, const job::JobRow &Job);
@@ -47,7 +47,7 @@
 
   std::string Incarnation_;
   History &History_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   FleetFeed &Feed_;
   JobIndex &Index_;
   std::function<void()> OnAccepted_;
--- a/src/daemon/request-service.cc
+++ b/src/daemon/request-service.cc
@@ -232,7 +232,7 @@
     return;
   }
   Parts_.Platform_.getObject(A.Stored_,
-                             [this, P, A](const platform::ObjectResult &R) {
+                             [this, P, A](const store::ObjectResult &R) {
                                request::Answer Final = A;
                                if (!R.Exists_) {
                                  Final.Outcome_ = Outcome::Unknown;
@@ -285,7 +285,7 @@
   Claim.Row_.Answer_ = "answer/" + W.Row_.Attempt_.str();
   Parts_.Platform_.putObject(
       Claim.Row_.Answer_, Body,
-      [this, Id = W.Request_, Claim](const platform::ObjectResult &R) {
+      [this, Id = W.Request_, Claim](const store::ObjectResult &R) {
         if (R.Exists_)
           return queueWrite(Id, Claim);
         feed(request::ClaimWritten{Id, CommitStatus::Refused, {}});
@@ -322,13 +322,13 @@
     return;
   Parts_.Platform_.readRow(
       request::claimKey(P->Spec_.Team_, *P->Spec_.Key_),
-      [this, Id = R.Request_](const platform::RowResult &Result) {
+      [this, Id = R.Request_](const store::RowResult &Result) {
         claimRead(Id, Result);
       });
 }
 
 void RequestService::claimRead(const RequestId &Request,
-                               const platform::RowResult &R) {
+                               const store::RowResult &R) {
   request::ClaimRead Event{Request, std::nullopt, !R.Answered_};
   if (R.Row_) {
     try {
--- a/src/daemon/request-service.h
+++ b/src/daemon/request-service.h
@@ -4,12 +4,12 @@
 #include "daemon/history.h"
 #include "daemon/worker-client.h"
 #include "http/http-server.h"
-#include "platform/platform-client.h"
 #include "process/clock.h"
 #include "process/metrics.h"
 #include "request/claim-batch.h"
 #include "request/claim-row.h"
 #include "request/dispatcher.h"
+#include "store/table-client.h"
 
 #include <QObject>
 #include <QTimer>
@@ -25,7 +25,7 @@
   process::Clock &Clock_;
   History &History_;
   process::Metrics &Metrics_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   WorkerClient &Workers_;
 };
 
@@ -89,7 +89,7 @@
               const InstanceId &Worker, const TryReply &T);
   void respond(const PendingPtr &P, const request::Answer &A,
                const QByteArray &Body);
-  void claimRead(const RequestId &Request, const platform::RowResult &R);
+  void claimRead(const RequestId &Request, const store::RowResult &R);
   void queueWrite(const RequestId &Request, request::StoredClaim Claim);
   void writeClaims();
   void armTick();
--- a/src/daemon/ticket-service.cc
+++ b/src/daemon/ticket-service.cc
@@ -10,13 +10,17 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+#include <span>
+
 namespace heathercross::daemon {
 
 namespace {
 
 constexpr unsigned MaxTries = 12;
+/// Tickets in one answer, the oldest first.
+constexpr std::size_t MaxListed = 500;
 constexpr int RetryMs = 40;
-constexpr unsigned MaxListed = 500;
 
 http::Response conflictResponse(const view::VersionConflict &E) {
   return jsonResponse(Conflict,
@@ -44,7 +48,7 @@
 };
 
 TicketService::TicketService(std::string Incarnation, view::Committee Members,
-                             History &H, platform::Client &Platform,
+                             History &H, store::TableClient &Platform,
                              ViewService &View)
     : Incarnation_(std::move(Incarnation)), Members_(std::move(Members)),
       History_(H), Platform_(Platform), View_(View) {}
@@ -87,7 +91,7 @@
     if (!Read)
       return again(C);
     Platform_.readRow(
-        std::string(view::HeadKey), [this, C](const platform::RowResult &R) {
+        std::string(view::HeadKey), [this, C](const store::RowResult &R) {
           const auto State =
               R.Answered_ ? View_.store().agreed(R.Row_) : std::nullopt;
           if (!State)
@@ -99,7 +103,7 @@
 
 void TicketService::readTicket(const ChangePtr &C, const view::Agreed &State) {
   Platform_.readRow(view::rowKey(C->Number_),
-                    [this, C, State](const platform::RowResult &R) {
+                    [this, C, State](const store::RowResult &R) {
                       if (!R.Answered_)
                         return again(C);
                       decide(C, R.Row_, State);
@@ -161,7 +165,7 @@
 
 void TicketService::show(TicketNumber Number, http::Responder To) {
   Platform_.readRow(
-      view::rowKey(Number), [To, Number](const platform::RowResult &R) mutable {
+      view::rowKey(Number), [To, Number](const store::RowResult &R) mutable {
         if (!R.Answered_)
           To.respond(errorResponse(Unavailable, PlatformAway()));
         else if (!R.Row_)
@@ -174,16 +178,18 @@
 
 void TicketService::list(http::Responder To) {
   Platform_.scan(
-      std::string(view::TicketPrefix), RowVersion(), MaxListed,
-      [To](const platform::ScanResult &R) mutable {
+      std::string(view::TicketPrefix), RowVersion(),
+      [To](const store::ScanResult &R) mutable {
         if (!R.Answered_) {
           To.respond(errorResponse(Unavailable, PlatformAway()));
           return;
         }
         QJsonArray All;
-        for (const Row &One : R.Rows_)
+        const bool More = R.Rows_.size() > MaxListed;
+        for (const Row &One :
+             std::span(R.Rows_).first(std::min(MaxListed, R.Rows_.size())))
           All.append(view::toJson(view::decodeTicket(One.Value_)));
-        To.respond(jsonResponse(200, {{"tickets", All}, {"more", R.More_}}));
+        To.respond(jsonResponse(200, {{"tickets", All}, {"more", More}}));
       });
 }
 
--- a/src/daemon/ticket-service.h
+++ b/src/daemon/ticket-service.h
@@ -3,7 +3,7 @@
 
 #include "daemon/view-service.h"
 #include "http/http-server.h"
-#include "platform/platform-client.h"
+#include "store/table-client.h"
 #include "view/ticket.h"
 
 #include <functional>
@@ -36,7 +36,7 @@
 class TicketService {
 public:
   TicketService(std::string Incarnation, view::Committee Members, History &H,
-                platform::Client &Platform, ViewService &View);
+                store::TableClient &Platform, ViewService &View);
 
   void submit(const http::Request &R, http::Responder To,
               const OperatorId &Author);
@@ -65,7 +65,7 @@
   std::string Incarnation_;
   view::Committee Members_;
   History &History_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   ViewService &View_;
   std::uint64_t LastAttempt_ = 0;
 };
--- a/src/daemon/view-service.cc
+++ b/src/daemon/view-service.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr unsigned PageRows = 500;
 constexpr int TickMs = 100;
 
 view::SyncSettings syncSettings(Millis Poll) {
@@ -20,7 +19,7 @@
 }
 
 /// The ticket in the row "head", or nothing when it can't be read.
-std::optional<TicketNumber> headIn(const platform::RowResult &R) {
+std::optional<TicketNumber> headIn(const store::RowResult &R) {
   if (!R.Answered_)
     return std::nullopt;
   if (!R.Row_)
@@ -36,7 +35,7 @@
 } // namespace
 
 ViewService::ViewService(ViewConfig Config, process::Clock &C, History &H,
-                         platform::Client &Platform)
+                         store::TableClient &Platform)
     : Clock_(C), History_(H), Platform_(Platform),
       Sync_(C.now(), Config.Seed_, syncSettings(Config.Poll_)) {
   connect(&Tick_, &QTimer::timeout, this, [this] { feed(view::SyncTick{}); });
@@ -60,7 +59,7 @@
 
 void ViewService::carryOut(const view::ReadHead &) {
   Platform_.readRow(std::string(view::HeadKey),
-                    [this](const platform::RowResult &R) {
+                    [this](const store::RowResult &R) {
                       if (const auto Head = headIn(R))
                         feed(view::HeadRead{*Head});
                       else
@@ -69,7 +68,7 @@
 }
 
 void ViewService::carryOut(const view::ReadRows &E) {
-  scan(Store_.cursor(), {},
+  scan(Store_.cursor(),
        [this, Head = E.Head_](std::optional<std::vector<Row>> Rows) {
          if (!Rows)
            return feed(view::ReadFailed{});
@@ -107,18 +106,11 @@
 }
 
 void ViewService::scan(
-    RowVersion After, std::vector<Row> Have,
+    RowVersion After,
     std::function<void(std::optional<std::vector<Row>>)> Done) {
-  Platform_.scan(std::string(view::ViewPrefix), After, PageRows,
-                 [this, Have = std::move(Have), Done = std::move(Done)](
-                     const platform::ScanResult &R) mutable {
-                   if (!R.Answered_)
-                     return Done(std::nullopt);
-                   std::ranges::copy(R.Rows_, std::back_inserter(Have));
-                   if (!R.More_ || Have.empty())
-                     return Done(std::move(Have));
-                   const RowVersion Next = Have.back().Version_;
-                   scan(Next, std::move(Have), std::move(Done));
+  Platform_.scan(std::string(view::ViewPrefix), After,
+                 [Done = std::move(Done)](const store::ScanResult &R) {
+                   Done(R.Answered_ ? std::optional(R.Rows_) : std::nullopt);
                  });
 }
 
@@ -146,19 +138,18 @@
 }
 
 void ViewService::readNow(std::function<void(bool)> Done) {
-  Platform_.readRow(
-      std::string(view::HeadKey),
-      [this, Done = std::move(Done)](const platform::RowResult &R) {
-        const auto Head = headIn(R);
-        if (!Head)
-          return Done(false);
-        if (Store_.known() && *Head <= Store_.head())
-          return Done(true);
-        scan(Store_.cursor(), {},
-             [this, Head, Done](std::optional<std::vector<Row>> Rows) {
-               Done(Rows && apply(*Rows, *Head) != view::Applied::Torn);
-             });
-      });
+  Platform_.readRow(std::string(view::HeadKey), [this, Done = std::move(Done)](
+                                                    const store::RowResult &R) {
+    const auto Head = headIn(R);
+    if (!Head)
+      return Done(false);
+    if (Store_.known() && *Head <= Store_.head())
+      return Done(true);
+    scan(Store_.cursor(),
+         [this, Head, Done](std::optional<std::vector<Row>> Rows) {
+           Done(Rows && apply(*Rows, *Head) != view::Applied::Torn);
+         });
+  });
 }
 
 } // namespace heathercross::daemon
--- a/src/daemon/view-service.h
+++ b/src/daemon/view-service.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daemon/history.h"
-#include "platform/platform-client.h"
 #include "process/clock.h"
+#include "store/table-client.h"
 #include "view/sync.h"
 #include "view/view-store.h"
 
@@ -32,7 +32,7 @@
       std::function<void(const EntryId &, TicketNumber, PeerAnswer)>;
 
   ViewService(ViewConfig Config, process::Clock &C, History &H,
-              platform::Client &Platform);
+              store::TableClient &Platform);
 
   void start();
   /// Runs after each new head that is in force here.
@@ -59,14 +59,14 @@
   void carryOut(const view::BecameReady &E);
 
   /// Reads every page of rows after the cursor, then gives them to Done.
-  void scan(RowVersion After, std::vector<Row> Have,
+  void scan(RowVersion After,
             std::function<void(std::optional<std::vector<Row>>)> Done);
   view::Applied apply(const std::vector<Row> &Rows, TicketNumber Head);
   void changed(TicketNumber Before);
 
   process::Clock &Clock_;
   History &History_;
-  platform::Client &Platform_;
+  store::TableClient &Platform_;
   view::ViewSync Sync_;
   view::ViewStore Store_;
   std::function<void()> OnChange_;
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -48,8 +48,9 @@
   auto &WorkerHttp =
       Kernel_.add<http::Client>("worker-http", WorkerConnections);
   auto &PeerHttp = Kernel_.add<http::Client>("peer-http", PeerConnections);
-  auto &Store = Kernel_.add<platform_api::Store>("store", StoreHttp,
-                                                 Settings_.Store_.str());
+  auto &Store = Kernel_.add<platform_api::Store>(
+      "store", StoreHttp,
+      platform_api::StoreConfig{Settings_.Store_.str(), {}, false});
   auto &Workers = Kernel_.add<platform_api::Workers>("workers", WorkerHttp);
   auto &Machines = Kernel_.add<platform_api::Machines>(
       "machines", StoreHttp, Settings_.Machines_.str());
--- a/test/platform/store-test.cc
+++ b/test/platform/store-test.cc
@@ -45,7 +45,7 @@
 
 StoreReply call(ModelStore &M, const StoreTransaction &T) {
   http::Client Http;
-  Store S(Http, M.address());
+  Store S(Http, {M.address(), {}, false});
   std::optional<StoreReply> Reply;
   S.transact(T, Millis(300), [&](const StoreReply &R) { Reply = R; });
   waitFor([&] { return Reply.has_value(); });
@@ -91,7 +91,7 @@
   });
   section("a call that never left did nothing", [&] {
     http::Client Http;
-    Store S(Http, "127.0.0.1:1");
+    Store S(Http, {"127.0.0.1:1", {}, false});
     std::optional<StoreReply> Reply;
     S.transact(T, Millis(500), [&](const StoreReply &R) { Reply = R; });
     waitFor([&] { return Reply.has_value(); });
@@ -107,7 +107,7 @@
     {"table":"t","part":"p","key":"b","deleted":true,"ver":5},
     {"odd":1}],"has_more":true,"ver":9})";
   http::Client Http;
-  Store S(Http, M.address());
+  Store S(Http, {M.address(), {}, false});
   std::optional<StoreReply> Reply;
   S.read("t", "a part", "from me", Millis(1000),
          [&](const StoreReply &R) { Reply = R; });
--- a/test/standin/platform/instance-list.cc
+++ b/test/standin/platform/instance-list.cc
@@ -1,7 +1,7 @@
-// The instance list, which shows each change only after a lag.
+// The workers that registered, each change shown only after a lag.
 #include "instance-list.h"
 
-#include <QJsonDocument>
+#include <QJsonArray>
 #include <QTimer>
 
 namespace heathercross::standin {
@@ -14,35 +14,31 @@
 
 void InstanceList::show(const QJsonObject &Instance) {
   const QString Id = Instance["id"].toString();
-  const auto Before = Visible_.find(Id);
-  const QJsonObject Old =
-      Before == Visible_.end() ? QJsonObject() : Before->second;
   if (Instance["state"].toString() == "gone") {
     Visible_.erase(Id);
-  } else {
-    QJsonObject &Known = Visible_[Id];
-    for (auto At = Instance.begin(); At != Instance.end(); ++At)
-      Known[At.key()] = At.value();
-    if (!Known.contains("state"))
-      Known["state"] = "live";
+    Shown_(Instance);
+    return;
   }
-  const auto After = Visible_.find(Id);
-  const bool Changed =
-      After == Visible_.end() ? !Old.isEmpty() : After->second != Old;
-  Revision_ += Changed ? 1 : 0;
-  Shown_(Instance);
+  QJsonObject &Known = Visible_[Id];
+  for (auto At = Instance.begin(); At != Instance.end(); ++At)
+    Known[At.key()] = At.value();
+  if (!Known.contains("state"))
+    Known["state"] = "live";
+  Shown_(Known);
 }
 
-QByteArray InstanceList::etag() const {
-  return "\"" + QByteArray::number(static_cast<quint64>(Revision_)) + "\"";
-}
-
-QByteArray InstanceList::body() const {
-  QJsonArray All;
-  for (const auto &[Id, Instance] : Visible_)
-    All.append(Instance);
-  return QJsonDocument(QJsonObject{{"instances", All}})
-      .toJson(QJsonDocument::Compact);
+QJsonObject InstanceList::registration(const QJsonObject &Instance) {
+  constexpr qint64 MilliPerCore = 1000;
+  const bool Leaving = Instance["state"].toString() == "leaving";
+  return {{"service", "workers"},
+          {"addr", Instance["address"]},
+          {"zone", Instance["zone"]},
+          {"state", Leaving ? "draining" : "ready"},
+          {"capacity",
+           QJsonObject{{"cpu", Instance["cores"].toInteger() * MilliPerCore},
+                       {"mem_mb", Instance["memory_mb"]},
+                       {"gpus", 0}}},
+          {"labels", QJsonArray{Instance["rack"]}}};
 }
 
 } // namespace heathercross::standin
--- a/test/standin/platform/platform.cc
+++ b/test/standin/platform/platform.cc
@@ -1,6 +1,9 @@
 // The platform as its callers see it: table, objects, instance list, faults.
 #include "platform.h"
 
+#include "platform/documents.h"
+#include "store/row-text.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QTimer>
@@ -28,27 +31,50 @@
   return RowVersion(static_cast<std::uint64_t>(Value.toInteger()));
 }
 
-Transaction transactionOf(const QJsonObject &Body) {
-  Transaction T;
-  T.Attempt_ = AttemptId(textOf(Body["attempt"]));
-  for (const QJsonValue E : Body["expect"].toArray())
-    T.Expect_.push_back({textOf(E["key"]), versionOf(E["version"])});
-  for (const QJsonValue P : Body["put"].toArray())
-    T.Put_.push_back({textOf(P["key"]), textOf(P["value"])});
-  for (const QJsonValue Key : Body["erase"].toArray())
-    T.Erase_.push_back(textOf(Key));
+using platform_api::RowPlace;
+using platform_api::StoredRow;
+using platform_api::StoreTransaction;
+
+RowPlace placeOf(const QJsonObject &O) {
+  return {textOf(O["table"]), textOf(O["part"]), textOf(O["key"])};
+}
+
+StoreTransaction transactionOf(const QJsonObject &Body) {
+  StoreTransaction T;
+  for (const QJsonValue E : Body["precondition"].toArray())
+    T.Conditions_.push_back({placeOf(E.toObject()), versionOf(E["ver"])});
+  for (const QJsonValue P : Body["set_keys"].toArray())
+    T.Changes_.push_back(
+        {placeOf(P.toObject()),
+         QByteArray::fromBase64(P["value"].toString().toLatin1())
+             .toStdString()});
+  for (const QJsonValue R : Body["remove"].toArray())
+    T.Changes_.push_back({placeOf(R.toObject()), std::nullopt});
   return T;
 }
 
-QJsonObject jsonOf(const Row &R) {
-  return {{"key", QString::fromStdString(R.Key_)},
-          {"version", signedOf(R.Version_)},
-          {"writer", QString::fromStdString(R.Writer_.str())},
-          {"value", QString::fromStdString(R.Value_)}};
+QJsonObject jsonOf(const StoredRow &R) {
+  QJsonObject O{{"table", QString::fromStdString(R.Place_.Table_)},
+                {"part", QString::fromStdString(R.Place_.Partition_)},
+                {"key", QString::fromStdString(R.Place_.Key_)},
+                {"ver", signedOf(R.Version_)}};
+  if (R.Removed_)
+    O["deleted"] = true;
+  else
+    O["value"] =
+        QString::fromLatin1(QByteArray::fromStdString(R.Value_).toBase64());
+  return O;
+}
+
+QJsonArray jsonOf(const std::vector<StoredRow> &Rows) {
+  QJsonArray A;
+  for (const StoredRow &R : Rows)
+    A.append(jsonOf(R));
+  return A;
 }
 
 bool isWrite(const HttpRequest &Request) {
-  return Request.Method_ == "PUT" || Request.Path_ == "/table/commit";
+  return Request.Method_ == "PUT" || Request.Path_ == "/-/rows-tx";
 }
 
 /// Calls of tests, which no fault and no count applies to.
@@ -67,6 +93,7 @@
                                     textOf(Instance["id"]));
                    Line.text("state", textOf(Instance["state"]));
                    History_.write(Line);
+                   listWorker(Instance);
                  }),
       Server_([this](const HttpRequest &Request, const Responder &Answer) {
         handle(Request, Answer);
@@ -99,17 +126,16 @@
 }
 
 HttpResponse Platform::serve(const HttpRequest &Request) {
-  const bool Get = Request.Method_ == "GET";
-  if (Request.Path_ == "/table/commit")
-    return commit(Request);
-  if (Request.Path_ == "/table/row")
-    return row(Request);
-  if (Request.Path_ == "/table/scan")
-    return scan(Request);
-  if (Request.Path_.startsWith("/object/"))
+  if (Request.Path_ == "/-/rows-tx")
+    return transact(Request);
+  if (Request.Path_ == "/-/rows-get")
+    return read(Request);
+  if (Request.Path_ == "/-/rows-feed")
+    return changes(Request);
+  if (Request.Path_.startsWith("/-/blob-"))
     return object(Request);
-  if (Request.Path_ == "/instances")
-    return Get ? listInstances(Request) : changeInstance(Request);
+  if (Request.Path_ == "/instances" && Request.Method_ == "POST")
+    return changeInstance(Request);
   if (Request.Path_ == "/fault")
     return setFault(Request);
   if (Request.Path_ == "/stats")
@@ -117,42 +143,42 @@
   return jsonResponse(R"({"error":"no-such-path"})", 404);
 }
 
-HttpResponse Platform::listInstances(const HttpRequest &Request) const {
-  const QByteArray Tag = Instances_.etag();
-  if (Request.header("If-None-Match") == Tag)
-    return jsonResponse("", 304);
-  HttpResponse Whole = jsonResponse(Instances_.body());
-  Whole.Headers_.emplace_back("ETag", Tag);
-  return Whole;
+HttpResponse Platform::rowsResponse(const QJsonArray &Found, bool More,
+                                    int Status) const {
+  return jsonResponse(compact({{"rows", Found},
+                               {"has_more", More},
+                               {"ver", signedOf(Rows_.version())},
+                               {"now_ms", qint64(nowMicros() / 1000)}}),
+                      Status);
 }
 
-HttpResponse Platform::commit(const HttpRequest &Request) {
-  const Transaction T = transactionOf(objectOf(Request.Body_));
-  const CommitResult Result = Table_.commit(T);
-  if (Result.Status_ == CommitStatus::Committed) {
-    record(Request, T, Result.Version_);
-    return jsonResponse(compact({{"version", signedOf(Result.Version_)}}));
-  }
-  QJsonArray Conflicts;
-  for (const Expectation &E : Result.Conflicts_)
-    Conflicts.append(QJsonObject{{"key", QString::fromStdString(E.Key_)},
-                                 {"version", signedOf(E.Version_)}});
-  return jsonResponse(compact({{"conflicts", Conflicts}}), 409);
+HttpResponse Platform::transact(const HttpRequest &Request) {
+  const StoreTransaction T = transactionOf(objectOf(Request.Body_));
+  if (const auto Conflict = Rows_.apply(T))
+    return rowsResponse(jsonOf(*Conflict), false, 412);
+  record(Request, T);
+  return rowsResponse({}, false);
 }
 
-void Platform::record(const HttpRequest &Request, const Transaction &T,
-                      RowVersion Version) {
+void Platform::record(const HttpRequest &Request, const StoreTransaction &T) {
   if (!History_.on())
     return;
   QJsonArray Put;
-  for (const auto &P : T.Put_)
-    Put.append(QJsonObject{{"key", QString::fromStdString(P.Key_)},
-                           {"value", QString::fromStdString(P.Value_)}});
   QJsonArray Erase;
-  for (const std::string &Key : T.Erase_)
-    Erase.append(QString::fromStdString(Key));
-  HistoryLine Line("platform", "commit", T.Attempt_.str());
-  Line.number("version", signedOf(Version))
+  std::string Attempt;
+  for (const auto &Change : T.Changes_) {
+    if (!Change.Value_) {
+      Erase.append(QString::fromStdString(Change.Place_.Key_));
+      continue;
+    }
+    const Row R =
+        store::decodeRow(Change.Place_.Key_, RowVersion(), *Change.Value_);
+    Attempt = R.Writer_.str();
+    Put.append(QJsonObject{{"key", QString::fromStdString(R.Key_)},
+                           {"value", QString::fromStdString(R.Value_)}});
+  }
+  HistoryLine Line("platform", "commit", Attempt);
+  Line.number("version", signedOf(Rows_.version()))
       .text("by", Request.header("x-process").toStdString())
       .text("zone", Request.header("x-zone").toStdString())
       .json("put",
@@ -162,34 +188,31 @@
   History_.write(Line);
 }
 
-HttpResponse Platform::row(const HttpRequest &Request) {
-  const auto Found = Table_.row(Request.parameter("key").toStdString());
-  if (!Found)
-    return jsonResponse(R"({"error":"no-such-row"})", 404);
-  return jsonResponse(compact(jsonOf(*Found)));
+HttpResponse Platform::read(const HttpRequest &Request) {
+  const RowPage Page = Rows_.read(Request.parameter("table").toStdString(),
+                                  Request.parameter("part").toStdString(),
+                                  Request.parameter("from").toStdString(),
+                                  Request.parameter("to").toStdString(),
+                                  Request.parameter("limit").toULongLong());
+  return rowsResponse(jsonOf(Page.Rows_), Page.More_);
 }
 
-HttpResponse Platform::scan(const HttpRequest &Request) {
+HttpResponse Platform::changes(const HttpRequest &Request) {
   const RowVersion After(Request.parameter("after").toULongLong());
-  const ScanPage Page =
-      Table_.scan(Request.parameter("prefix").toStdString(), After,
-                  Request.parameter("limit").toULongLong());
-  QJsonArray Rows;
-  for (const Row &R : Page.Rows_)
-    Rows.append(jsonOf(R));
-  return jsonResponse(compact({{"version", signedOf(Page.Version_)},
-                               {"rows", Rows},
-                               {"more", Page.More_}}));
+  return rowsResponse(
+      jsonOf(Rows_.changes(Request.parameter("table").toStdString(), After)),
+      false);
 }
 
 HttpResponse Platform::object(const HttpRequest &Request) {
   HttpResponse Response;
-  const auto At = Objects_.find(Request.Path_);
+  const QByteArray Name = Request.Path_.mid(Request.Path_.lastIndexOf('/') + 1);
+  const auto At = Objects_.find(Name);
   if (Request.Method_ == "PUT") {
     if (At != Objects_.end() && Request.header("if-none-match") == "*")
       return jsonResponse(R"({"error":"exists"})", 412);
-    Objects_[Request.Path_] = Request.Body_;
-    return jsonResponse("{}", 201);
+    Objects_[Name] = Request.Body_;
+    return jsonResponse("{}");
   }
   if (At == Objects_.end())
     return jsonResponse(R"({"error":"no-such-object"})", 404);
@@ -198,6 +221,17 @@
   return Response;
 }
 
+void Platform::listWorker(const QJsonObject &Instance) {
+  const RowPlace Place{platform_api::WorkerTable, "", textOf(Instance["id"])};
+  StoreTransaction T;
+  if (textOf(Instance["state"]) == "gone")
+    T.Changes_.push_back({Place, std::nullopt});
+  else
+    T.Changes_.push_back(
+        {Place, compact(InstanceList::registration(Instance)).toStdString()});
+  Rows_.apply(T);
+}
+
 HttpResponse Platform::changeInstance(const HttpRequest &Request) {
   Instances_.change(objectOf(Request.Body_));
   return jsonResponse("{}");
--- a/test/standin/platform/platform.h
+++ b/test/standin/platform/platform.h
@@ -4,9 +4,9 @@
 #include "faults.h"
 #include "instance-list.h"
 #include "rate-meter.h"
+#include "rows.h"
 #include "standin/common/history.h"
 #include "standin/common/http-server.h"
-#include "table.h"
 
 #include <QObject>
 
@@ -34,20 +34,23 @@
 private:
   void handle(const HttpRequest &Request, const Responder &Answer);
   HttpResponse serve(const HttpRequest &Request);
-  HttpResponse listInstances(const HttpRequest &Request) const;
-  HttpResponse commit(const HttpRequest &Request);
-  HttpResponse row(const HttpRequest &Request);
-  HttpResponse scan(const HttpRequest &Request);
+  HttpResponse transact(const HttpRequest &Request);
+  HttpResponse read(const HttpRequest &Request);
+  HttpResponse changes(const HttpRequest &Request);
+  HttpResponse rowsResponse(const QJsonArray &Found, bool More,
+                            int Status = 200) const;
   HttpResponse object(const HttpRequest &Request);
   HttpResponse changeInstance(const HttpRequest &Request);
   HttpResponse setFault(const HttpRequest &Request);
   HttpResponse stats() const;
-  void record(const HttpRequest &Request, const Transaction &T,
-              RowVersion Version);
+  void record(const HttpRequest &Request,
+              const platform_api::StoreTransaction &T);
+  /// Registers a worker as the published protocol has it.
+  void listWorker(const QJsonObject &Instance);
 
   PlatformOptions Options_;
   HistoryFile History_;
-  Table Table_;
+  Rows Rows_;
   Faults Faults_;
   InstanceList Instances_;
   std::map<QByteArray, QByteArray> Objects_;
--- a/test/standin/worker/main.cc
+++ b/test/standin/worker/main.cc
@@ -31,8 +31,12 @@
   WorkerOptions O;
   O.Name_ = FLAGS_name_prefix + '-' + FLAGS_zone + '-' + std::to_string(Index);
   O.Zone_ = FLAGS_zone;
-  O.Rack_ = "rack-" + FLAGS_name_prefix + '-' + FLAGS_zone + '-' +
-            std::to_string(Index / FLAGS_rack_size);
+  // As racks are labelled in registrations: a letter and digits.
+  O.Rack_ =
+      "r" +
+      std::to_string(std::hash<std::string>()(FLAGS_name_prefix + FLAGS_zone) %
+                     1000) +
+      '-' + std::to_string(Index / FLAGS_rack_size);
   O.Port_ = FLAGS_first_port == 0
                 ? quint16{0}
                 : static_cast<quint16>(FLAGS_first_port + Index);
