Orders to start are bounded, so that pressing work overtakes

Change: so many orders without an answer at a time, by the entry's share of the processor; the next ones are chosen when answers come. Renewals make room when the event loop is late. Story "pressing work overtakes what isn't ordered".

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -35,6 +35,8 @@
 constexpr Millis BusyRenew{12};
 constexpr Millis LongestBusyRenew{400};
 constexpr double RenewalsPerCoreSecond = 1600;
+/// Renewals make room when the event loop is late: orders come first.
+constexpr int LagFactor = 4;
 /// A renewal waits about this long at the worker for an end.
 constexpr double UsualRenewWaitMs = 100;
 /// While ends that were just listed are being stored, asking again would only
@@ -77,7 +79,8 @@
       });
   const double PerSecond = RenewalsPerCoreSecond * Context_.Settings_.CpuShare_;
   const double Round = static_cast<double>(Busy) / PerSecond * MillisPerSecond;
-  return std::clamp(Millis(static_cast<std::int64_t>(Round - UsualRenewWaitMs)),
+  const Millis Spaced(static_cast<std::int64_t>(Round - UsualRenewWaitMs));
+  return std::clamp(std::max(Spaced, BusyRenew) + LagFactor * toMillis(Lag_),
                     BusyRenew, LongestBusyRenew);
 }
 
@@ -234,7 +237,7 @@
         if (A == StartAnswer::Fenced)
           return lose("fenced-by-worker");
         Scheduler_.started(O.Worker_, O.Task_, O.Attempt_, A, At);
-        if (A != StartAnswer::Started)
+        if (A != StartAnswer::Started || Scheduler_.heldBack())
           kick();
       }));
 }
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -19,6 +19,11 @@
 using process::LineClass;
 using schedule::Job;
 
+/// Orders to start without an answer: about 0.1 s of what an entry can send
+/// with its share of the processor (one order takes about 0.4 ms with all that
+/// follows from it).
+constexpr double OrdersPerCore = 250;
+constexpr std::size_t LeastOrders = 24;
 /// Events that come together are decided together.
 constexpr int KickMs = 4;
 /// After a round of decisions others may use the processor for so many times as
@@ -27,6 +32,8 @@
 constexpr int MaxPumpPauseMs = 40;
 /// Timeouts and pauses are looked at this often.
 constexpr int PumpMs = 50;
+/// The lag of the event loop is averaged over so many of these looks.
+constexpr int LagTicks = 4;
 /// What runs goes on this long without a renewal: a new holder takes about
 /// 3 s, and what a dead worker ran is started again only after it.
 constexpr Millis RunLease{6000};
@@ -60,8 +67,15 @@
   Soon_.setSingleShot(true);
   Soon_.setTimerType(Qt::PreciseTimer);
   connect(&Soon_, &QTimer::timeout, this, [this] { pump(); });
-  connect(&Regular_, &QTimer::timeout, this, [this] { pump(); });
+  LastRegular_ = C.Clock_.now();
+  connect(&Regular_, &QTimer::timeout, this, [this] {
+    noteLag();
+    pump();
+  });
   Regular_.start(PumpMs);
+  Scheduler_.setOrderLimit(std::max(
+      LeastOrders,
+      static_cast<std::size_t>(OrdersPerCore * Context_.Settings_.CpuShare_)));
   load();
 }
 
@@ -250,6 +264,14 @@
     Soon_.start(std::max(KickMs, PumpPauseMs_));
 }
 
+void PoolHolder::noteLag() {
+  const Instant Now = Context_.Clock_.now();
+  const Micros Late = Now - LastRegular_ - Millis(PumpMs);
+  LastRegular_ = Now;
+  // The mean over some ticks: a single late one says little.
+  Lag_ += (std::max(Micros(0), Late) - Lag_) / LagTicks;
+}
+
 void PoolHolder::pump() {
   if (Lost_)
     return;
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -126,6 +126,7 @@
   void restoreJobs();
 
   void kick();
+  void noteLag();
   void pump();
   void afterCommit();
   void lose(const char *Cause);
@@ -187,6 +188,10 @@
   bool AskingAdvice_ = false;
   Instant NextAdvice_;
   std::function<void()> OnHandedOver_;
+  /// How late the event loop is, on average: it grows with the processor's
+  /// load.
+  Micros Lag_{0};
+  Instant LastRegular_;
   /// How long to wait before the next round of decisions, at least.
   int PumpPauseMs_ = 0;
   QTimer Soon_;
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -54,11 +54,14 @@
 
 void PoolScheduler::expire(Instant Now) {
   std::vector<InstanceId> Gone;
+  Unanswered_ = 0;
   for (auto &[Id, W] : Workers_) {
-    const bool Late = std::ranges::any_of(W.runs(), [Now](const auto &Entry) {
-      const Run &R = Entry.second;
-      return R.Phase_ == RunPhase::Ordered && Now - R.Ordered_ > OrderPatience;
-    });
+    bool Late = false;
+    for (const auto &[Key, R] : W.runs())
+      if (R.Phase_ == RunPhase::Ordered) {
+        ++Unanswered_;
+        Late = Late || Now - R.Ordered_ > OrderPatience;
+      }
     if (std::exchange(W.AnswersLate_, Late) != Late)
       note(Late ? "worker-answers-late" : "worker-answers", {}, 0, Id,
            "runs=" + std::to_string(W.runs().size()));
@@ -321,6 +324,9 @@
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
     if (Tasks[I].Phase_ != TaskPhase::Waiting)
       continue;
+    HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
+    if (HeldBack_)
+      return;
     Worker *W = choose(Places, request(J, S, Tasks[I]));
     if (!W)
       return;
@@ -391,14 +397,19 @@
 }
 
 void PoolScheduler::orderStarts(Instant Now, WallTime Wall, Orders &Out) {
+  HeldBack_ = false;
   const std::vector<Worker *> Takers = takers(Now);
   if (Takers.empty())
     return;
-  for (const ReadyStep &S : readySteps(Now, Wall))
+  for (const ReadyStep &S : readySteps(Now, Wall)) {
+    HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
+    if (HeldBack_)
+      return;
     if (S.Job_->spec().Steps_[S.Step_].Gang_)
       startGang(S, Takers, Now, Out);
     else
       startTasks(S, Takers, Now, Out);
+  }
 }
 
 const PoolScheduler::Advice *
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -103,6 +103,12 @@
 public:
   void setQueues(const std::map<QueueId, QueueSettings> &Queues);
 
+  /// The most orders to start that may be without an answer. What is ordered
+  /// waits its turn at the entry, where no more pressing work can overtake it.
+  void setOrderLimit(std::size_t Most) { OrderLimit_ = Most; }
+  /// Whether the last step held orders back for that limit.
+  bool heldBack() const { return HeldBack_; }
+
   /// A worker that is registered. A worker of another pool is forgotten once
   /// nothing of it can run any more.
   void setWorker(const WorkerInfo &Info);
@@ -253,6 +259,10 @@
   std::vector<Decision> Log_;
   Resources Largest_;
   std::map<QueueId, ArrivalRate> Arrivals_;
+  std::size_t OrderLimit_ = ~std::size_t{0};
+  /// Orders to start without an answer, when the last step began.
+  std::size_t Unanswered_ = 0;
+  bool HeldBack_ = false;
 };
 
 } // namespace heathercross::schedule
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -212,6 +212,37 @@
   });
 }
 
+// The load: more work becomes ready at once than the entry can send orders for.
+// What is ordered waits in a line that nothing can overtake.
+HEATHERCROSS_STORY(OrderLimit, "pressing work overtakes what isn't ordered") {
+  PoolScheduler S;
+  Instant Now{Seconds(100)};
+  S.setOrderLimit(4);
+  S.setWorker(workerInfo("w1", "r1", 32000));
+  S.report(InstanceId("w1"), {1, {}, {}}, Now, Now);
+  S.setRostered(InstanceId("w1"), true);
+  S.leaseGranted(InstanceId("w1"), Now + Seconds(6));
+  const auto Admit = [&](const char *Id, std::uint32_t Count) {
+    Job J(JobId(Id), QueueId("q"), job({step(Count, 1000, Millis(900))}), Now);
+    S.noteArrival(J, Now);
+    S.admit(std::move(J));
+  };
+  Admit("large", 20);
+  Orders First = S.step(Now, WallTime());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{4}, First.Starts_.size());
+  CPPUNIT_ASSERT(S.heldBack());
+  section("nothing more before there are answers",
+          [&] { CPPUNIT_ASSERT(S.step(Now, WallTime()).Starts_.empty()); });
+  section("then a small job that came later goes first", [&] {
+    Admit("small", 1);
+    for (const StartOrder &O : First.Starts_)
+      S.started(O.Worker_, O.Task_, O.Attempt_, StartAnswer::Started, Now);
+    const Orders Next = S.step(Now, WallTime());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Next.Starts_.size());
+    CPPUNIT_ASSERT(Next.Starts_.front().Task_.Job_ == JobId("small"));
+  });
+}
+
 HEATHERCROSS_STORY(Lost, "what a lost worker ran starts again, but not early") {
   ModelPool P;
   P.addWorker("w1");
