--- a/src/schedule/pool-sizing.cc
+++ b/src/schedule/pool-sizing.cc
@@ -18,7 +18,7 @@
 constexpr double MaxLateMachines = 2;
 /// Machines that stand ready in each pool, for the time until more arrive when
 /// its turn comes.
-constexpr std::uint32_t IdleMachines = 3;
+constexpr std::uint32_t IdleMachines = 2;
 /// Machines that a pool keeps beyond its need, for the first jobs of a burst.
 constexpr std::uint32_t SpareMachines = 1;
 /// While machines are short a pool keeps so many more than its share: shares
