Entries against a store, as processes: calls follow the duty, cut entries answer

It found that an entry without the store that had never heard of a holder kept its callers for 2.2 s; it answers at once now.

--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -121,6 +121,9 @@
     return askLocal(
         *Local, C->Job_,
         guarded(this, [this, C](const JobAnswer &A) { take(C, A); }));
+  // Without the store no holder will become known either.
+  if (!Known && !Knowledge_.storeAnswers())
+    return giveUp(C);
   if (!Known || Known->Row_.Holder_ == Context_.Incarnation_)
     return again(C);
   askHolder(C, *Known);
