--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -195,6 +195,12 @@
          Now >= W.VacateUntil_ && W.LeasesEnd_ > Now + MinLease;
 }
 
+Rank PoolScheduler::timedRank(const Job &J, std::uint32_t OccurrenceIndex,
+                              Instant Now, WallTime Wall) const {
+  return rankOf(J, settings(J.queue()), ageOf(J, OccurrenceIndex, Now, Wall),
+                meanWork(J.queue()));
+}
+
 Rank PoolScheduler::rank(const Job &J, std::uint32_t OccurrenceIndex,
                          std::uint32_t Step, Instant Now, WallTime Wall) const {
   const StepSpec &S = J.spec().Steps_[Step];
@@ -203,8 +209,7 @@
     return {Urgency::Filler, Q.Priority_, 0};
   if (S.Lasting_)
     return {Urgency::Lasting, Q.Priority_, 0};
-  return rankOf(J, Q, ageOf(J, OccurrenceIndex, Now, Wall),
-                meanWork(J.queue()));
+  return timedRank(J, OccurrenceIndex, Now, Wall);
 }
 
 double PoolScheduler::meanWork(const QueueId &Queue) const {
@@ -458,85 +463,4 @@
   return std::nullopt;
 }
 
-std::uint32_t PoolScheduler::queued(const QueueId &Queue) const {
-  return static_cast<std::uint32_t>(
-      std::ranges::count_if(Open_, [&](const JobId &Id) {
-        const Job &J = Jobs_.at(Id);
-        return J.queue() == Queue && J.state() == JobState::Queued;
-      }));
-}
-
-void PoolScheduler::noteArrival(const Job &J, Instant Now) {
-  if (!J.spec().lasting() && J.spec().Repeats_ == 0)
-    Arrivals_[J.queue()].arrived(J.remainingWork(), Now);
-}
-
-double PoolScheduler::cores() const {
-  constexpr double MilliPerCore = 1000;
-  double Sum = 0;
-  for (const auto &[Id, W] : Workers_)
-    if (W.heard() && W.Registered_ && !W.SilentSince_ && !W.info().Draining_)
-      Sum += static_cast<double>(W.info().Capacity_.CpuMilli_) / MilliPerCore;
-  return Sum;
-}
-
-double PoolScheduler::coresFor(const Resources &R) const {
-  constexpr double MilliPerCore = 1000;
-  const auto Share = [](std::int64_t Part, std::int64_t Whole) {
-    return Whole > 0 ? static_cast<double>(Part) / static_cast<double>(Whole)
-                     : 0.0;
-  };
-  const double Worst = std::max({Share(R.CpuMilli_, Largest_.CpuMilli_),
-                                 Share(R.MemoryMb_, Largest_.MemoryMb_),
-                                 Share(R.Gpus_, Largest_.Gpus_)});
-  return Worst * static_cast<double>(Largest_.CpuMilli_) / MilliPerCore;
-}
-
-Demand PoolScheduler::demand(Instant Now, WallTime Wall) const {
-  Demand D;
-  for (const auto &[Queue, Rate] : Arrivals_)
-    D.Arriving_ += Rate.cores(Now);
-  for (const auto &[Id, W] : Workers_)
-    for (const auto &[Key, R] : W.runs()) {
-      const double Cores = coresFor(R.Reserved_);
-      (R.Lasting_ ? D.Lasting_ : D.Running_) += Cores;
-    }
-  for (const JobId &Id : Open_)
-    for (const StepSpec &S : Jobs_.at(Id).spec().Steps_)
-      if (S.Lasting_)
-        D.MinWorkers_ =
-            std::max(D.MinWorkers_,
-                     S.MaxPerWorker_ > 0
-                         ? (S.Count_ + S.MaxPerWorker_ - 1) / S.MaxPerWorker_
-                         : 1);
-  for (const ReadyStep &S : readySteps(Now, Wall)) {
-    const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
-    const auto Waiting = std::ranges::count(
-        S.Job_->occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_,
-        TaskPhase::Waiting, &TaskState::Phase_);
-    const double Cores =
-        static_cast<double>(Waiting) * coresFor(Spec.reserved());
-    (S.Rank_.Urgency_ <= Urgency::InTime ? D.WaitingInTime_ : D.WaitingLate_) +=
-        Cores;
-  }
-  return D;
-}
-
-double PoolScheduler::workAhead(const Job &J, Instant Now,
-                                WallTime Wall) const {
-  const Rank Own =
-      rankOf(J, settings(J.queue()), Micros(0), meanWork(J.queue()));
-  double Work = 0;
-  for (const JobId &Id : Open_) {
-    const Job &Other = Jobs_.at(Id);
-    if (Other.spec().lasting() || Other.spec().Repeats_ > 0)
-      continue;
-    const Rank R = rankOf(Other, settings(Other.queue()),
-                          ageOf(Other, 0, Now, Wall), meanWork(Other.queue()));
-    if (R <= Own)
-      Work += Other.remainingWork();
-  }
-  return Work;
-}
-
 } // namespace heathercross::schedule
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -224,6 +224,9 @@
   /// Core-seconds of a queue's jobs; 0 while none is known.
   double meanWork(const QueueId &Queue) const;
   std::vector<ReadyStep> readySteps(Instant Now, WallTime Wall) const;
+  /// The rank of work that lasts only a while.
+  Rank timedRank(const Job &J, std::uint32_t OccurrenceIndex, Instant Now,
+                 WallTime Wall) const;
   Rank rank(const Job &J, std::uint32_t OccurrenceIndex, std::uint32_t Step,
             Instant Now, WallTime Wall) const;
   /// A run of a step's task, not yet ordered.
