Log restarts of workers, late starts, stops and repeated sendings

A restart of a worker was logged only if it lost runs, an answer to a stop and a second sending by libcurl never, and a run that appeared after its order had been given up looked like any other.

Change: events worker-restarted with the number of unanswered orders, start-late with the age of the last order and why it was given up, stop-answered; start-answered has sent if the order went out more than once. Counters for unanswered and late starts and for restarts. No decision changes.

Measured: schedule-test and http-test pass; the new section of http-test sees a request that libcurl sends twice counted as two.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -4,6 +4,8 @@
 #include "platform/names.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 namespace heathercross::entry {
@@ -69,6 +71,38 @@
   return "unknown";
 }
 
+const char *answerName(StopAnswer A) {
+  switch (A) {
+  case StopAnswer::Accepted:
+    return "accepted";
+  case StopAnswer::Fenced:
+    return "fenced";
+  case StopAnswer::WrongInstance:
+    return "wrong-instance";
+  case StopAnswer::Malformed:
+    return "malformed";
+  case StopAnswer::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+/// A counter of decisions of one kind.
+struct DecisionMetric {
+  std::string_view Kind_;
+  const char *Name_;
+  const char *Help_;
+};
+
+constexpr std::array<DecisionMetric, 3> DecisionMetrics{{
+    {"worker-restarted", "heathercross_worker_restarts_total",
+     "Workers that started again under their id."},
+    {"start-unanswered", "heathercross_starts_unanswered_total",
+     "Orders to start a task that got no clear answer."},
+    {"start-late", "heathercross_starts_late_total",
+     "Runs that were listed after their order had been given up."},
+}};
+
 } // namespace
 
 Millis PoolHolder::busyRenewInterval() const {
@@ -225,9 +259,11 @@
   L.NextRenew_ = std::min(L.NextRenew_, Now + busyRenewInterval());
   Context_.Workers_.start(
       {O.Worker_, L.Address_}, O, workerClock(L) + runLease().count(),
-      self().Epoch_, OrderTimeout, guarded(this, [this, O, Now](StartAnswer A) {
+      self().Epoch_, OrderTimeout,
+      guarded(this, [this, O, Now](const platform_api::StartReply &Reply) {
         if (Lost_)
           return;
+        const StartAnswer A = Reply.Answer_;
         const Instant AnsweredAt = Context_.Clock_.now();
         Context_.Metrics_.add("heathercross_starts_total",
                               "Orders to start a task.");
@@ -236,6 +272,8 @@
         F["attempt"] = static_cast<qint64>(O.Attempt_);
         F["worker"] = toQString(O.Worker_.str());
         F["answer"] = answerName(A);
+        if (Reply.Sent_ > 1)
+          F["sent"] = static_cast<qint64>(Reply.Sent_);
         F["took_ms"] = static_cast<qint64>(toMillis(AnsweredAt - Now).count());
         Context_.Log_.write("start-answered", F,
                             A == StartAnswer::Started ? LineClass::Routine
@@ -249,11 +287,22 @@
 }
 
 void PoolHolder::sendStop(const schedule::StopOrder &O) {
+  const Instant Now = Context_.Clock_.now();
   Context_.Workers_.stop(
       addressOf(O.Worker_), O, self().Epoch_, OrderTimeout,
-      guarded(this, [this, O](StopAnswer A) {
+      guarded(this, [this, O, Now](StopAnswer A) {
         if (Lost_)
           return;
+        QJsonObject F = jobFields(O.Task_.Job_);
+        F["task"] = toQString(platform_api::taskName(O.Task_));
+        F["attempt"] = static_cast<qint64>(O.Attempt_);
+        F["worker"] = toQString(O.Worker_.str());
+        F["answer"] = answerName(A);
+        F["took_ms"] =
+            static_cast<qint64>(toMillis(Context_.Clock_.now() - Now).count());
+        Context_.Log_.write("stop-answered", F,
+                            A == StopAnswer::Accepted ? LineClass::Routine
+                                                      : LineClass::Decision);
         if (A == StopAnswer::Fenced)
           return loseDuty("fenced-by-worker");
         Scheduler_.stopped(O.Worker_, O.Task_, O.Attempt_, A,
@@ -284,6 +333,10 @@
                         Routine ? LineClass::Routine : LineClass::Decision);
     Context_.Metrics_.add("heathercross_decisions_total",
                           "Decisions of schedulers.");
+    const auto M =
+        std::ranges::find(DecisionMetrics, Kind, &DecisionMetric::Kind_);
+    if (M != DecisionMetrics.end())
+      Context_.Metrics_.add(M->Name_, M->Help_);
   }
 }
 
--- a/src/http/http-client.cc
+++ b/src/http/http-client.cc
@@ -34,8 +34,6 @@
   Call Call_;
   Client::Done Done_;
   Reply Reply_;
-  /// Part of the request may have been sent.
-  bool RequestMayBeSent_ = false;
   curl_slist *Headers_ = nullptr;
 };
 
@@ -82,7 +80,7 @@
 /// libcurl may resend a request of a reused connection and then fail to
 /// connect.
 int recordRequestStart(void *User, char *, char *, int, int) {
-  static_cast<Transfer *>(User)->RequestMayBeSent_ = true;
+  ++static_cast<Transfer *>(User)->Reply_.Sent_;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -290,7 +288,7 @@
   T->Reply_.Status_ = static_cast<int>(Status);
   if (Code == CURLE_OK)
     T->Reply_.Delivery_ = Delivery::Answered;
-  else if (!T->RequestMayBeSent_)
+  else if (T->Reply_.Sent_ == 0)
     T->Reply_.Delivery_ = Delivery::NeverSent;
   curl_multi_remove_handle(Multi_, Easy);
   curl_slist_free_all(T->Headers_);
--- a/src/http/http-client.h
+++ b/src/http/http-client.h
@@ -7,6 +7,7 @@
 
 #include <QByteArray>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -57,6 +58,9 @@
   QByteArray Body_;
   std::vector<std::pair<std::string, std::string>> Headers_;
   Micros Elapsed_{0};
+  /// How often the request was sent, wholly or in part. libcurl sends it again
+  /// if a reused connection turns out to be closed.
+  std::uint32_t Sent_ = 0;
 
   /// Returns the value of a header, or an empty string without one. Names are
   /// compared without regard to case.
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -29,6 +29,9 @@
   /// The worker of the current run, or of the last failed one.
   InstanceId Worker_;
   std::string Checkpoint_;
+  /// When this holder last ordered a start, and why it gave that run up.
+  Instant OrderedAt_;
+  const char *ReleaseCause_ = "";
 
   Attempt nextAttempt() const { return std::max(Attempt_, AttemptFloor_) + 1; }
 };
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -309,6 +309,8 @@
   T.Attempt_ = A;
   T.Phase_ = TaskPhase::Placed;
   T.Worker_ = W.info().Id_;
+  T.OrderedAt_ = Now;
+  T.ReleaseCause_ = "";
   Run R = plannedRun(J.spec().Steps_[Key.Step_]);
   R.Attempt_ = A;
   R.OrderedAt_ = Now;
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -172,8 +172,15 @@
 }
 
 void PoolScheduler::updateIncarnation(Worker &W, std::int64_t Incarnation) {
-  if (W.Incarnation_ && *W.Incarnation_ != Incarnation)
+  if (W.Incarnation_ && *W.Incarnation_ != Incarnation) {
+    const auto Unanswered = std::ranges::count_if(
+        W.runs(), [](RunPhase P) { return P != RunPhase::Working; },
+        [](const auto &Entry) { return Entry.second.Phase_; });
+    logDecision("worker-restarted", {}, 0, W.info().Id_,
+                "runs=" + std::to_string(W.runs().size()) +
+                    " unanswered=" + std::to_string(Unanswered));
     releaseAllRuns(W, "worker-restarted");
+  }
   if (W.Incarnation_ == Incarnation)
     return;
   W.Incarnation_ = Incarnation;
@@ -219,6 +226,7 @@
   if (T.Phase_ != TaskPhase::Placed || T.Attempt_ != A)
     return;
   T.Phase_ = TaskPhase::Waiting;
+  T.ReleaseCause_ = Cause;
   logDecision("run-ended", Key, A, W.info().Id_, Cause);
 }
 
@@ -330,6 +338,16 @@
   }
 }
 
+void PoolScheduler::logLateStart(const TaskState &T, const RunningReport &R,
+                                 const Worker &W, Instant Now) {
+  if (T.Attempt_ < R.Attempt_ || T.OrderedAt_ == Instant())
+    return;
+  const auto Age = toMillis(Now - T.OrderedAt_).count();
+  logDecision("start-late", R.Task_, R.Attempt_, W.info().Id_,
+              "last_order_ms=" + std::to_string(Age) + " last_attempt=" +
+                  std::to_string(T.Attempt_) + " released=" + T.ReleaseCause_);
+}
+
 void PoolScheduler::handleRunning(Worker &W, const RunningReport &R,
                                   Instant Now) {
   if (Run *Known = W.find(R.Task_); Known && Known->Attempt_ == R.Attempt_) {
@@ -365,6 +383,7 @@
                         !W.find(R.Task_);
   if (J && J->has(R.Task_)) {
     TaskState &T = J->task(R.Task_);
+    logLateStart(T, R, W, Now);
     T.Attempt_ = std::max(T.Attempt_, R.Attempt_);
     if (CanAdopt && T.Attempt_ == R.Attempt_) {
       T.Phase_ = TaskPhase::Placed;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -207,6 +207,9 @@
   void handleFailure(Worker &W, Job &J, const TaskKey &Key, Attempt A,
                      Instant Now);
   void handleRunning(Worker &W, const RunningReport &R, Instant Now);
+  /// Logs a listed run whose order this holder had given up.
+  void logLateStart(const TaskState &T, const RunningReport &R, const Worker &W,
+                    Instant Now);
   /// Releases the runs that the report would list if they still existed.
   void releaseUnlisted(Worker &W, const WorkerReport &R, Instant SentAt);
   void updateIncarnation(Worker &W, std::int64_t Incarnation);
--- a/test/http/http-client-test.cc
+++ b/test/http/http-client-test.cc
@@ -83,6 +83,15 @@
     const auto R = post(Client, Server.url(), true);
     CPPUNIT_ASSERT(R.Delivery_ == http::Delivery::Lost);
     CPPUNIT_ASSERT_EQUAL(2, Server.received());
+    CPPUNIT_ASSERT_EQUAL(1U, R.Sent_);
+  });
+  section("a request that libcurl sends again counts as sent twice", [] {
+    http::Client Client;
+    ClosingServer Server(1);
+    post(Client, Server.url(), false);
+    const auto R = post(Client, Server.url(), false);
+    CPPUNIT_ASSERT_EQUAL(3, Server.received());
+    CPPUNIT_ASSERT_EQUAL(2U, R.Sent_);
   });
   section("what was transmitted on a reused connection is reported as lost, "
           "even when libcurl then fails to reconnect",
