Failing test: orders that workers carry out late

Cause: the model of a pool's workers knew partitions, lost answers, restarts and hangs. The platform's protocol allows more: a call without an answer may be carried out seconds later, after newer calls and by a later life of the worker, which knows no fence.

Change: the model's workers keep and forget fences, cut a lease that was counted on another life's clock to the maximum, and carry orders and renewals out late.

--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -23,9 +24,30 @@
   std::uint32_t OverCapacity_ = 0;
   /// A start before the steps that its step depends on were done.
   std::uint32_t OutOfOrder_ = 0;
+  /// A stop that ended a long-running task while the most tasks of its step
+  /// that may be unavailable already were.
+  std::uint32_t TooManyUnavailable_ = 0;
   bool operator==(const PoolFaults &) const = default;
 };
 
+/// The fence of a call: the holder and the fence that it uses for the worker.
+struct ModelFence {
+  std::uint64_t Holder_ = 0;
+  std::uint64_t Generation_ = 0;
+  auto operator<=>(const ModelFence &) const = default;
+};
+
+class ModelWorker;
+
+/// A call that a worker carries out after its caller has given it up.
+struct LateCall {
+  Instant Due_;
+  InstanceId Worker_;
+  /// The life of the worker that the call was meant for.
+  std::int64_t Incarnation_ = 0;
+  std::function<void(ModelWorker &)> CarryOut_;
+};
+
 /// The true state of one worker.
 class ModelWorker {
 public:
@@ -43,6 +65,11 @@
   bool Partitioned_ = false;
   /// Start orders are carried out, but their answers are lost.
   bool LosesAnswers_ = false;
+  /// Orders get no answer and are carried out this much later, by whichever
+  /// life of the worker is there then.
+  Millis OrderDelay_{0};
+  /// The same for lease renewals.
+  Millis RenewalDelay_{0};
   bool FailsAll_ = false;
   bool Hangs_ = false;
   double SlowdownFactor_ = 1;
@@ -52,6 +79,8 @@
   std::vector<EndReport> Ended_;
   std::uint64_t Sequence_ = 0;
   std::map<TaskKey, Attempt> Highest_;
+  /// The highest fence that this life has seen.
+  ModelFence Fence_;
 };
 
 inline WorkerInfo workerInfo(const std::string &Id, const std::string &Rack,
@@ -88,6 +117,8 @@
 public:
   static constexpr Millis Tick{20};
   static constexpr Millis Lease{6000};
+  /// The longest lease that a worker grants.
+  static constexpr Millis MaxLease{10'000};
 
   const QueueId Queue_{"q"};
   Instant Now_{Seconds(100)};
@@ -104,6 +135,7 @@
   std::map<InstanceId, std::uint64_t> Acked_;
   std::uint32_t Starts_ = 0;
   std::uint64_t HolderChanges_ = 0;
+  std::vector<LateCall> LateCalls_;
 
   ModelPool() { configure(); }
 
@@ -194,6 +226,8 @@
     W.Ended_.clear();
     W.Highest_.clear();
     W.Sequence_ = 0;
+    W.Fence_ = {};
+    W.LeaseEnd_ = Instant();
     ++W.Incarnation_;
     Acked_.erase(W.Info_.Id_);
   }
@@ -202,6 +236,7 @@
   void tick() {
     for (auto &[Id, W] : Workers_)
       advance(W);
+    carryOutLateCalls();
     for (auto &[Id, W] : Workers_)
       renew(W);
     const Orders O = Scheduler_.step(Now_, wall());
@@ -237,9 +272,24 @@
     // A lease is set by the worker's clock, which is known only after its first
     // report.
     const auto Known = Scheduler_.workers().find(Id);
-    if (Known != Scheduler_.workers().end() && Known->second.hasReported())
-      W.LeaseEnd_ = Now_ + Lease;
-    Scheduler_.leaseGranted(Id, Now_ + Lease);
+    const bool ClockKnown =
+        Known != Scheduler_.workers().end() && Known->second.hasReported();
+    const ModelFence Fence = fence();
+    const Instant Until = Now_ + Lease;
+    Scheduler_.leaseGranted(Id, Until);
+    if (W.RenewalDelay_ > Millis(0)) {
+      if (ClockKnown)
+        later(W, W.RenewalDelay_,
+              [this, Fence, Until, Life = W.Incarnation_](ModelWorker &Late) {
+                if (accepts(Late, Fence))
+                  grantLease(Late, Life, Until);
+              });
+      return Scheduler_.unresponsive(Id, Now_);
+    }
+    if (!accepts(W, Fence))
+      return;
+    if (ClockKnown)
+      grantLease(W, Known->second.Incarnation_.value_or(0), Until);
     WorkerReport R;
     R.Incarnation_ = W.Incarnation_;
     R.Ended_ = W.Ended_;
@@ -259,15 +309,74 @@
     Scheduler_.report(Id, R, Now_, Now_);
   }
 
+  ModelFence fence() const { return {HolderChanges_, 0}; }
+
+  void later(const ModelWorker &W, Millis Delay,
+             std::function<void(ModelWorker &)> CarryOut) {
+    LateCalls_.push_back(
+        {Now_ + Delay, W.Info_.Id_, W.Incarnation_, std::move(CarryOut)});
+  }
+
+  void carryOutLateCalls() {
+    const auto IsDue = [this](const LateCall &C) { return C.Due_ <= Now_; };
+    std::vector<LateCall> Due;
+    std::ranges::copy_if(LateCalls_, std::back_inserter(Due), IsDue);
+    std::erase_if(LateCalls_, IsDue);
+    for (const LateCall &C : Due)
+      if (ModelWorker &W = Workers_.at(C.Worker_); W.Up_)
+        C.CarryOut_(W);
+  }
+
+  /// Whether the worker takes a call with this fence; it keeps the highest one.
+  static bool accepts(ModelWorker &W, const ModelFence &Fence) {
+    if (Fence < W.Fence_)
+      return false;
+    W.Fence_ = Fence;
+    return true;
+  }
+
+  /// Grants a lease that was counted on the clock of one life of the worker.
+  /// The clock of another life is behind, and the lease is cut to the maximum.
+  void grantLease(ModelWorker &W, std::int64_t Life, Instant Until) const {
+    const Instant End = W.Incarnation_ == Life ? Until : Now_ + MaxLease;
+    W.LeaseEnd_ = std::max(W.LeaseEnd_, End);
+  }
+
   void deliver(const StartOrder &O) {
     ++Starts_;
     ModelWorker &W = Workers_.at(O.Worker_);
+    const auto Answer = [&](StartAnswer A) {
+      Scheduler_.started(O.Worker_, O.Task_, O.Attempt_, A, Now_);
+    };
     if (W.Partitioned_ || !W.Up_)
-      return Scheduler_.started(O.Worker_, O.Task_, O.Attempt_,
-                                StartAnswer::Unknown, Now_);
+      return Answer(StartAnswer::Unknown);
+    const auto Known = Scheduler_.workers().at(O.Worker_).Incarnation_;
+    const Instant Until = Now_ + Lease;
+    Scheduler_.leaseGranted(O.Worker_, Until);
+    const auto CarryOut = [this, O, Fence = fence(), Until,
+                           Life = Known.value_or(0)](ModelWorker &To) {
+      return start(To, O, Fence, Life, Until);
+    };
+    if (W.OrderDelay_ > Millis(0)) {
+      later(W, W.OrderDelay_, CarryOut);
+      return Answer(StartAnswer::Unknown);
+    }
+    const StartAnswer A = CarryOut(W);
+    Answer(W.LosesAnswers_ ? StartAnswer::Unknown : A);
+  }
+
+  /// Carries out a start order as a worker does.
+  StartAnswer start(ModelWorker &W, const StartOrder &O,
+                    const ModelFence &Fence, std::int64_t Life, Instant Until) {
+    if (!accepts(W, Fence))
+      return StartAnswer::Fenced;
+    if (const auto It = W.Running_.find(O.Task_);
+        It != W.Running_.end() && It->second.Attempt_ == O.Attempt_)
+      return StartAnswer::Started;
+    if (W.Incarnation_ == Life && Until <= Now_)
+      return StartAnswer::LeaseExpired;
     if (O.Attempt_ <= W.Highest_[O.Task_])
-      return Scheduler_.started(O.Worker_, O.Task_, O.Attempt_,
-                                StartAnswer::Outdated, Now_);
+      return StartAnswer::Outdated;
     check(W, O);
     const StepSpec &S = Specs_.at(O.Task_.Job_).Steps_[O.Task_.Step_];
     const bool Fails = W.FailsAll_ || FailingJobs_.contains(O.Task_.Job_);
@@ -276,15 +385,12 @@
                        : Micros(static_cast<std::int64_t>(
                              static_cast<double>(Micros(S.Estimate_).count()) *
                              W.SlowdownFactor_));
-    W.LeaseEnd_ = std::max(W.LeaseEnd_, Now_ + Lease);
-    Scheduler_.leaseGranted(O.Worker_, Now_ + Lease);
+    grantLease(W, Life, Until);
     W.Highest_[O.Task_] = O.Attempt_;
     W.Running_[O.Task_] = {O.Attempt_, S.reserved(),
                            Now_ + (Fails ? Micros(Millis(50)) : RunTime), Now_,
                            Fails ? RunEnd::Failed : RunEnd::Done};
-    Scheduler_.started(
-        O.Worker_, O.Task_, O.Attempt_,
-        W.LosesAnswers_ ? StartAnswer::Unknown : StartAnswer::Started, Now_);
+    return StartAnswer::Started;
   }
 
   void check(const ModelWorker &W, const StartOrder &O) {
@@ -300,20 +406,50 @@
         J->ready(O.Task_.Occurrence_, O.Task_.Step_, wall()) ? 0 : 1;
   }
 
+  void checkAvailability(const TaskKey &Key) {
+    const StepSpec &S = Specs_.at(Key.Job_).Steps_[Key.Step_];
+    const Job *J = Scheduler_.find(Key.Job_);
+    if (!S.LongRunning_ || !J || isFinal(J->state()))
+      return;
+    std::set<std::uint32_t> Running;
+    for (const auto &[Id, W] : Workers_)
+      for (const auto &[Other, R] : W.Running_)
+        if (Other.Job_ == Key.Job_ && Other.Step_ == Key.Step_)
+          Running.insert(Other.Index_);
+    Faults_.TooManyUnavailable_ +=
+        S.Count_ - Running.size() >= S.MaxUnavailable_ ? 1 : 0;
+  }
+
   void deliver(const StopOrder &O) {
     ModelWorker &W = Workers_.at(O.Worker_);
+    const auto Answer = [&](StopAnswer A) {
+      Scheduler_.stopped(O.Worker_, O.Task_, O.Attempt_, A, Now_);
+    };
     if (W.Partitioned_ || !W.Up_)
-      return Scheduler_.stopped(O.Worker_, O.Task_, O.Attempt_,
-                                StopAnswer::Unknown, Now_);
+      return Answer(StopAnswer::Unknown);
+    const auto CarryOut = [this, O, Fence = fence()](ModelWorker &To) {
+      return stop(To, O, Fence);
+    };
+    if (W.OrderDelay_ > Millis(0)) {
+      later(W, W.OrderDelay_, CarryOut);
+      return Answer(StopAnswer::Unknown);
+    }
+    Answer(CarryOut(W));
+  }
+
+  /// Carries out a stop order as a worker does.
+  StopAnswer stop(ModelWorker &W, const StopOrder &O, const ModelFence &Fence) {
+    if (!accepts(W, Fence))
+      return StopAnswer::Fenced;
     W.Highest_[O.Task_] = std::max(W.Highest_[O.Task_], O.Attempt_);
     const auto It = W.Running_.find(O.Task_);
     if (It != W.Running_.end() && It->second.Attempt_ == O.Attempt_) {
+      checkAvailability(O.Task_);
       W.Ended_.push_back(
           {++W.Sequence_, O.Task_, O.Attempt_, RunEnd::Stopped, ""});
       W.Running_.erase(It);
     }
-    Scheduler_.stopped(O.Worker_, O.Task_, O.Attempt_, StopAnswer::Accepted,
-                       Now_);
+    return StopAnswer::Accepted;
   }
 
   /// Stores all changed progress immediately and acknowledges the ended runs.
