Settle unanswered orders by a raised fence

Cause: a worker may carry an order out after its answer was given up. The scheduler took such an order as settled when the worker started again under its id, when a stop had been accepted by a life of the worker that then ended, or when leases had ended that a new life doesn't know. It also sent a stop after each unanswered start; the stop may be late as well and end the run when it is at work.

Change: calls to a worker carry a fence of the duty's epoch and a generation. An unanswered start or stop, and a new incarnation, raise the generation; the next renewal makes the worker refuse everything earlier, and its answer shows what runs. Only then is room given away and a task started elsewhere. No stop follows an unanswered start; a stop for a move that the worker refuses is decided again. A worker that starts again forgets its fence, so a task whose order was given up starts only on the same worker, under the same attempt, until the order can no longer be carried out. Workers whose fence isn't confirmed get no orders, no lease and no acknowledgement of ends. An answer that a newer one has overtaken is ignored; a refusal of an earlier fence is no loss of the duty.

Why it works: what a worker answers to a renewal and the refusal of earlier orders are one step of the same incarnation, so no order can come between them.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -130,41 +130,65 @@
   return {Id, It == Links_.end() ? std::string() : It->second.Address_};
 }
 
+bool PoolHolder::renewalDue(const InstanceId &Id, const Link &L) const {
+  if (Context_.Clock_.now() < L.NextRenew_)
+    return false;
+  const bool Raised = L.RenewFence_ < Scheduler_.fence(Id);
+  return L.RenewalsInFlight_ == 0 || (L.RenewalsInFlight_ == 1 && Raised);
+}
+
 void PoolHolder::renewLeases(const InstanceId &Id, Link &L) {
   const Instant Now = Context_.Clock_.now();
   const auto W = Scheduler_.workers().find(Id);
-  const bool Busy =
-      W != Scheduler_.workers().end() && !W->second.runs().empty();
-  const bool Unresponsive = W != Scheduler_.workers().end() &&
-                            W->second.UnresponsiveSince_.has_value();
+  const bool Known = W != Scheduler_.workers().end();
+  const bool Busy = Known && W->second.isBusy(Now);
+  const bool Unresponsive = Known && W->second.UnresponsiveSince_.has_value();
+  const bool Confirmed = !Known || W->second.fenceConfirmed();
+  const Renewal Sent{Id, L.Address_, Now, Scheduler_.fence(Id)};
   platform_api::RenewCall Call;
-  Call.Epoch_ = self().Epoch_;
-  Call.EndsStored_ = L.EndsStored_;
+  Call.Fence_ = {self().Epoch_, Sent.Fence_};
+  // A worker that doesn't answer may have started again. Its ends are numbered
+  // anew, and its clock isn't the one that leases were counted on.
+  const bool MayBeRestarted = Unresponsive || !Confirmed;
+  if (!MayBeRestarted)
+    Call.EndsStored_ = L.EndsStored_;
   // An unresponsive worker is polled without a lease: a lease, even if it never
   // reached the worker, would delay the restart of its tasks elsewhere.
-  if (L.ClockMs_ > 0 && !Unresponsive && mayGiveOrders()) {
+  if (L.ClockMs_ > 0 && !MayBeRestarted && mayGiveOrders()) {
     Call.LeaseUntilMs_ = workerClock(L) + runLease().count();
     Call.Wait_ = Busy ? RenewWait : Millis(0);
     Scheduler_.leaseGranted(Id, leaseEnd(Now));
   }
-  L.RenewInFlight_ = true;
+  ++L.RenewalsInFlight_;
+  L.RenewFence_ = Sent.Fence_;
   Context_.Workers_.renew({Id, L.Address_}, Call, RenewTimeout,
-                          guarded(this, [this, Id, Now](const RenewReply &R) {
-                            handleRenewReply(Id, R, Now);
+                          guarded(this, [this, Sent](const RenewReply &R) {
+                            handleRenewReply(Sent, R);
                           }));
 }
 
-void PoolHolder::handleRenewReply(const InstanceId &Id, const RenewReply &R,
-                                  Instant SentAt) {
+bool PoolHolder::lostTo(const InstanceId &Id,
+                        schedule::FenceGeneration Fence) const {
+  return !Scheduler_.workers().contains(Id) || Fence == Scheduler_.fence(Id);
+}
+
+void PoolHolder::handleRenewReply(const Renewal &Sent, const RenewReply &R) {
+  const InstanceId &Id = Sent.Worker_;
   const auto It = Links_.find(Id);
   if (Lost_ || It == Links_.end())
     return;
   Link &L = It->second;
-  L.RenewInFlight_ = false;
+  --L.RenewalsInFlight_;
+  if (R.Outcome_ == WorkerCallOutcome::Fenced && lostTo(Id, Sent.Fence_))
+    return loseDuty("fenced-by-worker");
+  const bool Overtaken =
+      Sent.SentAt_ < L.ReportSentAt_ || Sent.Address_ != L.Address_;
+  if (R.Outcome_ == WorkerCallOutcome::Fenced || Overtaken)
+    return scheduleRound();
   const Instant Now = Context_.Clock_.now();
   switch (R.Outcome_) {
   case WorkerCallOutcome::Fenced:
-    return loseDuty("fenced-by-worker");
+    return;
   case WorkerCallOutcome::WrongInstance:
     EndedInstances_[Id] = It->second.Address_;
     Links_.erase(It);
@@ -187,16 +211,17 @@
   // An earlier holder may have granted leases to runs of this worker.
   if (FirstReply)
     Scheduler_.leaseGranted(Id, leaseEnd(Now));
-  Scheduler_.report(Id, R.Report_, SentAt, Now);
+  L.ReportSentAt_ = Sent.SentAt_;
+  Scheduler_.report(Id, R.Report_, Sent.SentAt_, Sent.Fence_, Now);
   const auto W = Scheduler_.workers().find(Id);
   if (W == Scheduler_.workers().end())
     return scheduleRound();
-  const bool Busy = !W->second.runs().empty();
+  const bool Busy = W->second.isBusy(Now);
   const bool Unstored = W->second.LastEnd_ > L.EndsStored_;
   L.NextRenew_ =
       Now + (Unstored ? std::max(UnstoredRenewInterval, busyRenewInterval())
                       : (Busy ? busyRenewInterval() : IdleRenewInterval));
-  if (FirstReply)
+  if (FirstReply || !W->second.fenceConfirmed())
     L.NextRenew_ = Now;
   scheduleRound();
 }
@@ -278,9 +303,10 @@
         Context_.Log_.write("start-answered", F,
                             A == StartAnswer::Started ? LineClass::Routine
                                                       : LineClass::Decision);
-        if (A == StartAnswer::Fenced)
+        if (A == StartAnswer::Fenced && lostTo(O.Worker_, O.Fence_))
           return loseDuty("fenced-by-worker");
         Scheduler_.started(O.Worker_, O.Task_, O.Attempt_, A, AnsweredAt);
+        renewIfRaised(O.Worker_);
         if (A != StartAnswer::Started || Scheduler_.heldBack())
           scheduleRound();
       }));
@@ -303,7 +329,7 @@
         Context_.Log_.write("stop-answered", F,
                             A == StopAnswer::Accepted ? LineClass::Routine
                                                       : LineClass::Decision);
-        if (A == StopAnswer::Fenced)
+        if (A == StopAnswer::Fenced && lostTo(O.Worker_, O.Fence_))
           return loseDuty("fenced-by-worker");
         Scheduler_.stopped(O.Worker_, O.Task_, O.Attempt_, A,
                            Context_.Clock_.now());
@@ -314,6 +340,15 @@
       }));
 }
 
+void PoolHolder::renewIfRaised(const InstanceId &Id) {
+  const auto W = Scheduler_.workers().find(Id);
+  const auto L = Links_.find(Id);
+  if (W != Scheduler_.workers().end() && L != Links_.end() &&
+      !W->second.fenceConfirmed())
+    L->second.NextRenew_ =
+        std::min(L->second.NextRenew_, Context_.Clock_.now());
+}
+
 void PoolHolder::logDecisions() {
   for (const schedule::Decision &D : Scheduler_.takeDecisions()) {
     QJsonObject F{{"pool", toQString(Pool_.str())},
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -54,6 +54,12 @@
 /// Ended jobs are kept this much longer than their state must be available.
 constexpr Millis PurgeMargin{5000};
 
+/// How long a lease lasts at most, whatever the worker's clock.
+Millis longestWait(Millis Lease) {
+  const double Slow = static_cast<double>(Lease.count()) * ClockSlack;
+  return Millis(static_cast<std::int64_t>(Slow)) + LeaseMargin;
+}
+
 } // namespace
 
 PoolHolder::PoolHolder(Context &C, PoolId Pool, schedule::HolderRow Self,
@@ -78,6 +84,7 @@
   Scheduler_.setOrderLimit(std::max(
       MinOrderLimit, static_cast<std::size_t>(MaxOrdersPerCore *
                                               Context_.Settings_.CpuShare_)));
+  Scheduler_.setMaxLease(maxLease());
   load();
 }
 
@@ -121,9 +128,11 @@
 }
 
 Instant PoolHolder::leaseEnd(Instant GrantedAt) const {
-  const double Slow =
-      static_cast<double>(Micros(runLease()).count()) * ClockSlack;
-  return GrantedAt + Micros(static_cast<std::int64_t>(Slow)) + LeaseMargin;
+  return GrantedAt + longestWait(runLease());
+}
+
+Millis PoolHolder::maxLease() const {
+  return longestWait(Context_.Settings_.RunLeaseMax_);
 }
 
 bool PoolHolder::mayGiveOrders() const {
@@ -290,14 +299,16 @@
     logDecisions();
     updateRoster();
     purgeEndedJobs();
-    const Instant Now = Context_.Clock_.now();
     std::erase_if(Links_, [this](const auto &Entry) {
       return !Scheduler_.workers().contains(Entry.first) &&
-             !Entry.second.RenewInFlight_;
+             Entry.second.RenewalsInFlight_ == 0;
     });
     for (auto &[Id, L] : Links_)
-      if (!L.RenewInFlight_ && Now >= L.NextRenew_)
+      if (renewalDue(Id, L))
         renewLeases(Id, L);
+    if (Scheduler_.highestFence().value() + 1 >=
+        platform_api::Fence::MaxGeneration)
+      return loseDuty("fences-used-up");
   }
   const auto Took = toMillis(Context_.Clock_.now() - RoundStart).count();
   RoundPauseMs_ = static_cast<int>(
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -109,8 +109,12 @@
     /// of that answer.
     std::int64_t ClockMs_ = 0;
     Instant ClockReadAt_;
-    bool RenewInFlight_ = false;
+    int RenewalsInFlight_ = 0;
+    /// The fence of the last renewal.
+    schedule::FenceGeneration RenewFence_;
     Instant NextRenew_;
+    /// When the last report was requested.
+    Instant ReportSentAt_;
     /// Number of the last run end whose effect is stored.
     std::uint64_t EndsStored_ = 0;
     std::int64_t Incarnation_ = 0;
@@ -146,9 +150,23 @@
   void updateRoster();
   void purgeEndedJobs();
 
+  /// A renewal that has been sent.
+  struct Renewal {
+    InstanceId Worker_;
+    std::string Address_;
+    Instant SentAt_;
+    schedule::FenceGeneration Fence_;
+  };
+  /// Whether a renewal is due. A raised fence is sent although an earlier
+  /// renewal is unanswered.
+  bool renewalDue(const InstanceId &Id, const Link &L) const;
   void renewLeases(const InstanceId &Id, Link &L);
-  void handleRenewReply(const InstanceId &Id, const platform_api::RenewReply &R,
-                        Instant SentAt);
+  void handleRenewReply(const Renewal &Sent, const platform_api::RenewReply &R);
+  /// Renews a worker's leases at once if its fence has been raised.
+  void renewIfRaised(const InstanceId &Id);
+  /// Whether a worker refused a call because another entry has taken the duty,
+  /// and not because this holder has raised the fence since.
+  bool lostTo(const InstanceId &Id, schedule::FenceGeneration Fence) const;
   void askAdvice();
   void sendOrders(const schedule::Orders &Orders);
   void sendStart(const schedule::StartOrder &O);
@@ -163,6 +181,8 @@
   /// When a lease granted at this time has ended for certain, whatever the
   /// worker's clock.
   Instant leaseEnd(Instant GrantedAt) const;
+  /// How long the longest lease that a worker grants lasts, whatever its clock.
+  Millis maxLease() const;
   /// Whether the duty was renewed recently enough to give orders.
   bool mayGiveOrders() const;
 
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -4,6 +4,7 @@
 #include "schedule/model.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,10 +17,23 @@
 /// stores their number as one digit. Further failures are not counted.
 inline constexpr std::uint32_t MaxRecordedFailures = 9;
 
+/// A start order without a clear answer. The worker that got it may still carry
+/// it out, after a restart even though it refused it before; meanwhile the task
+/// starts nowhere else.
+struct UnresolvedOrder {
+  InstanceId Worker_;
+  Attempt Attempt_ = 0;
+  /// When the order can no longer be carried out.
+  Instant Until_;
+};
+
 struct TaskState {
   TaskPhase Phase_ = TaskPhase::Waiting;
   /// The highest attempt that this holder ordered or found in a report.
   Attempt Attempt_ = 0;
+  /// The highest attempt that a worker is known to have carried out or refused
+  /// as outdated.
+  Attempt SeenAttempt_ = 0;
   /// New attempts are numbered above this one, because earlier holders may have
   /// used numbers up to it.
   Attempt AttemptFloor_ = 0;
@@ -29,6 +43,8 @@
   /// The worker of the current run, or of the last failed one.
   InstanceId Worker_;
   std::string Checkpoint_;
+  /// The last order that was given up without a clear answer.
+  std::optional<UnresolvedOrder> Unresolved_;
   /// When this holder last ordered a start, and why it gave that run up.
   Instant OrderedAt_;
   const char *ReleaseCause_ = "";
--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -18,6 +18,11 @@
 /// A machine of a pool; each start of the machine is a new instance.
 using MachineId = Id<struct MachineTag>;
 
+/// Number of the fence under which calls to a worker are made. A call with a
+/// higher one makes the worker refuse all earlier calls; it counts within the
+/// holder's epoch.
+using FenceGeneration = Counter<struct FenceGenerationTag>;
+
 /// Time of day; the clocks of entry instances may differ.
 using WallTime = std::chrono::sys_time<Millis>;
 
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -67,10 +67,10 @@
     if (std::exchange(W.AnswerOverdue_, Overdue) != Overdue)
       logDecision(Overdue ? "worker-answers-late" : "worker-answers", {}, 0, Id,
                   "runs=" + std::to_string(W.runs().size()));
-    if (W.UnresponsiveSince_ && !W.runs().empty() && Now >= W.LeasesEnd_)
-      releaseAllRuns(W, "lease-expired");
+    releaseExpired(W, Now);
     const bool Awaited = Awaited_.contains(Id) && Now < AwaitUntil_;
-    if (!W.Registered_ && W.runs().empty() && !Awaited)
+    if (!W.Registered_ && W.runs().empty() && !Awaited &&
+        !W.mayStartLate(W.LateStartsEnd_, Now, MaxLease_))
       Removed.push_back(Id);
   }
   for (const InstanceId &Id : Removed) {
@@ -143,9 +143,10 @@
       const ReadyStep Step{{}, J, Key.Occurrence_, Key.Step_};
       TaskState Task = J->task(Key);
       if (!choose(candidates(*J, Step, Available, Now),
-                  request(*J, Step, Task)))
+                  request(*J, Step, Task, Now)))
         continue;
       stopRun(R);
+      R.StopForMove_ = true;
       logDecision("run-moved", Key, R.Attempt_, Id,
                   std::string(Draining ? "worker-draining" : "worker-vacated") +
                       " away=" + std::to_string(Unavailable));
@@ -154,14 +155,18 @@
 }
 
 void PoolScheduler::orderStops(Instant Now, Orders &Out) {
-  for (auto &[Id, W] : Workers_)
+  for (auto &[Id, W] : Workers_) {
+    if (!W.fenceConfirmed())
+      continue;
     for (auto &[Key, R] : W.runs()) {
       if (!R.StopWanted_ || R.StopInFlight_ || R.StopAcceptedAt_ ||
-          Now < R.NextStopAt_ || R.Phase_ == RunPhase::Ordered)
+          Now < R.NextStopAt_ || R.Phase_ != RunPhase::Working)
         continue;
       R.StopInFlight_ = true;
-      Out.Stops_.push_back({Id, Key, R.Attempt_});
+      R.StopFence_ = W.Fence_;
+      Out.Stops_.push_back({Id, Key, R.Attempt_, W.Fence_});
     }
+  }
 }
 
 void PoolScheduler::orderThrottles(Instant Now, Orders &Out) {
@@ -189,7 +194,7 @@
         continue;
       R.WorkPercent_ = Percent;
       R.ThrottleChangedAt_ = Now;
-      Out.Throttles_.push_back({Id, Key, R.Attempt_, Percent});
+      Out.Throttles_.push_back({Id, Key, R.Attempt_, Percent, W.Fence_});
     }
   }
 }
@@ -197,8 +202,8 @@
 bool PoolScheduler::acceptsTasks(const Worker &W, Instant Now) const {
   return W.hasReported() && W.Registered_ && W.Rostered_ &&
          !W.info().Draining_ && !W.UnresponsiveSince_ && !W.AnswerOverdue_ &&
-         Now >= W.PausedUntil_ && Now >= W.EvacuateUntil_ &&
-         W.LeasesEnd_ > Now + MinLease;
+         W.fenceConfirmed() && Now >= W.PausedUntil_ &&
+         Now >= W.EvacuateUntil_ && W.LeasesEnd_ > Now + MinLease;
 }
 
 Rank PoolScheduler::timedRank(const Job &J, std::uint32_t OccurrenceIndex,
@@ -282,7 +287,7 @@
 }
 
 PlacementRequest PoolScheduler::request(const Job &J, const ReadyStep &S,
-                                        const TaskState &T) const {
+                                        const TaskState &T, Instant Now) const {
   const StepSpec &Spec = J.spec().Steps_[S.Step_];
   PlacementRequest R;
   R.Reserved_ = Spec.reserved();
@@ -291,6 +296,7 @@
   R.MaxPerWorker_ = Spec.MaxPerWorker_;
   R.LongRunning_ = Spec.LongRunning_;
   R.Avoid_ = T.Worker_;
+  R.Required_ = requiredWorker(T, Now);
   return R;
 }
 
@@ -314,11 +320,12 @@
   Run R = plannedRun(J.spec().Steps_[Key.Step_]);
   R.Attempt_ = A;
   R.OrderedAt_ = Now;
+  R.Fence_ = W.Fence_;
   W.add(Key, R);
   if (J.state() == JobState::Queued)
     J.setState(JobState::Active);
   Out.Starts_.push_back(
-      {W.info().Id_, Key, A, J.spec().Payload_, T.Checkpoint_, ""});
+      {W.info().Id_, Key, A, J.spec().Payload_, T.Checkpoint_, "", W.Fence_});
   if (const auto It = Advice_.find({Key.Job_, Key.Occurrence_, Key.Step_});
       It != Advice_.end())
     if (const auto Ticket = It->second.Tickets_.find(W.info().Id_);
@@ -340,11 +347,19 @@
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
     if (HeldBack_)
       return;
-    Worker *W = choose(Places, request(J, S, Tasks[I]));
+    const PlacementRequest Request = request(J, S, Tasks[I], Now);
+    Worker *W = choose(Places, Request);
+    if (!W && !Request.Required_.empty())
+      continue;
     if (!W)
       return;
+    // Workers start an attempt once, so that the same attempt can't run twice
+    // if an unresolved order for it is carried out, too.
+    const bool Again = !Request.Required_.empty() &&
+                       Tasks[I].Unresolved_->Attempt_ == Tasks[I].Attempt_ &&
+                       Tasks[I].SeenAttempt_ < Tasks[I].Attempt_;
     orderStart(J, {J.id(), S.Occurrence_, S.Step_, I}, *W,
-               Tasks[I].nextAttempt(), Now, Out);
+               Again ? Tasks[I].Attempt_ : Tasks[I].nextAttempt(), Now, Out);
     const auto Place = std::ranges::find(Places, W, &Candidate::Worker_);
     ++Place->SameStep_;
   }
@@ -368,11 +383,11 @@
       const InstanceId Id = C.Worker_->info().Id_;
       C.Worker_ = &Copies.emplace(Id, *C.Worker_).first->second;
     }
-    PlacementRequest R = request(J, S, Tasks[0]);
-    R.RackRequired_ = !Rack.empty();
-    if (!Rack.empty())
-      R.Rack_ = Rack;
     for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+      PlacementRequest R = request(J, S, Tasks[I], Now);
+      R.RackRequired_ = !Rack.empty();
+      if (!Rack.empty())
+        R.Rack_ = Rack;
       Worker *W = choose(Places, R);
       if (!W)
         return std::vector<InstanceId>();
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -22,9 +22,8 @@
 constexpr Millis RefusalPause{300};
 /// The delay before an unanswered stop order is repeated.
 constexpr Millis StopRetry{200};
-/// Time for a report to show whether an unanswered order was carried out; lease
-/// renewals complete within 0.7 s.
-constexpr Millis ReportTimeout{900};
+/// An unanswered order is carried out within this time, if at all.
+constexpr Millis MaxOrderDelay{12'000};
 
 constexpr std::size_t MaxPendingDecisions = 4096;
 
@@ -50,7 +49,7 @@
 }
 
 void PoolScheduler::setWorker(const WorkerInfo &Info) {
-  const auto [It, New] = Workers_.try_emplace(Info.Id_, Info);
+  const auto [It, New] = Workers_.try_emplace(Info.Id_, Info, Fence_);
   It->second.setInfo(Info);
   It->second.Registered_ = true;
   MaxCapacity_.CpuMilli_ =
@@ -138,12 +137,9 @@
   Jobs_.erase(Id);
 }
 
-void PoolScheduler::stopRun(Run &R) { R.StopWanted_ = true; }
-
-void PoolScheduler::stopUnconditionally(Run &R) {
-  stopRun(R);
-  R.StopUnlessReported_ = false;
-  R.NextStopAt_ = Instant();
+void PoolScheduler::stopRun(Run &R) {
+  R.StopWanted_ = true;
+  R.StopForMove_ = false;
 }
 
 void PoolScheduler::endJob(Job &J, JobState State) {
@@ -154,7 +150,7 @@
   for (auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs())
       if (Key.Job_ == J.id())
-        stopUnconditionally(*W.find(Key));
+        stopRun(*W.find(Key));
 }
 
 void PoolScheduler::leaseGranted(const InstanceId &Id, Instant Until) {
@@ -179,7 +175,9 @@
     logDecision("worker-restarted", {}, 0, W.info().Id_,
                 "runs=" + std::to_string(W.runs().size()) +
                     " unanswered=" + std::to_string(Unanswered));
-    releaseAllRuns(W, "worker-restarted");
+    // The new incarnation knows no fence. The runs are released when it refuses
+    // the orders of the former one.
+    raiseFence(W, W.Fence_);
   }
   if (W.Incarnation_ == Incarnation)
     return;
@@ -188,12 +186,27 @@
   W.ConsecutiveFailures_ = 0;
 }
 
+void PoolScheduler::raiseFence(Worker &W, FenceGeneration Above) {
+  if (Above < W.Fence_)
+    return;
+  Fence_ = Fence_.next();
+  W.Fence_ = Fence_;
+}
+
+FenceGeneration PoolScheduler::fence(const InstanceId &Id) const {
+  const auto It = Workers_.find(Id);
+  return It == Workers_.end() ? Fence_ : It->second.Fence_;
+}
+
 void PoolScheduler::report(const InstanceId &Id, const WorkerReport &R,
-                           Instant SentAt, Instant Now) {
+                           Instant SentAt, FenceGeneration Fence, Instant Now) {
   Worker *W = findWorker(Id);
-  if (!W)
+  // An answer that was overtaken may list runs that have ended since.
+  if (!W || SentAt < W->ReportSentAt_)
     return;
+  W->ReportSentAt_ = SentAt;
   updateIncarnation(*W, R.Incarnation_);
+  W->ConfirmedFence_ = std::max(W->ConfirmedFence_, Fence);
   if (W->UnresponsiveSince_)
     logDecision(
         "worker-back", {}, 0, Id,
@@ -206,9 +219,9 @@
       W->LastEnd_ = E.Sequence_;
     }
   for (const RunningReport &Running : R.Running_)
-    handleRunning(*W, Running, Now);
-  if (R.Ended_.size() < MaxListedEndedRuns)
-    releaseUnlisted(*W, R, SentAt);
+    handleRunning(*W, Running, Fence, Now);
+  if (R.Ended_.size() < MaxListedEndedRuns && W->fenceConfirmed())
+    releaseUnlisted(*W, R, SentAt, Fence);
   stopStuckRuns(*W, Now);
   Awaited_.erase(Id);
 }
@@ -238,6 +251,40 @@
     release(W, Key, Cause);
 }
 
+void PoolScheduler::releaseUnresolved(Worker &W, const TaskKey &Key,
+                                      const char *Cause) {
+  const Run R = *W.find(Key);
+  release(W, Key, Cause);
+  const Instant Until = R.OrderedAt_ + MaxOrderDelay;
+  W.LateStartsEnd_ = std::max(W.LateStartsEnd_, Until);
+  if (Job *J = findJob(Key.Job_); J && J->has(Key)) {
+    J->task(Key).Unresolved_ = {W.info().Id_, R.Attempt_, Until};
+  }
+}
+
+void PoolScheduler::releaseExpired(Worker &W, Instant Now) {
+  if (!W.UnresponsiveSince_ || Now < W.LeasesEnd_)
+    return;
+  std::vector<TaskKey> Expired;
+  for (const auto &[Key, R] : W.runs())
+    if (R.Phase_ == RunPhase::Working ||
+        Now >= R.OrderedAt_ + MaxOrderDelay + MaxLease_)
+      Expired.push_back(Key);
+  for (const TaskKey &Key : Expired)
+    release(W, Key, "lease-expired");
+}
+
+InstanceId PoolScheduler::requiredWorker(const TaskState &T,
+                                         Instant Now) const {
+  if (!T.Unresolved_)
+    return {};
+  const auto It = Workers_.find(T.Unresolved_->Worker_);
+  const bool Required =
+      It != Workers_.end() &&
+      It->second.mayStartLate(T.Unresolved_->Until_, Now, MaxLease_);
+  return Required ? It->first : InstanceId();
+}
+
 void PoolScheduler::completeTask(Job &J, const TaskKey &Key) {
   const bool Gang = J.spec().Steps_[Key.Step_].Gang_;
   if (Gang)
@@ -292,6 +339,11 @@
   endJob(J, JobState::Failed);
 }
 
+void PoolScheduler::markSeen(TaskState &T, Attempt A) {
+  T.Attempt_ = std::max(T.Attempt_, A);
+  T.SeenAttempt_ = std::max(T.SeenAttempt_, A);
+}
+
 void PoolScheduler::handleEnd(Worker &W, const EndReport &E, Instant Now) {
   Job *J = findJob(E.Task_.Job_);
   const Run *R = W.find(E.Task_);
@@ -302,7 +354,7 @@
     return;
   }
   TaskState &T = J->task(E.Task_);
-  T.Attempt_ = std::max(T.Attempt_, E.Attempt_);
+  markSeen(T, E.Attempt_);
   if (!E.Checkpoint_.empty())
     T.Checkpoint_ = E.Checkpoint_;
   switch (E.End_) {
@@ -349,11 +401,12 @@
 }
 
 void PoolScheduler::handleRunning(Worker &W, const RunningReport &R,
-                                  Instant Now) {
+                                  FenceGeneration Fence, Instant Now) {
   if (Run *Known = W.find(R.Task_); Known && Known->Attempt_ == R.Attempt_) {
-    if (Known->StopUnlessReported_ && !Known->StopInFlight_ &&
-        !Known->StopAcceptedAt_)
-      Known->StopWanted_ = false;
+    const bool StopVoid = !Known->StopInFlight_ && !Known->StopAcceptedAt_ &&
+                          Known->StopFence_ && *Known->StopFence_ < Fence;
+    if (Known->StopForMove_ && StopVoid)
+      Known->StopWanted_ = Known->StopForMove_ = false;
     if (Known->Phase_ != RunPhase::Working) {
       Known->Phase_ = RunPhase::Working;
       Known->ConfirmedAt_ = Now;
@@ -362,8 +415,11 @@
       Known->LastProgress_ = Now;
     Known->Percent_ = R.Percent_;
     Known->Load_ = R.Load_;
-    if (Job *J = findJob(R.Task_.Job_); J && !R.Checkpoint_.empty())
-      J->task(R.Task_).Checkpoint_ = R.Checkpoint_;
+    if (Job *J = findJob(R.Task_.Job_); J && J->has(R.Task_)) {
+      markSeen(J->task(R.Task_), R.Attempt_);
+      if (!R.Checkpoint_.empty())
+        J->task(R.Task_).Checkpoint_ = R.Checkpoint_;
+    }
     return;
   }
   // A run that this holder does not know: one of an earlier holder, or an
@@ -384,7 +440,7 @@
   if (J && J->has(R.Task_)) {
     TaskState &T = J->task(R.Task_);
     logLateStart(T, R, W, Now);
-    T.Attempt_ = std::max(T.Attempt_, R.Attempt_);
+    markSeen(T, R.Attempt_);
     if (CanAdopt && T.Attempt_ == R.Attempt_) {
       T.Phase_ = TaskPhase::Placed;
       T.Worker_ = W.info().Id_;
@@ -404,22 +460,27 @@
 }
 
 void PoolScheduler::releaseUnlisted(Worker &W, const WorkerReport &R,
-                                    Instant SentAt) {
+                                    Instant SentAt, FenceGeneration Fence) {
   std::set<std::pair<TaskKey, Attempt>> Listed;
   for (const RunningReport &Running : R.Running_)
     Listed.emplace(Running.Task_, Running.Attempt_);
   std::vector<TaskKey> Absent;
+  std::vector<TaskKey> Unresolved;
   for (const auto &[Key, Run] : W.runs()) {
     if (Listed.contains({Key, Run.Attempt_}))
       continue;
     const bool Working =
         Run.Phase_ == RunPhase::Working && Run.ConfirmedAt_ < SentAt;
     const bool Stopped = Run.StopAcceptedAt_ && *Run.StopAcceptedAt_ < SentAt;
-    if (Working || Stopped)
+    if (Run.Phase_ != RunPhase::Working && Run.Fence_ < Fence)
+      Unresolved.push_back(Key);
+    else if (Working || Stopped)
       Absent.push_back(Key);
   }
   for (const TaskKey &Key : Absent)
     release(W, Key, "not-listed");
+  for (const TaskKey &Key : Unresolved)
+    releaseUnresolved(W, Key, "fenced-off");
 }
 
 void PoolScheduler::started(const InstanceId &Id, const TaskKey &Key, Attempt A,
@@ -428,6 +489,10 @@
   Run *R = W ? W->find(Key) : nullptr;
   if (!R || R->Attempt_ != A)
     return;
+  Job *J = findJob(Key.Job_);
+  if (J && J->has(Key) &&
+      (Answer == StartAnswer::Started || Answer == StartAnswer::Outdated))
+    markSeen(J->task(Key), A);
   switch (Answer) {
   case StartAnswer::Started:
     if (R->Phase_ == RunPhase::Working)
@@ -437,15 +502,12 @@
     R->LastProgress_ = Now;
     return;
   case StartAnswer::Unknown:
-  case StartAnswer::Fenced:
     if (R->Phase_ == RunPhase::Working)
       return;
+    // A stop could be late, too, and end the run when it is at work. A raised
+    // fence only prevents a start.
     R->Phase_ = RunPhase::Unresolved;
-    // A later report may show that the task runs; only a run that no report
-    // shows is stopped.
-    R->StopUnlessReported_ = !R->StopWanted_;
-    R->NextStopAt_ = Now + ReportTimeout;
-    stopRun(*R);
+    raiseFence(*W, R->Fence_);
     logDecision("start-unanswered", Key, A, Id, "");
     return;
   case StartAnswer::NoRoom:
@@ -460,6 +522,7 @@
     Advice_.erase({Key.Job_, Key.Occurrence_, Key.Step_});
     release(*W, Key, "no-ticket");
     return;
+  case StartAnswer::Fenced:
   case StartAnswer::Outdated:
   case StartAnswer::LeaseExpired:
   case StartAnswer::Malformed:
@@ -478,6 +541,8 @@
   R->NextStopAt_ = Now + StopRetry;
   if (Answer == StopAnswer::Accepted)
     R->StopAcceptedAt_ = Now;
+  if (Answer == StopAnswer::Unknown)
+    raiseFence(*W, R->StopFence_.value_or(W->Fence_));
 }
 
 void PoolScheduler::evacuate(const std::set<InstanceId> &Workers,
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -23,12 +23,14 @@
   std::string Checkpoint_;
   /// The placement ticket; empty for queues that need no placement advice.
   std::string Ticket_;
+  FenceGeneration Fence_;
 };
 
 struct StopOrder {
   InstanceId Worker_;
   TaskKey Task_;
   Attempt Attempt_ = 0;
+  FenceGeneration Fence_;
 };
 
 /// Limits a best-effort task to a percentage of its work.
@@ -37,6 +39,7 @@
   TaskKey Task_;
   Attempt Attempt_ = 0;
   std::uint32_t Percent_ = 100;
+  FenceGeneration Fence_;
 };
 
 struct Orders {
@@ -113,6 +116,9 @@
   /// Whether the last step held back orders because of that limit.
   bool heldBack() const { return HeldBack_; }
 
+  /// Sets the longest lease that a worker grants.
+  void setMaxLease(Millis Lease) { MaxLease_ = Lease; }
+
   /// Adds or updates a registered worker.
   void setWorker(const WorkerInfo &Info);
   /// Marks a worker as unregistered; it is removed once it has no runs.
@@ -137,8 +143,14 @@
   bool cancel(const JobId &Id);
   void forget(const JobId &Id);
 
+  /// Takes in a worker's answer to a lease renewal that was sent at SentAt with
+  /// the given fence.
   void report(const InstanceId &Id, const WorkerReport &R, Instant SentAt,
-              Instant Now);
+              FenceGeneration Fence, Instant Now);
+  /// The fence for calls to a worker.
+  FenceGeneration fence(const InstanceId &Id) const;
+  /// The highest fence of all workers.
+  FenceGeneration highestFence() const { return Fence_; }
   /// Records that the worker did not respond to a call.
   void unresponsive(const InstanceId &Id, Instant Now);
   /// Records that the leases of the worker's runs last until this time.
@@ -203,23 +215,37 @@
 
   Job *findJob(const JobId &Id);
   Worker *findWorker(const InstanceId &Id);
+  /// Records that a worker has carried out an attempt, or refused it as
+  /// outdated.
+  static void markSeen(TaskState &T, Attempt A);
   void handleEnd(Worker &W, const EndReport &E, Instant Now);
   void handleFailure(Worker &W, Job &J, const TaskKey &Key, Attempt A,
                      Instant Now);
-  void handleRunning(Worker &W, const RunningReport &R, Instant Now);
+  void handleRunning(Worker &W, const RunningReport &R, FenceGeneration Fence,
+                     Instant Now);
   /// Logs a listed run whose order this holder had given up.
   void logLateStart(const TaskState &T, const RunningReport &R, const Worker &W,
                     Instant Now);
   /// Releases the runs that the report would list if they still existed.
-  void releaseUnlisted(Worker &W, const WorkerReport &R, Instant SentAt);
+  void releaseUnlisted(Worker &W, const WorkerReport &R, Instant SentAt,
+                       FenceGeneration Fence);
+  /// Releases a run whose order may be carried out by a later incarnation of
+  /// the worker, which knows no fence.
+  void releaseUnresolved(Worker &W, const TaskKey &Key, const char *Cause);
+  /// Releases the runs of an unresponsive worker that have certainly ended.
+  void releaseExpired(Worker &W, Instant Now);
+  /// The only worker on which the task may start; empty for any.
+  InstanceId requiredWorker(const TaskState &T, Instant Now) const;
   void updateIncarnation(Worker &W, std::int64_t Incarnation);
+  /// Makes orders with this fence, and all earlier ones, void once the worker
+  /// answers the next renewal.
+  void raiseFence(Worker &W, FenceGeneration Above);
   void completeTask(Job &J, const TaskKey &Key);
   void endJob(Job &J, JobState State);
   void releaseAllRuns(Worker &W, const char *Cause);
   /// Removes a run and sets its task back to waiting.
   void release(Worker &W, const TaskKey &Key, const char *Cause);
   void stopRun(Run &R);
-  void stopUnconditionally(Run &R);
 
   void refreshWorkers(Instant Now);
   void orderStops(Instant Now, Orders &Out);
@@ -253,8 +279,8 @@
   /// The valid placement advice for a step, or null.
   const Advice *adviceFor(const Job &J, const ReadyStep &S, Instant Now) const;
   void dropAdvice(const JobId &Id);
-  PlacementRequest request(const Job &J, const ReadyStep &S,
-                           const TaskState &T) const;
+  PlacementRequest request(const Job &J, const ReadyStep &S, const TaskState &T,
+                           Instant Now) const;
   std::uint32_t unavailableTasks(const Job &J, std::uint32_t OccurrenceIndex,
                                  std::uint32_t Step) const;
   bool restoredJobsMayStart(Instant Now) const;
@@ -273,6 +299,10 @@
   std::set<JobId> Changed_;
   std::vector<Decision> Log_;
   Resources MaxCapacity_;
+  Millis MaxLease_{10'000};
+  /// The last fence that was given to a worker. Fences are unique in the pool,
+  /// so that a worker which registers again never gets an earlier one.
+  FenceGeneration Fence_;
   std::map<QueueId, ArrivalRate> Arrivals_;
   std::size_t OrderLimit_ = ~std::size_t{0};
   /// Unanswered start orders at the beginning of the last step.
--- a/src/schedule/task-placement.cc
+++ b/src/schedule/task-placement.cc
@@ -12,6 +12,8 @@
   const WorkerInfo &Info = C.Worker_->info();
   if (!R.Reserved_.fits(C.Worker_->free()))
     return false;
+  if (!R.Required_.empty() && Info.Id_ != R.Required_)
+    return false;
   if (R.MaxPerWorker_ > 0 && C.SameStep_ >= R.MaxPerWorker_)
     return false;
   if (R.RackRequired_ && Info.Rack_ != R.Rack_)
--- a/src/schedule/task-placement.h
+++ b/src/schedule/task-placement.h
@@ -22,6 +22,8 @@
   bool LongRunning_ = false;
   /// Used only if no other worker has room.
   InstanceId Avoid_;
+  /// The only suitable worker; empty for any.
+  InstanceId Required_;
 };
 
 /// A worker that accepts tasks now.
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -12,8 +12,7 @@
   /// The start order is unanswered.
   Ordered,
   Working,
-  /// The start order failed without a clear answer; the worker may still carry
-  /// it out.
+  /// The start order got no clear answer; the worker may still carry it out.
   Unresolved,
 };
 
@@ -30,10 +29,15 @@
   /// When an answer or a report first confirmed the run.
   Instant ConfirmedAt_;
   Instant OrderedAt_;
+  /// The fence of the start order.
+  FenceGeneration Fence_;
   bool StopWanted_ = false;
-  /// The stop is withdrawn if a report shows the run.
-  bool StopUnlessReported_ = false;
+  /// The run is stopped to be moved, which is decided again if the worker
+  /// refuses the stop.
+  bool StopForMove_ = false;
   bool StopInFlight_ = false;
+  /// The fence of the last stop order.
+  std::optional<FenceGeneration> StopFence_;
   /// When the worker accepted the stop order.
   std::optional<Instant> StopAcceptedAt_;
   Instant NextStopAt_;
@@ -47,7 +51,9 @@
 
 class Worker {
 public:
-  explicit Worker(WorkerInfo Info) : Info_(std::move(Info)) {}
+  /// Fence is that of the first call.
+  Worker(WorkerInfo Info, FenceGeneration Fence)
+      : Fence_(Fence), ConfirmedFence_(Fence), Info_(std::move(Info)) {}
 
   const WorkerInfo &info() const { return Info_; }
   void setInfo(WorkerInfo Info) { Info_ = std::move(Info); }
@@ -87,15 +93,39 @@
   /// Whether the worker has reported at least once.
   bool hasReported() const { return Incarnation_.has_value(); }
 
+  /// Whether the worker refuses all orders of earlier fences, as far as its
+  /// current incarnation is concerned.
+  bool fenceConfirmed() const { return ConfirmedFence_ == Fence_; }
+
+  /// Whether an order that was released without a clear answer may still start
+  /// a task, after the worker has lost its fence in a restart. MaxLease is how
+  /// long such a run can last unseen.
+  bool mayStartLate(Instant Until, Instant Now, Millis MaxLease) const {
+    return ReportSentAt_ < Until && Now < Until + MaxLease;
+  }
+
+  /// Whether the worker has runs, as far as is known, or an order that may
+  /// still start one.
+  bool isBusy(Instant Now) const {
+    return !Runs_.empty() || Now < LateStartsEnd_;
+  }
+
   /// Whether the worker may have runs, now or soon. A later holder waits for
   /// such workers; workers that are sure to stay empty are left out.
   bool mayHoldRuns(Instant Now) const {
-    return !Runs_.empty() || !hasReported() ||
+    return isBusy(Now) || !hasReported() ||
            (Registered_ && !UnresponsiveSince_ && !Info_.Draining_ &&
             EvacuateUntil_ <= Now);
   }
 
   std::optional<std::int64_t> Incarnation_;
+  /// The fence of the next call, and the highest one that a report confirmed.
+  FenceGeneration Fence_;
+  FenceGeneration ConfirmedFence_;
+  /// When the last report was requested.
+  Instant ReportSentAt_;
+  /// Until when a released order may still be carried out.
+  Instant LateStartsEnd_;
   bool Registered_ = true;
   /// Whether the stored roster names the worker. A later holder learns from the
   /// roster where runs may exist.
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <ostream>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +29,13 @@
   /// that may be unavailable already were.
   std::uint32_t TooManyUnavailable_ = 0;
   bool operator==(const PoolFaults &) const = default;
+
+  friend std::ostream &operator<<(std::ostream &Out, const PoolFaults &F) {
+    return Out << "run twice " << F.RunTwice_ << ", start after done "
+               << F.StartAfterDone_ << ", over capacity " << F.OverCapacity_
+               << ", out of order " << F.OutOfOrder_
+               << ", too many unavailable " << F.TooManyUnavailable_;
+  }
 };
 
 /// The fence of a call: the holder and the fence that it uses for the worker.
@@ -274,7 +282,8 @@
     const auto Known = Scheduler_.workers().find(Id);
     const bool ClockKnown =
         Known != Scheduler_.workers().end() && Known->second.hasReported();
-    const ModelFence Fence = fence();
+    const FenceGeneration Generation = Scheduler_.fence(Id);
+    const ModelFence Fence{HolderChanges_, Generation.value()};
     const Instant Until = Now_ + Lease;
     Scheduler_.leaseGranted(Id, Until);
     if (W.RenewalDelay_ > Millis(0)) {
@@ -306,10 +315,12 @@
                : (W.Hangs_ ? 7 : static_cast<std::uint32_t>(100 * Progress)),
            0});
     }
-    Scheduler_.report(Id, R, Now_, Now_);
+    Scheduler_.report(Id, R, Now_, Generation, Now_);
   }
 
-  ModelFence fence() const { return {HolderChanges_, 0}; }
+  template <class Order> ModelFence fenceOf(const Order &O) const {
+    return {HolderChanges_, O.Fence_.value()};
+  }
 
   void later(const ModelWorker &W, Millis Delay,
              std::function<void(ModelWorker &)> CarryOut) {
@@ -353,7 +364,7 @@
     const auto Known = Scheduler_.workers().at(O.Worker_).Incarnation_;
     const Instant Until = Now_ + Lease;
     Scheduler_.leaseGranted(O.Worker_, Until);
-    const auto CarryOut = [this, O, Fence = fence(), Until,
+    const auto CarryOut = [this, O, Fence = fenceOf(O), Until,
                            Life = Known.value_or(0)](ModelWorker &To) {
       return start(To, O, Fence, Life, Until);
     };
@@ -427,7 +438,7 @@
     };
     if (W.Partitioned_ || !W.Up_)
       return Answer(StopAnswer::Unknown);
-    const auto CarryOut = [this, O, Fence = fence()](ModelWorker &To) {
+    const auto CarryOut = [this, O, Fence = fenceOf(O)](ModelWorker &To) {
       return stop(To, O, Fence);
     };
     if (W.OrderDelay_ > Millis(0)) {
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -183,7 +183,7 @@
   Instant Now{Seconds(100)};
   const auto AddWorker = [&](const char *Id) {
     S.setWorker(workerInfo(Id, "r1", 4000));
-    S.report(InstanceId(Id), {1, {}, {}}, Now, Now);
+    S.report(InstanceId(Id), {1, {}, {}}, Now, FenceGeneration(), Now);
     S.setRostered(InstanceId(Id), true);
     S.leaseGranted(InstanceId(Id), Now + Seconds(6));
   };
@@ -225,7 +225,7 @@
   Instant Now{Seconds(100)};
   S.setOrderLimit(4);
   S.setWorker(workerInfo("w1", "r1", 32000));
-  S.report(InstanceId("w1"), {1, {}, {}}, Now, Now);
+  S.report(InstanceId("w1"), {1, {}, {}}, Now, FenceGeneration(), Now);
   S.setRostered(InstanceId("w1"), true);
   S.leaseGranted(InstanceId("w1"), Now + Seconds(6));
   const auto Admit = [&](const char *Id, std::uint32_t Count) {
