Give runs of a restarted worker up only after the longest lease

What callers would see: a task runs twice (TWICE).

Cause: a renewal that reaches a worker after its restart carries a lease counted on the former life's clock. That is far in the future of the new clock, and the worker cuts it to the longest lease that it grants, 10 s. The scheduler assumed 6 s and started the task elsewhere while it still ran.

Change: with a report of a new incarnation, the bound covers the longest lease.

--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -167,7 +167,8 @@
               "runs=" + std::to_string(W->runs().size()));
 }
 
-void PoolScheduler::updateIncarnation(Worker &W, std::int64_t Incarnation) {
+void PoolScheduler::updateIncarnation(Worker &W, std::int64_t Incarnation,
+                                      Instant Now) {
   if (W.Incarnation_ && *W.Incarnation_ != Incarnation) {
     const auto Unanswered = std::ranges::count_if(
         W.runs(), [](RunPhase P) { return P != RunPhase::Working; },
@@ -178,6 +179,9 @@
     // The new incarnation knows no fence. The runs are released when it refuses
     // the orders of the former one.
     raiseFence(W, W.Fence_);
+    // Leases for the clock of the former incarnation are in the far future of
+    // the new one, which cuts them to the longest that it grants.
+    W.LeasesEnd_ = std::max(W.LeasesEnd_, Now + MaxLease_);
   }
   if (W.Incarnation_ == Incarnation)
     return;
@@ -205,7 +209,7 @@
   if (!W || SentAt < W->ReportSentAt_)
     return;
   W->ReportSentAt_ = SentAt;
-  updateIncarnation(*W, R.Incarnation_);
+  updateIncarnation(*W, R.Incarnation_, Now);
   W->ConfirmedFence_ = std::max(W->ConfirmedFence_, Fence);
   if (W->UnresponsiveSince_)
     logDecision(
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -236,7 +236,7 @@
   void releaseExpired(Worker &W, Instant Now);
   /// The only worker on which the task may start; empty for any.
   InstanceId requiredWorker(const TaskState &T, Instant Now) const;
-  void updateIncarnation(Worker &W, std::int64_t Incarnation);
+  void updateIncarnation(Worker &W, std::int64_t Incarnation, Instant Now);
   /// Makes orders with this fence, and all earlier ones, void once the worker
   /// answers the next renewal.
   void raiseFence(Worker &W, FenceGeneration Above);
--- a/test/schedule-faults/late-order-test.cc
+++ b/test/schedule-faults/late-order-test.cc
@@ -155,6 +155,24 @@
   CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
 }
 
+// Guards against a task that runs twice because a restarted worker took a
+// renewal whose lease was counted on its former clock.
+HEATHERCROSS_STORY(RenewalForFormerLife,
+                   "runs of a restarted worker are given up only after the "
+                   "longest lease") {
+  ModelPool P;
+  P.addWorker("w1");
+  P.run(Millis(100));
+  P.crash(worker(P, "w1"));
+  P.submit("j1", longRunning(1));
+  P.run(Millis(100));
+  P.addWorker("w2");
+  worker(P, "w1").Partitioned_ = true;
+  P.run(Seconds(15));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.running("j1"));
+  CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
+}
+
 // Guards against a worker over its capacity: the room of an unanswered order is
 // given away when the worker restarts.
 HEATHERCROSS_STORY(LateStartCapacity,
