Repeat unanswered throttle orders, and let unknown runs take a whole worker

What callers would see: a best-effort task that works on beside a long-running task over its latency goal, or stays throttled for good (HARM); a worker over its capacity (LIMIT).

Answers to throttle orders were ignored, so one that was lost or carried out after a newer one was never corrected; a new holder took adopted runs for unthrottled. A listed run of a job that the holder doesn't know reserved nothing.

Change: a throttle order that isn't confirmed raises the fence and is given again; so is that of an adopted run. A run of an unknown job reserves the worker's whole capacity until it has ended.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -266,8 +266,13 @@
     F["worker"] = toQString(O.Worker_.str());
     F["percent"] = static_cast<qint64>(O.Percent_);
     Context_.Log_.write("pace-ordered", F, LineClass::Routine);
-    Context_.Workers_.throttle(addressOf(O.Worker_), O, self().Epoch_,
-                               OrderTimeout, [](WorkerCallOutcome) {});
+    Context_.Workers_.throttle(
+        addressOf(O.Worker_), O, self().Epoch_, OrderTimeout,
+        guarded(this, [this, O](WorkerCallOutcome R) {
+          Scheduler_.throttled(O.Worker_, O.Task_, O.Attempt_,
+                               R == WorkerCallOutcome::Ok);
+          renewIfRaised(O.Worker_);
+        }));
   }
   for (const schedule::StartOrder &O : Orders.Starts_)
     sendStart(O);
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -171,7 +171,7 @@
 
 void PoolScheduler::orderThrottles(Instant Now, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
-    if (W.bestEffortRuns() == 0)
+    if (W.bestEffortRuns() == 0 || !W.fenceConfirmed())
       continue;
     double MaxLatencyShare = 0;
     for (const auto &[Key, R] : W.runs())
@@ -190,9 +190,11 @@
         Percent = Percent > 2 * ThrottleStepPercent ? Percent / 2 : 0;
       else if (MaxLatencyShare < SpeedUpBelowShare)
         Percent = std::min(FullPercent, Percent + ThrottleStepPercent);
-      if (Percent == R.WorkPercent_)
+      if (Percent == R.WorkPercent_ && R.ThrottleKnown_)
         continue;
       R.WorkPercent_ = Percent;
+      R.ThrottleKnown_ = true;
+      R.ThrottleFence_ = W.Fence_;
       R.ThrottleChangedAt_ = Now;
       Out.Throttles_.push_back({Id, Key, R.Attempt_, Percent, W.Fence_});
     }
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -432,6 +432,8 @@
   Run NewRun;
   if (J && J->has(R.Task_))
     NewRun = plannedRun(J->spec().Steps_[R.Task_.Step_]);
+  else
+    NewRun.Reserved_ = W.info().Capacity_;
   NewRun.Attempt_ = R.Attempt_;
   NewRun.Phase_ = RunPhase::Working;
   NewRun.ConfirmedAt_ = Now;
@@ -450,6 +452,7 @@
       T.Worker_ = W.info().Id_;
       if (J->state() == JobState::Queued)
         J->setState(JobState::Active);
+      NewRun.ThrottleKnown_ = false;
       W.add(R.Task_, NewRun);
       logDecision("run-adopted", R.Task_, R.Attempt_, W.info().Id_, "");
       return;
@@ -549,6 +552,16 @@
     raiseFence(*W, R->StopFence_.value_or(W->Fence_));
 }
 
+void PoolScheduler::throttled(const InstanceId &Id, const TaskKey &Key,
+                              Attempt A, bool Confirmed) {
+  Worker *W = findWorker(Id);
+  Run *R = W ? W->find(Key) : nullptr;
+  if (!R || R->Attempt_ != A || Confirmed)
+    return;
+  R->ThrottleKnown_ = false;
+  raiseFence(*W, R->ThrottleFence_);
+}
+
 void PoolScheduler::evacuate(const std::set<InstanceId> &Workers,
                              Instant Until) {
   for (const InstanceId &Id : Workers)
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -175,6 +175,10 @@
   /// long-running tasks move to other workers.
   void evacuate(const std::set<InstanceId> &Workers, Instant Until);
 
+  /// Records whether the worker confirmed a throttle order.
+  void throttled(const InstanceId &Id, const TaskKey &Key, Attempt A,
+                 bool Confirmed);
+
   /// Returns the orders that are due. Now is the local monotonic time, Wall the
   /// time of day.
   Orders step(Instant Now, WallTime Wall);
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -46,6 +46,11 @@
   std::int64_t Load_ = 0;
   /// The percentage of its work that a best-effort task may do now.
   std::uint32_t WorkPercent_ = 100;
+  /// Whether the worker is known to apply WorkPercent_. An earlier holder may
+  /// have throttled an adopted run.
+  bool ThrottleKnown_ = true;
+  /// The fence of the last throttle order.
+  FenceGeneration ThrottleFence_;
   Instant ThrottleChangedAt_;
 };
 
