Match answers to the order that they answer

What callers would see: a worker over its capacity (LIMIT).

Cause: orders are repeated under the same attempt and a higher fence. An answer that arrived after its order had been made void was taken for the answer to the repetition: a refusal gave the room of a run away that the worker was starting.

Change: answers name their order; one whose fence isn't that of the last order is ignored. A refusal of a fence counts as a lost duty only for the worker's current fence.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -169,7 +169,7 @@
 
 bool PoolHolder::lostTo(const InstanceId &Id,
                         schedule::FenceGeneration Fence) const {
-  return !Scheduler_.workers().contains(Id) || Fence == Scheduler_.fence(Id);
+  return Fence == Scheduler_.fence(Id);
 }
 
 void PoolHolder::handleRenewReply(const Renewal &Sent, const RenewReply &R) {
@@ -269,8 +269,7 @@
     Context_.Workers_.throttle(
         addressOf(O.Worker_), O, self().Epoch_, OrderTimeout,
         guarded(this, [this, O](WorkerCallOutcome R) {
-          Scheduler_.throttled(O.Worker_, O.Task_, O.Attempt_,
-                               R == WorkerCallOutcome::Ok);
+          Scheduler_.throttled(O, R == WorkerCallOutcome::Ok);
           renewIfRaised(O.Worker_);
         }));
   }
@@ -282,8 +281,7 @@
   const auto It = Links_.find(O.Worker_);
   const Instant Now = Context_.Clock_.now();
   if (It == Links_.end())
-    return Scheduler_.started(O.Worker_, O.Task_, O.Attempt_,
-                              StartAnswer::WrongInstance, Now);
+    return Scheduler_.started(O, StartAnswer::WrongInstance, Now);
   Link &L = It->second;
   Scheduler_.leaseGranted(O.Worker_, leaseEnd(Now));
   L.NextRenew_ = std::min(L.NextRenew_, Now + busyRenewInterval());
@@ -310,7 +308,7 @@
                                                       : LineClass::Decision);
         if (A == StartAnswer::Fenced && lostTo(O.Worker_, O.Fence_))
           return loseDuty("fenced-by-worker");
-        Scheduler_.started(O.Worker_, O.Task_, O.Attempt_, A, AnsweredAt);
+        Scheduler_.started(O, A, AnsweredAt);
         renewIfRaised(O.Worker_);
         if (A != StartAnswer::Started || Scheduler_.heldBack())
           scheduleRound();
@@ -336,8 +334,7 @@
                                                       : LineClass::Decision);
         if (A == StopAnswer::Fenced && lostTo(O.Worker_, O.Fence_))
           return loseDuty("fenced-by-worker");
-        Scheduler_.stopped(O.Worker_, O.Task_, O.Attempt_, A,
-                           Context_.Clock_.now());
+        Scheduler_.stopped(O, A, Context_.Clock_.now());
         if (const auto It = Links_.find(O.Worker_); It != Links_.end())
           It->second.NextRenew_ =
               std::min(It->second.NextRenew_, Context_.Clock_.now());
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -194,7 +194,6 @@
         continue;
       R.WorkPercent_ = Percent;
       R.ThrottleKnown_ = true;
-      R.ThrottleFence_ = W.Fence_;
       R.ThrottleChangedAt_ = Now;
       Out.Throttles_.push_back({Id, Key, R.Attempt_, Percent, W.Fence_});
     }
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -490,11 +490,18 @@
     releaseUnresolved(W, Key, "fenced-off");
 }
 
-void PoolScheduler::started(const InstanceId &Id, const TaskKey &Key, Attempt A,
-                            StartAnswer Answer, Instant Now) {
-  Worker *W = findWorker(Id);
+Run *PoolScheduler::findRun(Worker *W, const TaskKey &Key, Attempt A) {
   Run *R = W ? W->find(Key) : nullptr;
-  if (!R || R->Attempt_ != A)
+  return R && R->Attempt_ == A ? R : nullptr;
+}
+
+void PoolScheduler::started(const StartOrder &O, StartAnswer Answer,
+                            Instant Now) {
+  const TaskKey &Key = O.Task_;
+  const Attempt A = O.Attempt_;
+  Worker *W = findWorker(O.Worker_);
+  Run *R = findRun(W, Key, A);
+  if (!R || R->Fence_ != O.Fence_)
     return;
   Job *J = findJob(Key.Job_);
   if (J && J->has(Key) &&
@@ -515,7 +522,7 @@
     // fence only prevents a start.
     R->Phase_ = RunPhase::Unresolved;
     raiseFence(*W, R->Fence_);
-    logDecision("start-unanswered", Key, A, Id, "");
+    logDecision("start-unanswered", Key, A, O.Worker_, "");
     return;
   case StartAnswer::NoRoom:
   case StartAnswer::Unhealthy:
@@ -538,28 +545,27 @@
   }
 }
 
-void PoolScheduler::stopped(const InstanceId &Id, const TaskKey &Key, Attempt A,
-                            StopAnswer Answer, Instant Now) {
-  Worker *W = findWorker(Id);
-  Run *R = W ? W->find(Key) : nullptr;
-  if (!R || R->Attempt_ != A)
+void PoolScheduler::stopped(const StopOrder &O, StopAnswer Answer,
+                            Instant Now) {
+  Worker *W = findWorker(O.Worker_);
+  Run *R = findRun(W, O.Task_, O.Attempt_);
+  if (!R || R->StopFence_ != O.Fence_)
     return;
   R->StopInFlight_ = false;
   R->NextStopAt_ = Now + StopRetry;
   if (Answer == StopAnswer::Accepted)
     R->StopAcceptedAt_ = Now;
   if (Answer == StopAnswer::Unknown)
-    raiseFence(*W, R->StopFence_.value_or(W->Fence_));
+    raiseFence(*W, O.Fence_);
 }
 
-void PoolScheduler::throttled(const InstanceId &Id, const TaskKey &Key,
-                              Attempt A, bool Confirmed) {
-  Worker *W = findWorker(Id);
-  Run *R = W ? W->find(Key) : nullptr;
-  if (!R || R->Attempt_ != A || Confirmed)
+void PoolScheduler::throttled(const ThrottleOrder &O, bool Confirmed) {
+  Worker *W = findWorker(O.Worker_);
+  Run *R = findRun(W, O.Task_, O.Attempt_);
+  if (!R || Confirmed)
     return;
   R->ThrottleKnown_ = false;
-  raiseFence(*W, R->ThrottleFence_);
+  raiseFence(*W, O.Fence_);
 }
 
 void PoolScheduler::evacuate(const std::set<InstanceId> &Workers,
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -155,10 +155,10 @@
   void unresponsive(const InstanceId &Id, Instant Now);
   /// Records that the leases of the worker's runs last until this time.
   void leaseGranted(const InstanceId &Id, Instant Until);
-  void started(const InstanceId &Id, const TaskKey &Key, Attempt A,
-               StartAnswer Answer, Instant Now);
-  void stopped(const InstanceId &Id, const TaskKey &Key, Attempt A,
-               StopAnswer Answer, Instant Now);
+  /// Take in the answer to an order. An answer to an order that has been
+  /// repeated since is ignored.
+  void started(const StartOrder &O, StartAnswer Answer, Instant Now);
+  void stopped(const StopOrder &O, StopAnswer Answer, Instant Now);
 
   /// Stores which workers may run a step according to the placement service.
   void setAdvice(const StepKey &Key, std::vector<PlacementTicket> Tickets,
@@ -176,8 +176,7 @@
   void evacuate(const std::set<InstanceId> &Workers, Instant Until);
 
   /// Records whether the worker confirmed a throttle order.
-  void throttled(const InstanceId &Id, const TaskKey &Key, Attempt A,
-                 bool Confirmed);
+  void throttled(const ThrottleOrder &O, bool Confirmed);
 
   /// Returns the orders that are due. Now is the local monotonic time, Wall the
   /// time of day.
@@ -219,6 +218,8 @@
 
   Job *findJob(const JobId &Id);
   Worker *findWorker(const InstanceId &Id);
+  /// The run of this attempt on the worker, or null. W may be null.
+  static Run *findRun(Worker *W, const TaskKey &Key, Attempt A);
   /// Records that a worker has carried out an attempt, or refused it as
   /// outdated.
   static void markSeen(TaskState &T, Attempt A);
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -49,8 +49,6 @@
   /// Whether the worker is known to apply WorkPercent_. An earlier holder may
   /// have throttled an adopted run.
   bool ThrottleKnown_ = true;
-  /// The fence of the last throttle order.
-  FenceGeneration ThrottleFence_;
   Instant ThrottleChangedAt_;
 };
 
--- a/test/schedule-faults/late-throttle-test.cc
+++ b/test/schedule-faults/late-throttle-test.cc
@@ -26,7 +26,7 @@
     Scheduler_.admit(
         Job(JobId("j1"), QueueId("q"), job({Serving, BestEffort}), Now_));
     for (const StartOrder &O : orders().Starts_)
-      Scheduler_.started(Id_, O.Task_, O.Attempt_, StartAnswer::Started, Now_);
+      Scheduler_.started(O, StartAnswer::Started, Now_);
   }
 
   /// Reports both tasks, the first one with this latency, and returns the
@@ -72,7 +72,7 @@
   const ThrottleOrder &Unanswered = First.Throttles_.front();
   CPPUNIT_ASSERT_EQUAL(0U, Unanswered.Percent_);
   section("the order is void before the next one is given", [&] {
-    W.Scheduler_.throttled(W.Id_, Unanswered.Task_, Unanswered.Attempt_, false);
+    W.Scheduler_.throttled(Unanswered, false);
     CPPUNIT_ASSERT(Unanswered.Fence_ < W.Scheduler_.fence(W.Id_));
   });
   section("the same percentage is ordered again", [&] {
@@ -80,7 +80,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Second.Throttles_.size());
     CPPUNIT_ASSERT_EQUAL(0U, Second.Throttles_.front().Percent_);
     CPPUNIT_ASSERT(Unanswered.Fence_ < Second.Throttles_.front().Fence_);
-    W.Scheduler_.throttled(W.Id_, Unanswered.Task_, Unanswered.Attempt_, true);
+    W.Scheduler_.throttled(Unanswered, true);
   });
   section("an answered order isn't repeated",
           [&] { CPPUNIT_ASSERT(W.next(150).Throttles_.empty()); });
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -356,9 +356,7 @@
   void deliver(const StartOrder &O) {
     ++Starts_;
     ModelWorker &W = Workers_.at(O.Worker_);
-    const auto Answer = [&](StartAnswer A) {
-      Scheduler_.started(O.Worker_, O.Task_, O.Attempt_, A, Now_);
-    };
+    const auto Answer = [&](StartAnswer A) { Scheduler_.started(O, A, Now_); };
     if (W.Partitioned_ || !W.Up_)
       return Answer(StartAnswer::Unknown);
     const auto Known = Scheduler_.workers().at(O.Worker_).Incarnation_;
@@ -433,9 +431,7 @@
 
   void deliver(const StopOrder &O) {
     ModelWorker &W = Workers_.at(O.Worker_);
-    const auto Answer = [&](StopAnswer A) {
-      Scheduler_.stopped(O.Worker_, O.Task_, O.Attempt_, A, Now_);
-    };
+    const auto Answer = [&](StopAnswer A) { Scheduler_.stopped(O, A, Now_); };
     if (W.Partitioned_ || !W.Up_)
       return Answer(StopAnswer::Unknown);
     const auto CarryOut = [this, O, Fence = fenceOf(O)](ModelWorker &To) {
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -195,6 +195,7 @@
   AddWorker("w1");
   auto Starts = Submit("j1", 1);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts.size());
+  const StartOrder Overdue = Starts.front();
   AddWorker("w2");
   Now += Millis(400);
   section("new tasks go to the other worker", [&] {
@@ -202,12 +203,11 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Starts.size());
     for (const StartOrder &O : Starts) {
       CPPUNIT_ASSERT(O.Worker_ != Unreachable);
-      S.started(O.Worker_, O.Task_, O.Attempt_, StartAnswer::Started, Now);
+      S.started(O, StartAnswer::Started, Now);
     }
   });
   section("with its answer it takes part again", [&] {
-    S.started(Unreachable, {JobId("j1"), 0, 0, 0}, 1, StartAnswer::Started,
-              Now);
+    S.started(Overdue, StartAnswer::Started, Now);
     S.step(Now, WallTime());
     Starts = Submit("j3", 4);
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Starts.size());
@@ -242,7 +242,7 @@
   section("then a small job that came later goes first", [&] {
     Admit("small", 1);
     for (const StartOrder &O : First.Starts_)
-      S.started(O.Worker_, O.Task_, O.Attempt_, StartAnswer::Started, Now);
+      S.started(O, StartAnswer::Started, Now);
     const Orders Next = S.step(Now, WallTime());
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Next.Starts_.size());
     CPPUNIT_ASSERT(Next.Starts_.front().Task_.Job_ == JobId("small"));
