Repeat void orders in place, stop runs of other attempts, bound leases of restarts

Cause: a listed run of another attempt was ignored if its task had a run on the worker; an unwanted run didn't keep its task from starting; the room of a void order was given to others before it was ordered again; what a former life of a worker had accepted (a stop, a throttle, a lease) was taken for the new one.

Change: a void order keeps its room and is given again in the same place. Of two attempts on one worker the listed one counts and is stopped; while runs of a task are being stopped, none starts. A restart clears accepted stops and throttles, and runs are given up only after the longest lease until the fence is confirmed. The clock in the answer to an order shows a restart before the next report. Fences are raised when an instance ends.

--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -120,7 +120,7 @@
     }
   // The former holder may have granted leases until MaxRenewalAge after it last
   // renewed the duty, which was before this holder took it.
-  Scheduler_.awaitWorkers(Awaited, leaseEnd(Now + MaxRenewalAge));
+  Scheduler_.awaitWorkers(Awaited, Now + MaxRenewalAge + leaseBound());
   Context_.Log_.write(
       "duty-loaded",
       {{"pool", toQString(Pool_.str())},
--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -45,6 +45,12 @@
 /// An earlier renewal would only return the same ends again.
 constexpr Millis UnstoredRenewInterval{90};
 
+/// An answer is read at most this long after the worker has read its clock.
+constexpr Millis MaxClockDelay{1500};
+/// A worker's clock differs from the local one by at most the elapsed time
+/// divided by this.
+constexpr int MaxClockDriftDivisor = 20;
+
 const char *answerName(StartAnswer A) {
   switch (A) {
   case StartAnswer::Started:
@@ -125,6 +131,23 @@
   return L.ClockMs_ + toMillis(Context_.Clock_.now() - L.ClockReadAt_).count();
 }
 
+void PoolHolder::checkClock(const InstanceId &Id, std::int64_t ClockMs) {
+  const auto It = Links_.find(Id);
+  if (It == Links_.end() || It->second.ClockMs_ == 0)
+    return;
+  const auto Elapsed =
+      toMillis(Context_.Clock_.now() - It->second.ClockReadAt_);
+  const auto Tolerance = MaxClockDelay + Elapsed / MaxClockDriftDivisor;
+  if (std::abs(ClockMs - workerClock(It->second)) <= Tolerance.count())
+    return;
+  Context_.Log_.write(
+      "worker-clock-differs",
+      {{"worker", toQString(Id.str())},
+       {"clock_ms", static_cast<qint64>(ClockMs)},
+       {"expected_ms", static_cast<qint64>(workerClock(It->second))}});
+  Scheduler_.suspectRestart(Id);
+}
+
 platform_api::WorkerAddress PoolHolder::addressOf(const InstanceId &Id) const {
   const auto It = Links_.find(Id);
   return {Id, It == Links_.end() ? std::string() : It->second.Address_};
@@ -149,7 +172,8 @@
   Call.Fence_ = {self().Epoch_, Sent.Fence_};
   // A worker that doesn't answer may have started again. Its ends are numbered
   // anew, and its clock isn't the one that leases were counted on.
-  const bool MayBeRestarted = Unresponsive || !Confirmed;
+  const bool MayBeRestarted =
+      Unresponsive || !Confirmed || (Known && !W->second.hasReported());
   if (!MayBeRestarted)
     Call.EndsStored_ = L.EndsStored_;
   // An unresponsive worker is polled without a lease: a lease, even if it never
@@ -157,7 +181,7 @@
   if (L.ClockMs_ > 0 && !MayBeRestarted && mayGiveOrders()) {
     Call.LeaseUntilMs_ = workerClock(L) + runLease().count();
     Call.Wait_ = Busy ? RenewWait : Millis(0);
-    Scheduler_.leaseGranted(Id, leaseEnd(Now));
+    Scheduler_.leaseGranted(Id, Now, leaseBound());
   }
   ++L.RenewalsInFlight_;
   L.RenewFence_ = Sent.Fence_;
@@ -210,7 +234,7 @@
   L.ClockReadAt_ = Now;
   // An earlier holder may have granted leases to runs of this worker.
   if (FirstReply)
-    Scheduler_.leaseGranted(Id, leaseEnd(Now));
+    Scheduler_.leaseGranted(Id, Now, leaseBound());
   L.ReportSentAt_ = Sent.SentAt_;
   Scheduler_.report(Id, R.Report_, Sent.SentAt_, Sent.Fence_, Now);
   const auto W = Scheduler_.workers().find(Id);
@@ -283,7 +307,7 @@
   if (It == Links_.end())
     return Scheduler_.started(O, StartAnswer::WrongInstance, Now);
   Link &L = It->second;
-  Scheduler_.leaseGranted(O.Worker_, leaseEnd(Now));
+  Scheduler_.leaseGranted(O.Worker_, Now, leaseBound());
   L.NextRenew_ = std::min(L.NextRenew_, Now + busyRenewInterval());
   Context_.Workers_.start(
       {O.Worker_, L.Address_}, O, workerClock(L) + runLease().count(),
@@ -309,6 +333,8 @@
         if (A == StartAnswer::Fenced && lostTo(O.Worker_, O.Fence_))
           return loseDuty("fenced-by-worker");
         Scheduler_.started(O, A, AnsweredAt);
+        if (Reply.ClockMs_)
+          checkClock(O.Worker_, *Reply.ClockMs_);
         renewIfRaised(O.Worker_);
         if (A != StartAnswer::Started || Scheduler_.heldBack())
           scheduleRound();
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -127,9 +127,7 @@
   return std::min(RunLease, Context_.Settings_.RunLeaseMax_);
 }
 
-Instant PoolHolder::leaseEnd(Instant GrantedAt) const {
-  return GrantedAt + longestWait(runLease());
-}
+Millis PoolHolder::leaseBound() const { return longestWait(runLease()); }
 
 Millis PoolHolder::maxLease() const {
   return longestWait(Context_.Settings_.RunLeaseMax_);
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -172,15 +172,17 @@
   void sendStart(const schedule::StartOrder &O);
   void sendStop(const schedule::StopOrder &O);
   std::int64_t workerClock(const Link &L) const;
+  /// Compares the clock in an answer with the worker's earlier answers: the
+  /// clock of a restarted worker counts anew.
+  void checkClock(const InstanceId &Id, std::int64_t ClockMs);
   platform_api::WorkerAddress addressOf(const InstanceId &Id) const;
   void logDecisions();
   QJsonObject jobFields(const JobId &Id) const;
   Millis runLease() const;
   /// Time between lease renewals of a worker that has runs.
   Millis busyRenewInterval() const;
-  /// When a lease granted at this time has ended for certain, whatever the
-  /// worker's clock.
-  Instant leaseEnd(Instant GrantedAt) const;
+  /// How long a lease of runLease() lasts at most, whatever the worker's clock.
+  Millis leaseBound() const;
   /// How long the longest lease that a worker grants lasts, whatever its clock.
   Millis maxLease() const;
   /// Whether the duty was renewed recently enough to give orders.
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -43,6 +43,8 @@
   /// The worker of the current run, or of the last failed one.
   InstanceId Worker_;
   std::string Checkpoint_;
+  /// Number of runs of the task that are being stopped. None starts meanwhile.
+  std::uint32_t UnwantedRuns_ = 0;
   /// The last order that was given up without a clear answer.
   std::optional<UnresolvedOrder> Unresolved_;
   /// When this holder last ordered a start, and why it gave that run up.
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -50,6 +50,7 @@
   moveLongRunning(Now);
   orderStops(Now, Out);
   orderThrottles(Now, Out);
+  repeatStarts(Now, Out);
   orderStarts(Now, Wall, Out);
   return Out;
 }
@@ -325,13 +326,51 @@
   W.add(Key, R);
   if (J.state() == JobState::Queued)
     J.setState(JobState::Active);
-  Out.Starts_.push_back(
-      {W.info().Id_, Key, A, J.spec().Payload_, T.Checkpoint_, "", W.Fence_});
+  Out.Starts_.push_back(startOrder(J, Key, W, A));
+}
+
+StartOrder PoolScheduler::startOrder(const Job &J, const TaskKey &Key,
+                                     const Worker &W, Attempt A) const {
+  StartOrder O{
+      W.info().Id_, Key,     A, J.spec().Payload_, J.task(Key).Checkpoint_,
+      "",           W.Fence_};
   if (const auto It = Advice_.find({Key.Job_, Key.Occurrence_, Key.Step_});
       It != Advice_.end())
     if (const auto Ticket = It->second.Tickets_.find(W.info().Id_);
         Ticket != It->second.Tickets_.end())
-      Out.Starts_.back().Ticket_ = Ticket->second;
+      O.Ticket_ = Ticket->second;
+  return O;
+}
+
+bool PoolScheduler::isRepeatable(const TaskKey &Key, const Run &R) const {
+  const Job *J = find(Key.Job_);
+  return J && J->has(Key) && !isFinal(J->state()) && !R.StopWanted_ &&
+         !J->spec().Steps_[Key.Step_].Gang_;
+}
+
+void PoolScheduler::repeatStarts(Instant Now, Orders &Out) {
+  for (auto &[Id, W] : Workers_) {
+    const bool Accepts = acceptsTasks(W, Now);
+    const bool Leaving =
+        !W.Registered_ || W.info().Draining_ || W.EvacuateUntil_ > Now;
+    std::vector<TaskKey> Released;
+    for (auto &[Key, R] : W.runs()) {
+      if (R.Phase_ != RunPhase::Void)
+        continue;
+      if (Leaving || !isRepeatable(Key, R)) {
+        Released.push_back(Key);
+        continue;
+      }
+      if (!Accepts || Unanswered_ + Out.Starts_.size() >= OrderLimit_)
+        continue;
+      R.Phase_ = RunPhase::Ordered;
+      R.OrderedAt_ = Now;
+      R.Fence_ = W.Fence_;
+      Out.Starts_.push_back(startOrder(*find(Key.Job_), Key, W, R.Attempt_));
+    }
+    for (const TaskKey &Key : Released)
+      release(W, Key, "start-void");
+  }
 }
 
 void PoolScheduler::startTasks(const ReadyStep &S,
@@ -343,7 +382,7 @@
   Job &J = *findJob(S.Job_->id());
   auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
-    if (Tasks[I].Phase_ != TaskPhase::Waiting)
+    if (Tasks[I].Phase_ != TaskPhase::Waiting || Tasks[I].UnwantedRuns_ > 0)
       continue;
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
     if (HeldBack_)
@@ -372,8 +411,10 @@
   Job &J = *findJob(S.Job_->id());
   const StepSpec &Spec = J.spec().Steps_[S.Step_];
   auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
-  const auto IsWaiting = [](TaskPhase P) { return P == TaskPhase::Waiting; };
-  if (!std::ranges::all_of(Tasks, IsWaiting, &TaskState::Phase_))
+  const auto IsWaiting = [](const TaskState &T) {
+    return T.Phase_ == TaskPhase::Waiting && T.UnwantedRuns_ == 0;
+  };
+  if (!std::ranges::all_of(Tasks, IsWaiting))
     return;
   // Plans on copies of the workers, so that an incomplete plan has no effect.
   const auto Plan = [&](const RackId &Rack) {
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -22,8 +22,6 @@
 constexpr Millis RefusalPause{300};
 /// The delay before an unanswered stop order is repeated.
 constexpr Millis StopRetry{200};
-/// An unanswered order is carried out within this time, if at all.
-constexpr Millis MaxOrderDelay{12'000};
 
 constexpr std::size_t MaxPendingDecisions = 4096;
 
@@ -77,6 +75,8 @@
   releaseAllRuns(*W, "instance-ended");
   logDecision("worker-gone", {}, 0, Id, "instance-ended");
   Workers_.erase(Id);
+  // Orders to the instance may be in flight if it registers again.
+  Fence_ = Fence_.next();
 }
 
 bool PoolScheduler::fitsKnownCapacity(const StepSpec &S) const {
@@ -153,9 +153,13 @@
         stopRun(*W.find(Key));
 }
 
-void PoolScheduler::leaseGranted(const InstanceId &Id, Instant Until) {
-  if (Worker *W = findWorker(Id))
-    W->LeasesEnd_ = std::max(W->LeasesEnd_, Until);
+void PoolScheduler::leaseGranted(const InstanceId &Id, Instant GrantedAt,
+                                 Millis Lease) {
+  Worker *W = findWorker(Id);
+  if (!W)
+    return;
+  W->LeasesEnd_ = std::max(W->LeasesEnd_, GrantedAt + Lease);
+  W->MaxLeaseEnd_ = std::max(W->MaxLeaseEnd_, GrantedAt + MaxLease_);
 }
 
 void PoolScheduler::unresponsive(const InstanceId &Id, Instant Now) {
@@ -167,8 +171,24 @@
               "runs=" + std::to_string(W->runs().size()));
 }
 
-void PoolScheduler::updateIncarnation(Worker &W, std::int64_t Incarnation,
-                                      Instant Now) {
+void PoolScheduler::restarted(Worker &W) {
+  // The new incarnation knows no fence. The runs are released when it refuses
+  // the orders of the former one.
+  raiseFence(W, W.Fence_);
+  W.Restarted_ = true;
+  for (auto &[Key, R] : W.runs()) {
+    R.LeaseKnown_ = false;
+    R.StopAcceptedAt_.reset();
+    R.ThrottleKnown_ = false;
+  }
+}
+
+void PoolScheduler::suspectRestart(const InstanceId &Id) {
+  if (Worker *W = findWorker(Id))
+    restarted(*W);
+}
+
+void PoolScheduler::updateIncarnation(Worker &W, std::int64_t Incarnation) {
   if (W.Incarnation_ && *W.Incarnation_ != Incarnation) {
     const auto Unanswered = std::ranges::count_if(
         W.runs(), [](RunPhase P) { return P != RunPhase::Working; },
@@ -176,12 +196,7 @@
     logDecision("worker-restarted", {}, 0, W.info().Id_,
                 "runs=" + std::to_string(W.runs().size()) +
                     " unanswered=" + std::to_string(Unanswered));
-    // The new incarnation knows no fence. The runs are released when it refuses
-    // the orders of the former one.
-    raiseFence(W, W.Fence_);
-    // Leases for the clock of the former incarnation are in the far future of
-    // the new one, which cuts them to the longest that it grants.
-    W.LeasesEnd_ = std::max(W.LeasesEnd_, Now + MaxLease_);
+    restarted(W);
   }
   if (W.Incarnation_ == Incarnation)
     return;
@@ -209,8 +224,14 @@
   if (!W || SentAt < W->ReportSentAt_)
     return;
   W->ReportSentAt_ = SentAt;
-  updateIncarnation(*W, R.Incarnation_, Now);
+  updateIncarnation(*W, R.Incarnation_);
   W->ConfirmedFence_ = std::max(W->ConfirmedFence_, Fence);
+  // Until it confirmed the fence, a new incarnation may have taken leases for
+  // the clock of the former one. They are in its far future, and it cuts them
+  // to the longest that it grants.
+  if (W->Restarted_)
+    W->LeasesEnd_ = std::max(W->LeasesEnd_, Now + MaxLease_);
+  W->Restarted_ = W->Restarted_ && !W->fenceConfirmed();
   if (W->UnresponsiveSince_)
     logDecision(
         "worker-back", {}, 0, Id,
@@ -235,7 +256,7 @@
   if (!R)
     return;
   const Attempt A = R->Attempt_;
-  W.remove(Key);
+  removeRun(W, Key);
   Job *J = findJob(Key.Job_);
   if (!J || !J->has(Key))
     return;
@@ -255,25 +276,35 @@
     release(W, Key, Cause);
 }
 
-void PoolScheduler::releaseUnresolved(Worker &W, const TaskKey &Key,
-                                      const char *Cause) {
-  const Run R = *W.find(Key);
-  release(W, Key, Cause);
+void PoolScheduler::removeRun(Worker &W, const TaskKey &Key) {
+  const Run *R = W.find(Key);
+  Job *J = findJob(Key.Job_);
+  if (R && R->Unwanted_ && J && J->has(Key))
+    --J->task(Key).UnwantedRuns_;
+  W.remove(Key);
+}
+
+void PoolScheduler::recordUnresolved(Worker &W, const TaskKey &Key,
+                                     const Run &R) {
   const Instant Until = R.OrderedAt_ + MaxOrderDelay;
   W.LateStartsEnd_ = std::max(W.LateStartsEnd_, Until);
-  if (Job *J = findJob(Key.Job_); J && J->has(Key)) {
+  if (Job *J = findJob(Key.Job_); J && J->has(Key))
     J->task(Key).Unresolved_ = {W.info().Id_, R.Attempt_, Until};
-  }
 }
 
 void PoolScheduler::releaseExpired(Worker &W, Instant Now) {
   if (!W.UnresponsiveSince_ || Now < W.LeasesEnd_)
     return;
   std::vector<TaskKey> Expired;
-  for (const auto &[Key, R] : W.runs())
-    if (R.Phase_ == RunPhase::Working ||
-        Now >= R.OrderedAt_ + MaxOrderDelay + MaxLease_)
+  for (const auto &[Key, R] : W.runs()) {
+    const bool Working = R.Phase_ == RunPhase::Working;
+    const Instant End =
+        Working && R.LeaseKnown_
+            ? W.LeasesEnd_
+            : W.MaxLeaseEnd_ + (Working ? Millis(0) : MaxOrderDelay);
+    if (Now >= End)
       Expired.push_back(Key);
+  }
   for (const TaskKey &Key : Expired)
     release(W, Key, "lease-expired");
 }
@@ -354,7 +385,7 @@
   const bool Present = R && R->Attempt_ == E.Attempt_;
   if (!J || !J->has(E.Task_)) {
     if (Present)
-      W.remove(E.Task_);
+      removeRun(W, E.Task_);
     return;
   }
   TaskState &T = J->task(E.Task_);
@@ -365,7 +396,7 @@
   case RunEnd::Done:
     W.ConsecutiveFailures_ = 0;
     if (Present)
-      W.remove(E.Task_);
+      removeRun(W, E.Task_);
     if (J->spec().Steps_[E.Task_.Step_].LongRunning_) {
       if (T.Phase_ == TaskPhase::Placed && Present)
         T.Phase_ = TaskPhase::Waiting;
@@ -415,6 +446,7 @@
       Known->Phase_ = RunPhase::Working;
       Known->ConfirmedAt_ = Now;
     }
+    Known->LeaseKnown_ = true;
     if (Known->Percent_ != R.Percent_ || Known->LastProgress_ == Instant())
       Known->LastProgress_ = Now;
     Known->Percent_ = R.Percent_;
@@ -436,6 +468,7 @@
     NewRun.Reserved_ = W.info().Capacity_;
   NewRun.Attempt_ = R.Attempt_;
   NewRun.Phase_ = RunPhase::Working;
+  NewRun.LeaseKnown_ = true;
   NewRun.ConfirmedAt_ = Now;
   NewRun.LastProgress_ = Now;
   NewRun.Percent_ = R.Percent_;
@@ -458,9 +491,16 @@
       return;
     }
   }
-  if (W.find(R.Task_))
-    return;
+  if (const Run *Other = W.find(R.Task_)) {
+    raiseFence(W, Other->Fence_);
+    recordUnresolved(W, R.Task_, *Other);
+    release(W, R.Task_, "other-attempt-listed");
+  }
   stopRun(NewRun);
+  if (J && J->has(R.Task_)) {
+    NewRun.Unwanted_ = true;
+    ++J->task(R.Task_).UnwantedRuns_;
+  }
   W.add(R.Task_, NewRun);
   logDecision("run-unwanted", R.Task_, R.Attempt_, W.info().Id_,
               J ? "another run or an ended job" : "unknown job");
@@ -479,6 +519,8 @@
     const bool Working =
         Run.Phase_ == RunPhase::Working && Run.ConfirmedAt_ < SentAt;
     const bool Stopped = Run.StopAcceptedAt_ && *Run.StopAcceptedAt_ < SentAt;
+    if (Run.Phase_ == RunPhase::Void)
+      continue;
     if (Run.Phase_ != RunPhase::Working && Run.Fence_ < Fence)
       Unresolved.push_back(Key);
     else if (Working || Stopped)
@@ -486,8 +528,11 @@
   }
   for (const TaskKey &Key : Absent)
     release(W, Key, "not-listed");
-  for (const TaskKey &Key : Unresolved)
-    releaseUnresolved(W, Key, "fenced-off");
+  for (const TaskKey &Key : Unresolved) {
+    Run &Refused = *W.find(Key);
+    Refused.Phase_ = RunPhase::Void;
+    recordUnresolved(W, Key, Refused);
+  }
 }
 
 Run *PoolScheduler::findRun(Worker *W, const TaskKey &Key, Attempt A) {
@@ -512,6 +557,7 @@
     if (R->Phase_ == RunPhase::Working)
       return;
     R->Phase_ = RunPhase::Working;
+    R->LeaseKnown_ = true;
     R->ConfirmedAt_ = Now;
     R->LastProgress_ = Now;
     return;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -147,14 +147,17 @@
   /// the given fence.
   void report(const InstanceId &Id, const WorkerReport &R, Instant SentAt,
               FenceGeneration Fence, Instant Now);
+  /// Records that a worker's clock doesn't agree with its earlier answers.
+  void suspectRestart(const InstanceId &Id);
   /// The fence for calls to a worker.
   FenceGeneration fence(const InstanceId &Id) const;
   /// The highest fence of all workers.
   FenceGeneration highestFence() const { return Fence_; }
   /// Records that the worker did not respond to a call.
   void unresponsive(const InstanceId &Id, Instant Now);
-  /// Records that the leases of the worker's runs last until this time.
-  void leaseGranted(const InstanceId &Id, Instant Until);
+  /// Records that the leases of the worker's runs last this long, whatever the
+  /// worker's clock.
+  void leaseGranted(const InstanceId &Id, Instant GrantedAt, Millis Lease);
   /// Take in the answer to an order. An answer to an order that has been
   /// repeated since is ignored.
   void started(const StartOrder &O, StartAnswer Answer, Instant Now);
@@ -234,14 +237,23 @@
   /// Releases the runs that the report would list if they still existed.
   void releaseUnlisted(Worker &W, const WorkerReport &R, Instant SentAt,
                        FenceGeneration Fence);
-  /// Releases a run whose order may be carried out by a later incarnation of
-  /// the worker, which knows no fence.
-  void releaseUnresolved(Worker &W, const TaskKey &Key, const char *Cause);
+  /// Records that a later incarnation of the worker, which knows no fence, may
+  /// carry out the order of a run.
+  void recordUnresolved(Worker &W, const TaskKey &Key, const Run &R);
+  /// Removes a run from a worker.
+  void removeRun(Worker &W, const TaskKey &Key);
+  /// Gives void orders again, or releases the run if the worker is being
+  /// emptied.
+  void repeatStarts(Instant Now, Orders &Out);
+  bool isRepeatable(const TaskKey &Key, const Run &R) const;
   /// Releases the runs of an unresponsive worker that have certainly ended.
   void releaseExpired(Worker &W, Instant Now);
   /// The only worker on which the task may start; empty for any.
   InstanceId requiredWorker(const TaskState &T, Instant Now) const;
-  void updateIncarnation(Worker &W, std::int64_t Incarnation, Instant Now);
+  /// Records that the worker has started again, as far as its clock or its
+  /// reports show.
+  void restarted(Worker &W);
+  void updateIncarnation(Worker &W, std::int64_t Incarnation);
   /// Makes orders with this fence, and all earlier ones, void once the worker
   /// answers the next renewal.
   void raiseFence(Worker &W, FenceGeneration Above);
@@ -264,6 +276,8 @@
                  Instant Now, Orders &Out);
   void orderStart(Job &J, const TaskKey &Key, Worker &W, Attempt A, Instant Now,
                   Orders &Out);
+  StartOrder startOrder(const Job &J, const TaskKey &Key, const Worker &W,
+                        Attempt A) const;
   /// Mean core-seconds of a queue's jobs; 0 before the first one.
   double meanWork(const QueueId &Queue) const;
   std::vector<ReadyStep> readySteps(Instant Now, WallTime Wall) const;
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -3,6 +3,7 @@
 
 #include "schedule/model.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -14,6 +15,10 @@
   Working,
   /// The start order got no clear answer; the worker may still carry it out.
   Unresolved,
+  /// The worker refuses the start order, because of a raised fence. The order
+  /// is
+  /// given again.
+  Void,
 };
 
 /// One run of a task on a worker. Its resources stay reserved until it has
@@ -28,6 +33,11 @@
   RunPhase Phase_ = RunPhase::Ordered;
   /// When an answer or a report first confirmed the run.
   Instant ConfirmedAt_;
+  /// Whether the run belongs to the incarnation on whose clock leases are
+  /// counted.
+  bool LeaseKnown_ = false;
+  /// The run isn't the current one of its task, and is stopped.
+  bool Unwanted_ = false;
   Instant OrderedAt_;
   /// The fence of the start order.
   FenceGeneration Fence_;
@@ -52,6 +62,9 @@
   Instant ThrottleChangedAt_;
 };
 
+/// An unanswered order is carried out within this time, if at all.
+inline constexpr Millis MaxOrderDelay{12'000};
+
 class Worker {
 public:
   /// Fence is that of the first call.
@@ -104,7 +117,8 @@
   /// a task, after the worker has lost its fence in a restart. MaxLease is how
   /// long such a run can last unseen.
   bool mayStartLate(Instant Until, Instant Now, Millis MaxLease) const {
-    return ReportSentAt_ < Until && Now < Until + MaxLease;
+    return ReportSentAt_ < Until &&
+           Now < std::max(Until + MaxLease, MaxLeaseEnd_ + MaxOrderDelay);
   }
 
   /// Whether the worker has runs, as far as is known, or an order that may
@@ -137,6 +151,11 @@
   std::optional<Instant> UnresponsiveSince_;
   /// When the leases of all its runs expire unless they are renewed.
   Instant LeasesEnd_;
+  /// The same if the worker granted the longest lease instead of the requested
+  /// one, because it has started again and counts time anew.
+  Instant MaxLeaseEnd_;
+  /// The worker has started again, and its fence wasn't confirmed since.
+  bool Restarted_ = false;
   /// Sequence number of the last ended run that was processed.
   std::uint64_t LastEnd_ = 0;
   /// No task starts on the worker before this time.
--- a/test/schedule-faults/late-throttle-test.cc
+++ b/test/schedule-faults/late-throttle-test.cc
@@ -51,7 +51,7 @@
                             ++Percent_,
                             Step == 0 ? LatencyMs : 0});
     Scheduler_.report(Id_, R, Now_, Scheduler_.fence(Id_), Now_);
-    Scheduler_.leaseGranted(Id_, Now_ + Seconds(6));
+    Scheduler_.leaseGranted(Id_, Now_, Seconds(6));
   }
   Orders orders() { return Scheduler_.step(Now_, WallTime()); }
 
@@ -97,7 +97,7 @@
   S.setRostered(Id, true);
   S.report(Id, {1, {{{JobId("unknown"), 0, 0, 0}, 1, "", 50, 0}}, {}}, Now,
            FenceGeneration(), Now);
-  S.leaseGranted(Id, Now + Seconds(6));
+  S.leaseGranted(Id, Now, Seconds(6));
   S.admit(
       Job(JobId("j1"), QueueId("q"), job({step(1, 1000, Millis(900))}), Now));
   section("the run is stopped first", [&] {
--- a/test/schedule-faults/repeated-order-test.cc
+++ b/test/schedule-faults/repeated-order-test.cc
@@ -17,7 +17,7 @@
   const auto Report = [&] {
     Now += Millis(20);
     S.report(Id, {1, {}, {}}, Now, S.fence(Id), Now);
-    S.leaseGranted(Id, Now + Seconds(6));
+    S.leaseGranted(Id, Now, Seconds(6));
     return S.step(Now, WallTime());
   };
   S.setWorker(workerInfo("w1", "r1", 2000));
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -285,7 +285,7 @@
     const FenceGeneration Generation = Scheduler_.fence(Id);
     const ModelFence Fence{HolderChanges_, Generation.value()};
     const Instant Until = Now_ + Lease;
-    Scheduler_.leaseGranted(Id, Until);
+    Scheduler_.leaseGranted(Id, Now_, Lease);
     if (W.RenewalDelay_ > Millis(0)) {
       if (ClockKnown)
         later(W, W.RenewalDelay_,
@@ -361,7 +361,7 @@
       return Answer(StartAnswer::Unknown);
     const auto Known = Scheduler_.workers().at(O.Worker_).Incarnation_;
     const Instant Until = Now_ + Lease;
-    Scheduler_.leaseGranted(O.Worker_, Until);
+    Scheduler_.leaseGranted(O.Worker_, Now_, Lease);
     const auto CarryOut = [this, O, Fence = fenceOf(O), Until,
                            Life = Known.value_or(0)](ModelWorker &To) {
       return start(To, O, Fence, Life, Until);
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -185,7 +185,7 @@
     S.setWorker(workerInfo(Id, "r1", 4000));
     S.report(InstanceId(Id), {1, {}, {}}, Now, FenceGeneration(), Now);
     S.setRostered(InstanceId(Id), true);
-    S.leaseGranted(InstanceId(Id), Now + Seconds(6));
+    S.leaseGranted(InstanceId(Id), Now, Seconds(6));
   };
   const auto Submit = [&](const char *Id, std::uint32_t Count) {
     S.admit(Job(JobId(Id), QueueId("q"), job({step(Count, 1000, Millis(900))}),
@@ -227,7 +227,7 @@
   S.setWorker(workerInfo("w1", "r1", 32000));
   S.report(InstanceId("w1"), {1, {}, {}}, Now, FenceGeneration(), Now);
   S.setRostered(InstanceId("w1"), true);
-  S.leaseGranted(InstanceId("w1"), Now + Seconds(6));
+  S.leaseGranted(InstanceId("w1"), Now, Seconds(6));
   const auto Admit = [&](const char *Id, std::uint32_t Count) {
     Job J(JobId(Id), QueueId("q"), job({step(Count, 1000, Millis(900))}), Now);
     S.recordArrival(J, Now);
