Give a run up only if the duty was held when its lease ended

Cause: the holder may give orders for 4 s after it last stored. Another entry takes the duty earlier, reaches the worker, renews its leases and acknowledges its ends. The holder that is cut off counted the leases from its own last grant, took the runs for ended and started their tasks again on workers that hadn't seen the new epoch. A silent worker made that bound fall into the 4 s.

Change: leases count as ended, and awaited workers as answered for, only up to the last time at which the store showed that this entry held the duty.

The new story fails with the comparison taken out and passes with it.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -202,7 +202,7 @@
   if (Lost_ || It == Links_.end())
     return;
   Link &L = It->second;
-  --L.RenewalsInFlight_;
+  L.RenewalsInFlight_ = std::max(0, L.RenewalsInFlight_ - 1);
   if (R.Outcome_ == WorkerCallOutcome::Fenced && lostTo(Id, Sent.Fence_))
     return loseDuty("fenced-by-worker");
   const bool Overtaken =
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -289,6 +289,7 @@
     return;
   const Instant RoundStart = Context_.Clock_.now();
   if (Ready_) {
+    Scheduler_.dutyHeldAt(Journal_.renewedAt());
     if (!HandingOver_ && mayGiveOrders())
       sendOrders(
           Scheduler_.step(Context_.Clock_.now(), Context_.Clock_.wall()));
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -70,8 +70,7 @@
                   "runs=" + std::to_string(W.runs().size()));
     releaseExpired(W, Now);
     const bool Awaited = Awaited_.contains(Id) && Now < AwaitUntil_;
-    if (!W.Registered_ && W.runs().empty() && !Awaited &&
-        !W.mayStartLate(W.LateStartsEnd_, Now, MaxLease_))
+    if (!W.Registered_ && W.runs().empty() && !Awaited)
       Removed.push_back(Id);
   }
   for (const InstanceId &Id : Removed) {
@@ -351,8 +350,7 @@
 void PoolScheduler::repeatStarts(Instant Now, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
     const bool Accepts = acceptsTasks(W, Now);
-    const bool Leaving =
-        !W.Registered_ || W.info().Draining_ || W.EvacuateUntil_ > Now;
+    const bool Leaving = W.isLeaving(Now);
     std::vector<TaskKey> Released;
     for (auto &[Key, R] : W.runs()) {
       if (R.Phase_ != RunPhase::Void)
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -120,7 +120,7 @@
 }
 
 bool PoolScheduler::restoredJobsMayStart(Instant Now) const {
-  return Awaited_.empty() || Now >= AwaitUntil_;
+  return Awaited_.empty() || knownHeldAt(Now) >= AwaitUntil_;
 }
 
 bool PoolScheduler::cancel(const JobId &Id) {
@@ -288,21 +288,26 @@
                                      const Run &R) {
   const Instant Until = R.OrderedAt_ + MaxOrderDelay;
   W.LateStartsEnd_ = std::max(W.LateStartsEnd_, Until);
-  if (Job *J = findJob(Key.Job_); J && J->has(Key))
-    J->task(Key).Unresolved_ = {W.info().Id_, R.Attempt_, Until};
+  Job *J = findJob(Key.Job_);
+  if (!J || !J->has(Key))
+    return;
+  auto &Unresolved = J->task(Key).Unresolved_;
+  if (!Unresolved || Unresolved->Until_ < Until)
+    Unresolved = {W.info().Id_, R.Attempt_, Until};
 }
 
 void PoolScheduler::releaseExpired(Worker &W, Instant Now) {
-  if (!W.UnresponsiveSince_ || Now < W.LeasesEnd_)
+  if (!W.UnresponsiveSince_ || knownHeldAt(Now) < W.LeasesEnd_)
     return;
   std::vector<TaskKey> Expired;
   for (const auto &[Key, R] : W.runs()) {
     const bool Working = R.Phase_ == RunPhase::Working;
+    // A worker that is missing among the registered ones counts as gone.
+    const bool LeaseKnown = (Working && R.LeaseKnown_) || !W.Registered_;
     const Instant End =
-        Working && R.LeaseKnown_
-            ? W.LeasesEnd_
-            : W.MaxLeaseEnd_ + (Working ? Millis(0) : MaxOrderDelay);
-    if (Now >= End)
+        LeaseKnown ? W.LeasesEnd_
+                   : W.MaxLeaseEnd_ + (Working ? Millis(0) : MaxOrderDelay);
+    if (knownHeldAt(Now) >= End)
       Expired.push_back(Key);
   }
   for (const TaskKey &Key : Expired)
@@ -315,7 +320,7 @@
     return {};
   const auto It = Workers_.find(T.Unresolved_->Worker_);
   const bool Required =
-      It != Workers_.end() &&
+      It != Workers_.end() && !It->second.isLeaving(Now) &&
       It->second.mayStartLate(T.Unresolved_->Until_, Now, MaxLease_);
   return Required ? It->first : InstanceId();
 }
@@ -446,7 +451,7 @@
       Known->Phase_ = RunPhase::Working;
       Known->ConfirmedAt_ = Now;
     }
-    Known->LeaseKnown_ = true;
+    Known->LeaseKnown_ = Known->LeaseKnown_ || W.fenceConfirmed();
     if (Known->Percent_ != R.Percent_ || Known->LastProgress_ == Instant())
       Known->LastProgress_ = Now;
     Known->Percent_ = R.Percent_;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -116,6 +116,10 @@
   /// Whether the last step held back orders because of that limit.
   bool heldBack() const { return HeldBack_; }
 
+  /// Records that this holder had the duty at this time, as the store has
+  /// shown. A later holder may renew leases, so only those that ended before
+  /// then are known to have ended.
+  void dutyHeldAt(Instant At) { DutyHeldAt_ = At; }
   /// Sets the longest lease that a worker grants.
   void setMaxLease(Millis Lease) { MaxLease_ = Lease; }
 
@@ -303,6 +307,11 @@
   std::uint32_t unavailableTasks(const Job &J, std::uint32_t OccurrenceIndex,
                                  std::uint32_t Step) const;
   bool restoredJobsMayStart(Instant Now) const;
+  /// The last time at which no later holder can have renewed leases; the
+  /// current time if dutyHeldAt() wasn't called.
+  Instant knownHeldAt(Instant Now) const {
+    return DutyHeldAt_ ? std::min(*DutyHeldAt_, Now) : Now;
+  }
   void logDecision(const char *Kind, const TaskKey &Key, Attempt A,
                    const InstanceId &Worker, std::string Cause);
 
@@ -319,6 +328,7 @@
   std::vector<Decision> Log_;
   Resources MaxCapacity_;
   Millis MaxLease_{10'000};
+  std::optional<Instant> DutyHeldAt_;
   /// The last fence that was given to a worker. Fences are unique in the pool,
   /// so that a worker which registers again never gets an earlier one.
   FenceGeneration Fence_;
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -121,6 +121,11 @@
            Now < std::max(Until + MaxLease, MaxLeaseEnd_ + MaxOrderDelay);
   }
 
+  /// Whether the worker is unregistered, draining or being evacuated.
+  bool isLeaving(Instant Now) const {
+    return !Registered_ || Info_.Draining_ || EvacuateUntil_ > Now;
+  }
+
   /// Whether the worker has runs, as far as is known, or an order that may
   /// still start one.
   bool isBusy(Instant Now) const {
--- a/test/schedule-faults/late-order-test.cc
+++ b/test/schedule-faults/late-order-test.cc
@@ -173,6 +173,35 @@
   CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
 }
 
+// Guards against a task that runs twice: a holder that is cut off counts a
+// worker's leases as ended, although its successor renews them.
+HEATHERCROSS_STORY(LeaseOfSuccessor,
+                   "a holder gives a run up only if it still had the duty when "
+                   "the lease ended") {
+  ModelPool P;
+  P.addWorker("w1");
+  P.run(Millis(100));
+  P.submit("j1", longRunning(1));
+  P.run(Millis(500));
+  P.addWorker("w2");
+  worker(P, "w1").Partitioned_ = true;
+  P.Scheduler_.dutyHeldAt(P.Now_);
+  const auto RunOn = [&](const std::string &Id) {
+    return P.Scheduler_.workers().at(InstanceId(Id)).runs().size();
+  };
+  section("the run isn't given up while another entry may hold the duty", [&] {
+    P.run(Seconds(8));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RunOn("w1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, RunOn("w2"));
+  });
+  section("it is when the store shows that none did", [&] {
+    P.Scheduler_.dutyHeldAt(P.Now_);
+    P.run(Seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RunOn("w2"));
+    CPPUNIT_ASSERT(P.Faults_ == PoolFaults());
+  });
+}
+
 // Guards against a worker over its capacity: the room of an unanswered order is
 // given away when the worker restarts.
 HEATHERCROSS_STORY(LateStartCapacity,
