Move the parser for endpoints to core

Cause: the adapter to the platform takes a worker's address as any text. It may use core and http but not settings, where the parser was.

No behaviour changes.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -3,7 +3,7 @@
 #include "cli/command.h"
 #include "cli/errors.h"
 #include "cli/flags.h"
-#include "settings/endpoint.h"
+#include "core/endpoint.h"
 
 #include <QCoreApplication>
 
@@ -25,7 +25,7 @@
 }
 
 Options optionsFromFlags() {
-  const auto Address = settings::parseEndpoint(FLAGS_address);
+  const auto Address = parseEndpoint(FLAGS_address);
   if (!Address)
     raise(UsageError("--address isn't IP:PORT: " + FLAGS_address));
   if (FLAGS_timeout_ms <= 0)
--- a/src/cli/process-commands.cc
+++ b/src/cli/process-commands.cc
@@ -2,7 +2,7 @@
 #include "cli/command.h"
 #include "cli/errors.h"
 #include "cli/flags.h"
-#include "settings/endpoint.h"
+#include "core/endpoint.h"
 
 #include <algorithm>
 #include <sstream>
@@ -12,7 +12,7 @@
 namespace {
 
 std::string normalizeAddress(const std::string &Text) {
-  const auto Parsed = settings::parseEndpoint(Text);
+  const auto Parsed = parseEndpoint(Text);
   if (!Parsed)
     raise(UsageError("not IP:PORT: " + Text));
   return Parsed->str();
--- a/src/settings/endpoint.cc
+++ b/src/core/endpoint.cc
@@ -1,10 +1,10 @@
 // Parses and formats endpoints.
-#include "settings/endpoint.h"
+#include "core/endpoint.h"
 
 #include <arpa/inet.h>
 #include <charconv>
 
-namespace heathercross::settings {
+namespace heathercross {
 
 namespace {
 
@@ -25,8 +25,7 @@
 } // namespace
 
 std::string Endpoint::str() const {
-  const bool V6 = Host_.find(':') != std::string::npos;
-  return (V6 ? "[" + Host_ + "]" : Host_) + ":" + std::to_string(Port_);
+  return (isV6() ? "[" + Host_ + "]" : Host_) + ":" + std::to_string(Port_);
 }
 
 std::optional<Endpoint> parseEndpoint(std::string_view Text) {
@@ -45,4 +44,4 @@
   return Endpoint{Host, *Port};
 }
 
-} // namespace heathercross::settings
+} // namespace heathercross
--- a/src/settings/endpoint.h
+++ b/src/core/endpoint.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace heathercross::settings {
+namespace heathercross {
 
 /// The IP address and port at which a process listens or can be reached.
 struct Endpoint {
@@ -14,6 +14,7 @@
   std::string Host_;
   std::uint16_t Port_ = 0;
 
+  bool isV6() const { return Host_.find(':') != std::string::npos; }
   /// Returns the form used in settings: "IP:PORT", or "[IP]:PORT" for IPv6.
   std::string str() const;
   bool operator==(const Endpoint &) const = default;
@@ -23,4 +24,4 @@
 /// for anything else; host names aren't resolved.
 std::optional<Endpoint> parseEndpoint(std::string_view Text);
 
-} // namespace heathercross::settings
+} // namespace heathercross
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -100,7 +100,7 @@
   PeerConfig C;
   C.Self_ = {S.Entry_.Id_, S.Entry_.Zone_, S.Peer_.Listen_.str(), Incarnation};
   std::ranges::transform(S.Peer_.Peers_, std::back_inserter(C.Seeds_),
-                         &settings::Endpoint::str);
+                         &Endpoint::str);
   C.Seed_ = seedOf(S);
   C.Membership_.Interval_ = S.Peer_.Heartbeat_;
   C.Membership_.ZoneFanOut_ = S.Peer_.Fanout_;
--- a/src/daemon/peer-service.cc
+++ b/src/daemon/peer-service.cc
@@ -1,9 +1,9 @@
 // Datagrams and stream connections between entry instances.
 #include "daemon/peer-service.h"
 
+#include "core/endpoint.h"
 #include "fleet/rows.h"
 #include "http/http-server.h"
-#include "settings/endpoint.h"
 
 #include <QNetworkDatagram>
 #include <QtEndian>
@@ -148,7 +148,7 @@
 
 void PeerService::send(const std::vector<peer::Outgoing> &All) {
   for (const peer::Outgoing &O : All) {
-    const auto Destination = settings::parseEndpoint(O.Address_);
+    const auto Destination = parseEndpoint(O.Address_);
     if (!Destination || BlockedAddresses_.contains(O.Address_))
       continue;
     const std::string Message =
@@ -243,7 +243,7 @@
 void PeerService::requestView(const EntryId &Peer, TicketNumber Since,
                               const ViewService::PeerAnswer &Done) {
   const std::string Address = addressOf(Peer);
-  const auto Destination = settings::parseEndpoint(Address);
+  const auto Destination = parseEndpoint(Address);
   if (!Destination || BlockedAddresses_.contains(Address))
     return QTimer::singleShot(0, [Done] { Done(std::nullopt); });
   auto *Socket = new QTcpSocket(this);
--- a/src/entry/entry-settings.cc
+++ b/src/entry/entry-settings.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-using settings::Endpoint;
 using settings::Problem;
 using settings::ProblemKind;
 
@@ -43,7 +42,7 @@
     const std::string Value = readValue(Section, Key, Required);
     if (Value.empty())
       return std::nullopt;
-    auto E = settings::parseEndpoint(Value);
+    auto E = parseEndpoint(Value);
     if (!E)
       report(Section, Key, ProblemKind::WrongType, Value, "IP:PORT");
     return E;
--- a/src/entry/entry-settings.h
+++ b/src/entry/entry-settings.h
@@ -17,17 +17,17 @@
   /// Processor time that this entry may use, in cores.
   double CpuShare_ = 1;
   /// Listening address for callers.
-  settings::Endpoint Front_;
+  Endpoint Front_;
   /// Listening address for the load balancer's readiness checks.
-  settings::Endpoint Ready_;
+  Endpoint Ready_;
   /// Listening address for other entries, metrics and the state dump.
-  settings::Endpoint Peers_;
-  settings::Endpoint Store_;
-  settings::Endpoint Machines_;
+  Endpoint Peers_;
+  Endpoint Store_;
+  Endpoint Machines_;
   /// Machine orders per second that the platform accepts from all entries.
   double OrdersPerSecond_ = 1;
   /// Address of the placement service; absent if no queue needs advice.
-  std::optional<settings::Endpoint> Advice_;
+  std::optional<Endpoint> Advice_;
   /// Maximum lease of a run that workers accept.
   Millis RunLeaseMax_{0};
   /// The platform's order lease: the minimum time between orders of different
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -83,7 +83,7 @@
 Entry::~Entry() = default;
 
 void Entry::listen() {
-  const auto Add = [this](const char *Name, const settings::Endpoint &Address,
+  const auto Add = [this](const char *Name, const Endpoint &Address,
                           http::Server::Handler Handler) {
     Kernel_.add<http::Server>(Name, serverLimits(), std::move(Handler))
         .listen(QHostAddress(QString::fromStdString(Address.Host_)),
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,10 +1,10 @@
 // The settings of one entry instance, and functions that load them.
 #pragma once
 
+#include "core/endpoint.h"
 #include "heathercross/error.h"
 #include "heathercross/ids.h"
 #include "heathercross/units.h"
-#include "settings/endpoint.h"
 
 #include <array>
 #include <cstdint>
