Don't accept an endpoint with a zero byte

Callers would see: an address such as 10.0.0.9, a zero byte and more text passes as 10.0.0.9, although the text that is kept and put into URLs is longer.

Cause: inet_pton() reads up to the first zero byte.

Change: a host that contains one is no IP address.

--- a/src/core/endpoint.cc
+++ b/src/core/endpoint.cc
@@ -10,7 +10,9 @@
 
 bool isIpAddress(int Family, const std::string &Host) {
   in6_addr Parsed{};
-  return inet_pton(Family, Host.c_str(), &Parsed) == 1;
+  // inet_pton() reads only up to the first zero byte.
+  return Host.find('\0') == std::string::npos &&
+         inet_pton(Family, Host.c_str(), &Parsed) == 1;
 }
 
 std::optional<std::uint16_t> parsePort(std::string_view Text) {
--- a/test/core/endpoint-test.cc
+++ b/test/core/endpoint-test.cc
@@ -3,6 +3,7 @@
 #include "support/story.h"
 
 using namespace heathercross;
+using namespace std::string_literals;
 using heathercross::test::section;
 
 HEATHERCROSS_STORY(Endpoints, "an endpoint is an IP address with a port") {
@@ -22,3 +23,12 @@
       CPPUNIT_ASSERT_MESSAGE(Odd, !parseEndpoint(Odd));
   });
 }
+
+// Guards against a text that is accepted although only its part before a zero
+// byte is an address.
+HEATHERCROSS_STORY(EndpointsWithZeroBytes,
+                   "an endpoint contains no zero byte") {
+  CPPUNIT_ASSERT(!parseEndpoint("10.0.0.9\0.example:80"s));
+  CPPUNIT_ASSERT(!parseEndpoint("[::1\0.example]:80"s));
+  CPPUNIT_ASSERT(!parseEndpoint("10.0.0.9:80\0"s));
+}
