Check numbers in JSON before they become integers

Callers would see: nothing predictable. A number such as 1e308 or -1 as a version, an epoch, a clock or a time limit became an integer by a cast that is undefined out of range, and differs between x86-64 and arm64. A limit of tasks a worker became none.

Cause: doubles from QJsonValue were cast where they were read.

Change: platform/number has the checked readers: whole numbers in a range, and numbers whose fraction is dropped. The store's and the workers' answers, the placement service's, the operators' documents, jobs, our own rows and calls between entries use them. An answer with an odd version or clock counts as unreadable, and so does an odd born; a row or run with an odd number is left out. Resources, durations and times have upper limits whose sums fit into 64 bits. Numbers of a route or a limit that can't be used get the value that stands for an absent one, as those of another type did.

Deep nesting (10,000 and 100,000 levels) passed before as well: Qt gives up at its own limit.

--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -2,6 +2,8 @@
 // exchange of cluster state.
 #include "entry/peer-calls.h"
 
+#include "platform/number.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 
@@ -11,6 +13,8 @@
 
 namespace {
 
+using platform_api::optionalCount;
+
 constexpr int Ok = 200;
 constexpr std::string_view CallPath = "/call";
 constexpr std::string_view EvacuatePath = "/vacate";
@@ -75,15 +79,16 @@
     return std::nullopt;
   SharedClusterState K;
   K.Configuration_ = toStdString(O->value("configuration"));
-  K.ConfigurationRow_ = RowVersion(
-      static_cast<std::uint64_t>(O->value("configuration_row").toDouble()));
+  K.ConfigurationRow_ =
+      RowVersion(optionalCount(O->value("configuration_row")).value_or(0));
   K.Zone_ = ZoneId(toStdString(O->value("zone")));
   const QJsonObject Holders = O->value("holders").toObject();
   for (auto It = Holders.begin(); It != Holders.end(); ++It) {
     const QJsonArray Row = It.value().toArray();
-    if (const auto H = decodeHolder(toStdString(Row.at(0))))
-      K.Holders_[PoolId(It.key().toStdString())] = {
-          *H, RowVersion(static_cast<std::uint64_t>(Row.at(1).toDouble()))};
+    const auto H = decodeHolder(toStdString(Row.at(0)));
+    const auto Version = optionalCount(Row.at(1));
+    if (H && Version)
+      K.Holders_[PoolId(It.key().toStdString())] = {*H, RowVersion(*Version)};
   }
   return K;
 }
@@ -150,15 +155,15 @@
   const auto O = parseObject(R.Body_);
   const auto Kind =
       O ? indexOf(KindNames, toStdString(O->value("kind"))) : std::nullopt;
-  if (!Kind)
+  const auto HolderEpoch = O ? optionalCount(O->value("epoch")) : std::nullopt;
+  if (!Kind || !HolderEpoch)
     return std::nullopt;
-  return JobCall{
-      static_cast<JobCall::Kind>(*Kind),
-      PoolId(toStdString(O->value("pool"))),
-      schedule::QueueId(toStdString(O->value("queue"))),
-      JobId(toStdString(O->value("job"))),
-      O->value("body").toString().toUtf8(),
-      Epoch(static_cast<std::uint64_t>(O->value("epoch").toDouble()))};
+  return JobCall{static_cast<JobCall::Kind>(*Kind),
+                 PoolId(toStdString(O->value("pool"))),
+                 schedule::QueueId(toStdString(O->value("queue"))),
+                 JobId(toStdString(O->value("job"))),
+                 O->value("body").toString().toUtf8(),
+                 Epoch(*HolderEpoch)};
 }
 
 http::Response jobAnswerResponse(const JobAnswer &A) {
--- a/src/entry/rows.cc
+++ b/src/entry/rows.cc
@@ -1,6 +1,8 @@
 // Encoding of the rows that heathercross itself keeps in the store.
 #include "entry/rows.h"
 
+#include "platform/number.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 
@@ -8,6 +10,8 @@
 
 namespace {
 
+using platform_api::optionalCount;
+
 QString toQString(const std::string &T) { return QString::fromStdString(T); }
 
 std::optional<QJsonObject> parseObject(const std::string &Text) {
@@ -21,10 +25,6 @@
   return QJsonDocument(O).toJson(QJsonDocument::Compact).toStdString();
 }
 
-std::uint64_t parseCount(const QJsonObject &O, const char *Key) {
-  return static_cast<std::uint64_t>(O.value(QLatin1String(Key)).toDouble());
-}
-
 } // namespace
 
 std::string encodeHolder(const schedule::HolderRow &H) {
@@ -38,10 +38,14 @@
   const auto O = parseObject(Text);
   if (!O || !O->value("holder").isString() || !O->value("epoch").isDouble())
     return std::nullopt;
+  const auto HolderEpoch = optionalCount(O->value("epoch"));
+  const auto Serial = optionalCount(O->value("serial"));
+  if (!HolderEpoch || !Serial)
+    return std::nullopt;
   return schedule::HolderRow{
       EntryId(O->value("holder").toString().toStdString()),
-      O->value("address").toString().toStdString(),
-      Epoch(parseCount(*O, "epoch")), parseCount(*O, "serial")};
+      O->value("address").toString().toStdString(), Epoch(*HolderEpoch),
+      *Serial};
 }
 
 std::string encodeJob(const JobRow &J) {
@@ -57,11 +61,13 @@
   const auto O = parseObject(Text);
   if (!O || !O->value("queue").isString() || !O->value("body").isString())
     return std::nullopt;
+  const auto Accepted = optionalCount(O->value("accepted"));
+  const auto HolderEpoch = optionalCount(O->value("epoch"));
+  if (!Accepted || !HolderEpoch)
+    return std::nullopt;
   return JobRow{schedule::QueueId(O->value("queue").toString().toStdString()),
                 O->value("body").toString().toUtf8(),
-                schedule::WallTime(Millis(static_cast<std::int64_t>(
-                    O->value("accepted").toDouble()))),
-                Epoch(parseCount(*O, "epoch"))};
+                schedule::WallTime(Millis(*Accepted)), Epoch(*HolderEpoch)};
 }
 
 std::string encodeRoster(const Roster &R) {
--- a/test/entry/rows-test.cc
+++ b/test/entry/rows-test.cc
@@ -66,6 +66,21 @@
   CPPUNIT_ASSERT(decodeRoster("odd").empty());
 }
 
+// Guards against numbers that are converted although they are out of range,
+// which is undefined.
+HEATHERCROSS_STORY(OddEntryRows, "rows with numbers out of range aren't used") {
+  for (const char *Odd : {"-1", "1.5", "1e19", "1e308"}) {
+    const std::string O = Odd;
+    CPPUNIT_ASSERT(!decodeHolder(R"({"holder":"e","epoch":)" + O + "}"));
+    CPPUNIT_ASSERT(
+        !decodeHolder(R"({"holder":"e","epoch":1,"serial":)" + O + "}"));
+    CPPUNIT_ASSERT(
+        !decodeJob(R"({"queue":"q","body":"{}","accepted":)" + O + "}"));
+    CPPUNIT_ASSERT(
+        !decodeJob(R"({"queue":"q","body":"{}","epoch":)" + O + "}"));
+  }
+}
+
 HEATHERCROSS_STORY(EntrySettingsFile, "settings are checked as a whole") {
   section("a valid file is parsed", [] {
     const EntrySettings S = parseEntrySettings(Settings, "f");
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -2,8 +2,11 @@
 #include "platform/documents.h"
 #include "platform/ingress.h"
 #include "platform/names.h"
+#include "support/odd-json.h"
 #include "support/story.h"
 
+#include <rapidcheck.h>
+
 using namespace heathercross;
 using namespace heathercross::platform_api;
 using heathercross::test::section;
@@ -49,6 +52,7 @@
 HEATHERCROSS_STORY(Registrations, "only valid registrations name a worker") {
   const auto W = parseWorker("i-1", Worker);
   CPPUNIT_ASSERT(W && W->Rack_ == RackId("r1-2") && !W->Draining_);
+  CPPUNIT_ASSERT(!W->Incarnation_);
   CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, W->Capacity_.CpuMilli_);
   const std::string Text = Worker;
   const auto Replaced = [&](const std::string &Old, const std::string &New) {
@@ -63,6 +67,74 @@
     CPPUNIT_ASSERT(!parseWorker("i-1", Bad));
 }
 
+// Guards against documents whose numbers are converted although they are out of
+// range, which is undefined.
+HEATHERCROSS_STORY(OddDocuments, "no document ends the process") {
+  section("numbers out of range don't reach a configuration", [] {
+    for (const char *Odd : {"-1", "1e19", "1e308", "1.5"})
+      CPPUNIT_ASSERT(!parseConfiguration(
+          test::withValue(R"({"version":@,"routes":[]})", Odd)));
+    for (const char *Odd : {"-1", "1e19", "1e308"}) {
+      const auto C = parseConfiguration(test::withValue(
+          R"({"version":1,"limits":{"max_body_bytes":@},"routes":[
+             {"name":"r","service":"s","prefix":"/","prio":@,"attempts":@,
+              "slo_ms":@,"slo_factor":@,"timeout_ms":@}]})",
+          Odd));
+      CPPUNIT_ASSERT(C && C->Routes_.size() == 1);
+      const schedule::Route &R = C->Routes_[0];
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, C->MaxBodyBytes_);
+      CPPUNIT_ASSERT_EQUAL(0U, R.Settings_.Priority_);
+      CPPUNIT_ASSERT_EQUAL(1U, R.Settings_.MaxFailures_);
+      CPPUNIT_ASSERT_EQUAL(1.0, R.Settings_.ObjectiveFactor_);
+      CPPUNIT_ASSERT(R.Settings_.ObjectiveSlack_ == Millis(0));
+      CPPUNIT_ASSERT(R.Timeout_ == Millis(0));
+    }
+  });
+  section("nor a wave, a job or a machine", [] {
+    for (const char *Odd : {"-1", "1e19", "1e308"}) {
+      const auto Text = [&](const char *Template) {
+        return test::withValue(Template, Odd);
+      };
+      const auto Bytes = [&](const char *Template) {
+        return QByteArray::fromStdString(Text(Template));
+      };
+      for (const char *Wave : {R"({"wave":3,"machines":[],"within_s":@})",
+                               R"({"wave":@,"machines":[]})"})
+        CPPUNIT_ASSERT(!parseWave("wave/3", Text(Wave)));
+      for (const char *Job :
+           {R"({"phases":[{"count":@}]})",
+            R"({"phases":[{"count":1,"cpu":@}]})",
+            R"({"phases":[{"count":1,"est_ms":@}]})",
+            R"({"phases":[{"count":1,"anti_affinity":@}]})",
+            R"({"phases":[{"count":1,"lossy":@}]})",
+            R"({"phases":[{"count":1}],"repeats":2,"interval_ms":@})"})
+        CPPUNIT_ASSERT(!parseJob(Bytes(Job)));
+      const auto M = parseMachines(
+          Bytes(R"({"machines":[{"machine":"m","capacity":{"cpu":@}}]})"));
+      CPPUNIT_ASSERT(M && M->Machines_.empty());
+    }
+  });
+  section("arbitrary ones are read or left out", [] {
+    const std::vector<std::string> Names{
+        "service", "addr",       "zone",       "version",    "slots",
+        "state",   "capacity",   "cpu",        "mem_mb",     "gpus",
+        "labels",  "born",       "seq",        "routes",     "services",
+        "limits",  "name",       "prefix",     "prio",       "attempts",
+        "slo_ms",  "machines",   "next_token", "slo_factor", "timeout_ms",
+        "wave",    "phases",     "count",      "est_ms",     "after",
+        "repeats", "start_ms",   "within_s",   "max_count",  "max_body_bytes",
+        "machine", "interval_ms"};
+    HEATHERCROSS_PROPERTY("no text makes a decoder throw", [&] {
+      const std::string Text = test::drawOddText(Names);
+      parseWorker("i-1", Text);
+      parseConfiguration(Text);
+      parseWave("wave/1", Text);
+      parseMachines(QByteArray::fromStdString(Text));
+      parseJob(QByteArray::fromStdString(Text));
+    });
+  });
+}
+
 HEATHERCROSS_STORY(Submissions, "a job is read, or turned away as malformed") {
   const auto J = parseJob(R"({"spec":"x","phases":[
     {"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"data_rack":"r1-3"},
--- a/test/platform/store-test.cc
+++ b/test/platform/store-test.cc
@@ -2,8 +2,11 @@
 #include "http/http-server.h"
 #include "platform/store.h"
 #include "support/event-loop.h"
+#include "support/odd-json.h"
 #include "support/story.h"
 
+#include <rapidcheck.h>
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -117,3 +120,48 @@
   CPPUNIT_ASSERT(Reply->Rows_[1].Removed_ && Reply->More_);
   CPPUNIT_ASSERT(M.LastQuery_ == "table=t&part=a%20part&from=from%20me");
 }
+
+// Guards against versions that are converted although they are out of range,
+// which is undefined.
+HEATHERCROSS_STORY(OddStoreAnswers, "an odd answer of the store isn't used") {
+  startQt();
+  FakeStore M;
+  http::Client Http;
+  Store S(Http, {M.address(), {}, false});
+  const auto Read = [&](const std::string &Body) {
+    M.Body_ = QByteArray::fromStdString(Body);
+    std::optional<StoreReply> Reply;
+    S.changes("t", RowVersion(1), Millis(0), Millis(1000),
+              [&](const StoreReply &R) { Reply = R; });
+    waitFor([&] { return Reply.has_value(); });
+    return *Reply;
+  };
+  section("one whose version is no number that counts", [&] {
+    for (const char *Odd : {"-1", "1.5", "1e19", "1e308", "\"9\"", "[]"})
+      CPPUNIT_ASSERT(
+          Read(std::string(R"({"rows":[],"ver":)") + Odd + "}").Outcome_ ==
+          StoreOutcome::Unknown);
+  });
+  section("a row with such a version is left out, the others hold", [&] {
+    for (const char *Odd : {"-1", "1.5", "1e19", "1e308", "\"4\"", "[]"}) {
+      const StoreReply R =
+          Read(std::string(R"({"rows":[{"table":"t","key":"a","ver":)") + Odd +
+               R"(},{"table":"t","key":"b","ver":4}],"ver":9})");
+      CPPUNIT_ASSERT(R.Outcome_ == StoreOutcome::Ok);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, R.Rows_.size());
+      CPPUNIT_ASSERT(R.Rows_[0].Version_ == RowVersion(4));
+    }
+  });
+  section("one that is deeply nested", [&] {
+    for (const std::size_t Depth : {10'000U, 100'000U})
+      CPPUNIT_ASSERT(
+          Read(R"({"ver":9,"rows":)" + test::nestedArrays(Depth) + "}")
+              .Outcome_ == StoreOutcome::Unknown);
+  });
+  section("arbitrary ones", [&] {
+    HEATHERCROSS_PROPERTY("no answer makes the client throw", [&] {
+      Read(test::drawOddText({"rows", "ver", "has_more", "table", "part", "key",
+                              "value", "deleted"}));
+    });
+  });
+}
