--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -156,6 +156,9 @@
   std::vector<std::string> Labels_;
   RackId Rack_;
   bool Draining_ = false;
+  /// Start time of the worker process as registered; absent if the registration
+  /// doesn't say.
+  std::optional<std::int64_t> Incarnation_;
 };
 
 /// How a run of a task ended.
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -7,6 +7,8 @@
 
 #include <rapidcheck.h>
 
+#include <cstring>
+
 using namespace heathercross;
 using namespace heathercross::platform_api;
 using heathercross::test::section;
@@ -60,6 +62,9 @@
     return Changed.replace(Changed.find(Old), Old.size(), New);
   };
   CPPUNIT_ASSERT(parseWorker("i-1", Replaced("ready", "draining"))->Draining_);
+  const auto Restarted =
+      parseWorker("i-1", Replaced("\"seq\":4", "\"born\":1700000000123"));
+  CPPUNIT_ASSERT(Restarted && Restarted->Incarnation_ == 1'700'000'000'123);
   for (const auto &Bad :
        {Replaced("\"ready\"", "\"odd\""), Replaced("\"s1\"", "4"),
         Replaced("{\"cpu\":16000,\"mem_mb\":32768}", "16000"),
@@ -67,6 +72,104 @@
     CPPUNIT_ASSERT(!parseWorker("i-1", Bad));
 }
 
+// Guards against entries of another writer that end the process or are taken
+// for workers.
+HEATHERCROSS_STORY(OddRegistrations, "an odd entry names no worker") {
+  const std::string Text = Worker;
+  const auto With = [&](const std::string &Old, const std::string &New) {
+    std::string Changed = Text;
+    return Changed.replace(Changed.find(Old), Old.size(), New);
+  };
+  const auto AssertNone = [](const std::string &Entry) {
+    CPPUNIT_ASSERT_MESSAGE(Entry.substr(0, 300), !parseWorker("i-1", Entry));
+  };
+  section("a deeply nested one", [&] {
+    for (const std::size_t Depth : {10'000U, 100'000U})
+      for (const std::string &Deep :
+           {test::nestedArrays(Depth), test::nestedObjects("a", Depth),
+            std::string(Depth, '['), test::nestedObjects("capacity", Depth)}) {
+        AssertNone(Deep);
+        AssertNone(With("16000", Deep));
+        AssertNone(With("\"seq\":4", "\"odd\":" + Deep));
+      }
+  });
+  section("one with a number out of range", [&] {
+    for (const char *Odd : {"1e400", "-1e400", "1e308", "9e18", "1e19",
+                            "9007199254740993", "-1", "1.5"})
+      for (const char *Field : {"\"cpu\":16000", "\"mem_mb\":32768"}) {
+        const std::string Name(Field, std::strchr(Field, ':') + 1);
+        AssertNone(With(Field, Name + Odd));
+      }
+    for (const char *Odd : {"1e400", "1e308", "1e19", "-1", "1.5", "\"4\""}) {
+      AssertNone(With("\"slots\":8", std::string("\"slots\":") + Odd));
+      AssertNone(With("\"seq\":4", std::string("\"seq\":") + Odd));
+    }
+    for (const char *Odd :
+         {"1e400", "1e308", "9e18", "-1", "1.5", "\"4\"", "null", "[]"})
+      AssertNone(With("\"seq\":4", std::string("\"born\":") + Odd));
+  });
+  section("one whose address isn't an IPv4 address with a port", [&] {
+    for (const char *Odd : {"",
+                            ":",
+                            ":80",
+                            "10.0.0.9",
+                            "10.0.0.9:",
+                            "10.0.0.9:0",
+                            "10.0.0.9:65536",
+                            "10.0.0.9:99999",
+                            "10.0.0.9:-1",
+                            "10.0.0.9:8x",
+                            "10.0.0.9:80@10.0.0.1:81",
+                            "a@10.0.0.9:80",
+                            "10.0.0.9:80/x",
+                            "10.0.0.9:80\\n",
+                            "10.0.0.9:80 ",
+                            " 10.0.0.9:80",
+                            "10.0.0.9\\u0000x:80",
+                            "10.0.0.256:80",
+                            "10.0.9:80",
+                            "host:80",
+                            "localhost:80",
+                            "http://10.0.0.9:80",
+                            "[::1]:80",
+                            "::1:80"})
+      AssertNone(With("10.0.0.9:8080", Odd));
+  });
+  section("one with fields that are missing or of another type", [&] {
+    for (const char *Field :
+         {"\"service\":\"s1\"", "\"addr\":\"10.0.0.9:8080\"", "\"zone\":\"a\"",
+          "\"state\":\"ready\"", "\"labels\":[\"a\",\"r1-2\"]"}) {
+      const std::string Name(Field, std::strchr(Field, ':') + 1);
+      AssertNone(With(Field, "\"odd\":1"));
+      for (const char *Odd : {"null", "7", "true", "{}", "[1]", "[[]]"})
+        AssertNone(With(Field, Name + Odd));
+    }
+    AssertNone(With("\"version\":\"v1\"", "\"version\":1"));
+    AssertNone(With("\"cold_left_ms\":0", "\"cold_left_ms\":\"0\""));
+    for (const char *Odd : {"{}", "[]", "null", "{\"cpu\":1000}"})
+      AssertNone(With("{\"cpu\":16000,\"mem_mb\":32768}", Odd));
+  });
+  section("one with long texts", [&] {
+    const std::string Long(100'000, 'x');
+    AssertNone(With("\"s1\"", "\"" + Long + "\""));
+    AssertNone(With("\"zone\":\"a\"", "\"zone\":\"" + Long + "\""));
+    AssertNone(With("r1-2", Long));
+  });
+  section("bytes that can't be read", [&] {
+    for (const std::string &Bytes :
+         {std::string(), std::string("\0", 1), std::string(1'000'000, '\0'),
+          std::string("{"), Text.substr(0, Text.size() - 1), Text + Text,
+          With("\"a\"", "\"\xff\""), With("\"a\"", "\"\xc3\""),
+          "\xff\xfe" + Text, "\x1f\x8b" + Text})
+      AssertNone(Bytes);
+  });
+  section("one whose id can't be sent in a header", [&] {
+    for (const char *Id : {"", "i-1\r\nX: y", "i 1", "i-\xc3\xa4"})
+      CPPUNIT_ASSERT(!parseWorker(Id, Text));
+    CPPUNIT_ASSERT(!parseWorker(std::string(201, 'i'), Text));
+  });
+}
+
 // Guards against documents whose numbers are converted although they are out of
 // range, which is undefined.
 HEATHERCROSS_STORY(OddDocuments, "no document ends the process") {
--- a/test/proof-deployment/deployment-proof-test.cc
+++ b/test/proof-deployment/deployment-proof-test.cc
@@ -4,6 +4,7 @@
 #include "http/http-client.h"
 #include "platform/store.h"
 #include "support/event-loop.h"
+#include "support/odd-json.h"
 #include "support/story.h"
 
 #include <QElapsedTimer>
@@ -15,6 +16,7 @@
 #include <fstream>
 #include <memory>
 #include <optional>
+#include <sstream>
 
 using namespace heathercross;
 using heathercross::test::runFor;
@@ -110,6 +112,11 @@
     CPPUNIT_ASSERT_EQUAL(200, send(std::move(C)).Status_);
   }
 
+  /// Writes a row of the workers' table.
+  void writeWorker(const std::string &Id, const std::string &Value) {
+    waitFor([&] { return writeRow({"servers", "", Id}, Value); });
+  }
+
   /// Waits until an entry instance holds the pool's duty and returns its index.
   std::size_t holder() {
     std::optional<std::size_t> Found;
@@ -128,6 +135,18 @@
     return {std::istreambuf_iterator<char>(In), {}};
   }
 
+  /// Whether an entry instance has logged an event about a worker.
+  bool logged(std::size_t I, const std::string &Event,
+              const std::string &Worker) const {
+    std::istringstream Lines(log(I));
+    std::string Line;
+    while (std::getline(Lines, Line))
+      if (Line.find(R"("event":")" + Event + '"') != std::string::npos &&
+          Line.find(R"("worker":")" + Worker + '"') != std::string::npos)
+        return true;
+    return false;
+  }
+
 private:
   std::string pathInFolder(const std::string &Name) const {
     return Folder_.filePath(QString::fromStdString(Name)).toStdString();
@@ -164,14 +183,18 @@
   /// Writes a configuration with one route and one service to the store;
   /// returns whether the store accepted it.
   bool writeConfiguration() {
-    platform_api::Store S(Http_, {loopbackAddress(StorePort_), {}, true});
     const char *Configuration =
         R"({"version":3,"routes":[{"name":"r-1","host":"trade.example",)"
         R"("prefix":"/quotes/","service":"quoting","slo_ms":600,"prio":0,)"
         R"("attempts":2,"slo_factor":1.6,"timeout_ms":3000}],"services":[)"
         R"({"name":"quoting","standby":false}],"limits":{"max_body_bytes":65536}})";
+    return writeRow({"op", "", "config"}, Configuration);
+  }
+
+  bool writeRow(const platform_api::RowPlace &Place, const std::string &Value) {
+    platform_api::Store S(Http_, {loopbackAddress(StorePort_), {}, true});
     std::optional<platform_api::StoreReply> Reply;
-    S.transact({{}, {{{"op", "", "config"}, Configuration}}}, Millis(500),
+    S.transact({{}, {{Place, Value}}}, Millis(500),
                [&](const platform_api::StoreReply &R) { Reply = R; });
     waitFor([&] { return Reply.has_value(); });
     return Reply->Outcome_ == platform_api::StoreOutcome::Ok;
@@ -268,3 +291,50 @@
     waitFor([&] { return D.submit(Other, "00000000000000b2").Status_ == 200; });
   });
 }
+
+namespace {
+
+std::string registration(const std::string &Address) {
+  return R"({"service":"quoting","addr":")" + Address +
+         R"(","zone":"z0","version":"v1","slots":8,"state":"ready",)"
+         R"("cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768},)"
+         R"("labels":["a","r1-2"],"seq":4})";
+}
+
+} // namespace
+
+// Guards against an entry that ends, or stops following the workers, because
+// another writer left an odd row among theirs.
+HEATHERCROSS_STORY(OddWorkerRows, "an odd row of a worker leaves the others") {
+  startQt();
+  Deployment D(1);
+  D.holder();
+  const auto Seen = [&](const std::string &Worker) {
+    return D.logged(0, "worker-seen", Worker);
+  };
+  D.writeWorker("w-1", registration("127.0.0.1:1"));
+  waitFor([&] { return Seen("w-1"); });
+  std::size_t Written = 2;
+  const auto WriteOdd = [&](const std::string &Id, const std::string &Value) {
+    D.writeWorker(Id, Value);
+    const std::string Next = "w-" + std::to_string(Written++);
+    D.writeWorker(Next, registration("127.0.0.1:1"));
+    waitFor([&] { return Seen(Next); });
+    CPPUNIT_ASSERT_MESSAGE(Id, !Seen(Id));
+    CPPUNIT_ASSERT(D.ready(0));
+  };
+  section("later changes are followed", [&] {
+    WriteOdd("nested-arrays", test::nestedArrays(10'000));
+    WriteOdd("nested-objects", test::nestedObjects("capacity", 10'000));
+    WriteOdd("port", registration("127.0.0.1:99999"));
+    WriteOdd("name", registration("somewhere.example:80"));
+    WriteOdd("bytes", "\xff\xfe");
+    std::string Large = registration("127.0.0.1:1");
+    WriteOdd("number", Large.replace(Large.find("16000"), 5, "1e400"));
+  });
+  section("the workers that were known stay known", [&] {
+    runFor(3000);
+    CPPUNIT_ASSERT(D.log(0).find("worker-unregistered") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(200, D.submit(0, "00000000000000c1").Status_);
+  });
+}
