Treat a known worker whose row turns odd as missing

Callers would see: orders go on to a worker that no row names anymore, until the whole table is read again; then it was dropped after the grace period.

Cause: an unreadable row of a known worker was skipped when it came as a change.

Change: it counts as a missing row in both cases. A worker that writes its row again within the grace period stays known.

Measured: the story 'a known worker whose row turns odd is treated as missing' failed before and passes.

--- a/src/entry/cluster-state.cc
+++ b/src/entry/cluster-state.cc
@@ -188,17 +188,17 @@
 
 void ClusterState::applyWorkerRow(const StoredRow &Row) {
   const InstanceId Id(Row.Place_.Key_);
-  if (Row.Removed_) {
+  auto Info = Row.Removed_
+                  ? std::nullopt
+                  : platform_api::parseWorker(Row.Place_.Key_, Row.Value_);
+  if (!Info) {
+    if (!Row.Removed_)
+      Context_.Metrics_.add("heathercross_unreadable_workers_total",
+                            "Registrations of workers that can't be read.");
     if (Workers_.contains(Id))
       Missing_.try_emplace(Id, Context_.Clock_.now());
     return;
   }
-  auto Info = platform_api::parseWorker(Row.Place_.Key_, Row.Value_);
-  if (!Info) {
-    Context_.Metrics_.add("heathercross_unreadable_workers_total",
-                          "Registrations of workers that can't be read.");
-    return;
-  }
   Missing_.erase(Id);
   const auto Known = Workers_.find(Id);
   if (Known == Workers_.end() || Known->second.Draining_ != Info->Draining_)
--- a/src/entry/cluster-state.h
+++ b/src/entry/cluster-state.h
@@ -69,7 +69,7 @@
   Handlers Handlers_;
   std::optional<schedule::Configuration> Configuration_;
   std::map<InstanceId, schedule::WorkerInfo> Workers_;
-  /// Workers whose row is missing, and since when.
+  /// Workers whose row is missing or unreadable, and since when.
   std::map<InstanceId, Instant> Missing_;
   std::map<std::uint64_t, schedule::UpkeepWave> Waves_;
   schedule::DutyWatch Duties_;
--- a/test/proof-deployment/deployment-proof-test.cc
+++ b/test/proof-deployment/deployment-proof-test.cc
@@ -338,3 +338,29 @@
     CPPUNIT_ASSERT_EQUAL(200, D.submit(0, "00000000000000c1").Status_);
   });
 }
+
+// Guards against a worker that is used although its row can't be read anymore.
+HEATHERCROSS_STORY(KnownWorkerTurnsOdd,
+                   "a known worker whose row turns odd is treated as missing") {
+  startQt();
+  Deployment D(1);
+  D.holder();
+  const auto Dropped = [&](const std::string &Worker) {
+    return D.logged(0, "worker-unregistered", Worker);
+  };
+  D.writeWorker("w-1", registration("127.0.0.1:1"));
+  D.writeWorker("w-2", registration("127.0.0.1:1"));
+  waitFor([&] { return D.logged(0, "worker-seen", "w-2"); });
+  section("it stays known if its row can be read again soon", [&] {
+    D.writeWorker("w-1", "odd");
+    runFor(1000);
+    D.writeWorker("w-1", registration("127.0.0.1:1"));
+    runFor(3500);
+    CPPUNIT_ASSERT(!Dropped("w-1"));
+  });
+  section("it is dropped otherwise, and the other one isn't", [&] {
+    D.writeWorker("w-1", "odd");
+    waitFor([&] { return Dropped("w-1"); });
+    CPPUNIT_ASSERT(!Dropped("w-2"));
+  });
+}
