Test that calls to invalid addresses are never sent

No fault: libcurl refuses each of the addresses, the callback runs once and no byte goes out. The story guards the assumption that such a call may be repeated.

--- a/test/http/http-client-test.cc
+++ b/test/http/http-client-test.cc
@@ -109,3 +109,19 @@
                    http::Delivery::NeverSent);
   });
 }
+
+// Guards against a call to an invalid address that throws, never ends or is
+// reported as possibly received.
+HEATHERCROSS_STORY(OddUrls, "a call to an invalid address is never sent") {
+  test::startQt();
+  http::Client Client;
+  for (const char *Odd :
+       {"", ":80", "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:8x",
+        "127.0.0.1:1@", "127.0.0.1 :80", "127.0.0.1:80\n", "127.0.0.1\r\nX: y",
+        "[::1", "[::1]x:80", "\xff:80"})
+    CPPUNIT_ASSERT_MESSAGE(
+        Odd,
+        post(Client, std::string("http://") + Odd + "/", false).Delivery_ ==
+            http::Delivery::NeverSent);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Client.inFlight());
+}
