--- a/src/settings/endpoint.cc
+++ b/src/core/endpoint.cc
@@ -1,16 +1,18 @@
 // Parses and formats endpoints.
-#include "settings/endpoint.h"
+#include "core/endpoint.h"
 
 #include <arpa/inet.h>
 #include <charconv>
 
-namespace heathercross::settings {
+namespace heathercross {
 
 namespace {
 
 bool isIpAddress(int Family, const std::string &Host) {
   in6_addr Parsed{};
-  return inet_pton(Family, Host.c_str(), &Parsed) == 1;
+  // inet_pton() reads only up to the first zero byte.
+  return Host.find('\0') == std::string::npos &&
+         inet_pton(Family, Host.c_str(), &Parsed) == 1;
 }
 
 std::optional<std::uint16_t> parsePort(std::string_view Text) {
@@ -25,8 +27,7 @@
 } // namespace
 
 std::string Endpoint::str() const {
-  const bool V6 = Host_.find(':') != std::string::npos;
-  return (V6 ? "[" + Host_ + "]" : Host_) + ":" + std::to_string(Port_);
+  return (isV6() ? "[" + Host_ + "]" : Host_) + ":" + std::to_string(Port_);
 }
 
 std::optional<Endpoint> parseEndpoint(std::string_view Text) {
@@ -45,4 +46,4 @@
   return Endpoint{Host, *Port};
 }
 
-} // namespace heathercross::settings
+} // namespace heathercross
