Separate what an answer proves about a machine order

The fleet controller decided in two switches what the answer to a move or an upkeep proves, and with which token the next call goes out. Both decisions move into MachineOrders, a class without I/O, so that a test can play late calls.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -21,6 +21,8 @@
 using schedule::Machine;
 using schedule::MachineId;
 using schedule::MachineState;
+using schedule::OrderState;
+using schedule::OrderToken;
 
 constexpr int TickIntervalMs = 100;
 constexpr Millis CallTimeout{900};
@@ -72,7 +74,8 @@
       OnLost_(std::move(OnLost)),
       Writer_(C, FleetDuty, std::move(Self), Guard,
               {[] {}, [this] { loseDuty("row-taken"); }}),
-      HeldSince_(C.Clock_.now()), Cause_(Cause) {
+      HeldSince_(C.Clock_.now()), Cause_(Cause),
+      Orders_(Writer_.journal().self().Epoch_) {
   connect(&TickTimer_, &QTimer::timeout, this, [this] { tick(); });
   TickTimer_.start(TickIntervalMs);
   load();
@@ -278,14 +281,16 @@
     QTimer::singleShot(OrderRetryDelay, this, [this, M] { orderMove(M); });
     return;
   }
-  Context_.Machines_.move(
-      {Context_.Incarnation_, Writer_.journal().self().Epoch_}, M.Machine_,
-      M.To_, CallTimeout,
-      guarded(this, [this, M](MachineOutcome O) { handleMoveAnswer(M, O); }));
+  const OrderToken Token = Orders_.nextCall(M.Machine_);
+  Context_.Machines_.move({Context_.Incarnation_, Token}, M.Machine_, M.To_,
+                          CallTimeout,
+                          guarded(this, [this, M, Token](MachineOutcome O) {
+                            handleMoveAnswer(M, Token, O);
+                          }));
 }
 
 void FleetController::handleMoveAnswer(const schedule::MachineMove &M,
-                                       MachineOutcome O) {
+                                       OrderToken Token, MachineOutcome O) {
   Context_.Log_.write(
       "move-answered",
       {{"machine", toQString(M.Machine_.str())},
@@ -294,20 +299,18 @@
        {"outcome", platform_api::outcomeName(O)}});
   if (Lost_)
     return;
-  switch (O) {
-  case MachineOutcome::Ok:
+  switch (Orders_.handleAnswer(M.Machine_, Token, O)) {
+  case OrderState::Done:
     PendingMoves_[M.Machine_].AnsweredAt_ = Context_.Clock_.now();
     Context_.Metrics_.add("heathercross_moves_total",
                           "Machines that were moved to another pool.");
     break;
-  case MachineOutcome::Fenced:
+  case OrderState::DutyLost:
     return loseDuty("fenced-by-machine");
-  case MachineOutcome::Busy:
-  case MachineOutcome::Rejected:
-  case MachineOutcome::Refused:
+  case OrderState::NotDone:
     PendingMoves_.erase(M.Machine_);
     break;
-  case MachineOutcome::Unknown:
+  case OrderState::Uncertain:
     QTimer::singleShot(OrderRetryDelay, this, [this, M] { orderMove(M); });
     break;
   }
@@ -403,15 +406,16 @@
                          [this, Wave, Id] { orderUpkeep(Wave, Id); });
     return;
   }
+  const OrderToken Token = Orders_.nextCall(Id);
   Context_.Machines_.upkeep(
-      {Context_.Incarnation_, Writer_.journal().self().Epoch_}, Id, Wave,
-      CallTimeout, guarded(this, [this, Wave, Id](MachineOutcome O) {
-        handleUpkeepAnswer(Wave, Id, O);
+      {Context_.Incarnation_, Token}, Id, Wave, CallTimeout,
+      guarded(this, [this, Wave, Id, Token](MachineOutcome O) {
+        handleUpkeepAnswer(Wave, Id, Token, O);
       }));
 }
 
 void FleetController::handleUpkeepAnswer(std::uint64_t Wave,
-                                         const MachineId &Id,
+                                         const MachineId &Id, OrderToken Token,
                                          MachineOutcome O) {
   Context_.Log_.write(
       "upkeep-answered",
@@ -422,18 +426,16 @@
   if (Lost_)
     return;
   WaveState &W = Waves_.at(Wave);
-  switch (O) {
-  case MachineOutcome::Ok:
+  switch (Orders_.handleAnswer(Id, Token, O)) {
+  case OrderState::Done:
     W.Plan_.began(Id, Context_.Clock_.now());
     break;
-  case MachineOutcome::Fenced:
+  case OrderState::DutyLost:
     return loseDuty("fenced-by-machine");
-  case MachineOutcome::Busy:
-  case MachineOutcome::Rejected:
-  case MachineOutcome::Refused:
+  case OrderState::NotDone:
     W.Plan_.refused(Id);
     break;
-  case MachineOutcome::Unknown:
+  case OrderState::Uncertain:
     QTimer::singleShot(OrderRetryDelay, this,
                        [this, Wave, Id] { orderUpkeep(Wave, Id); });
     break;
--- a/src/entry/fleet-controller.h
+++ b/src/entry/fleet-controller.h
@@ -5,6 +5,7 @@
 #include "entry/cluster-state.h"
 #include "entry/journal-writer.h"
 #include "entry/pool-holder.h"
+#include "schedule/machine-orders.h"
 #include "schedule/pool-sizing.h"
 #include "schedule/wave-plan.h"
 
@@ -56,12 +57,14 @@
   void runWave(WaveState &W);
   void orderUpkeep(std::uint64_t Wave, const schedule::MachineId &Id);
   void handleUpkeepAnswer(std::uint64_t Wave, const schedule::MachineId &Id,
+                          schedule::OrderToken Token,
                           platform_api::MachineOutcome O);
   void sizePools();
   void logSizes(const std::map<PoolId, schedule::PoolSize> &Sizes,
                 const std::map<PoolId, schedule::PoolNeed> &Needs);
   void orderMove(const schedule::MachineMove &M);
   void handleMoveAnswer(const schedule::MachineMove &M,
+                        schedule::OrderToken Token,
                         platform_api::MachineOutcome O);
   std::vector<schedule::SizedMachine> sizedMachines() const;
   PoolId standbyPool() const;
@@ -91,6 +94,7 @@
   std::set<schedule::MachineId> FormerOrders_;
   /// When this holder gave the last order for each machine.
   std::map<schedule::MachineId, Instant> LastOrders_;
+  schedule::MachineOrders Orders_;
   bool Loaded_ = false;
   bool Lost_ = false;
   bool HandingOver_ = false;
--- /dev/null
+++ b/src/schedule/machine-orders.h
@@ -0,0 +1,63 @@
+// Tracks the machine orders of one holder of the fleet duty until it is certain
+// what became of them.
+#pragma once
+
+#include "schedule/model.h"
+
+#include <map>
+#include <set>
+
+namespace heathercross::schedule {
+
+/// The fencing token of one machine order. The platform keeps the highest token
+/// that it has seen for each machine.
+using OrderToken = Counter<struct OrderTokenTag>;
+
+/// The outcome of one call that orders something for a machine.
+enum class MachineOutcome : std::uint8_t {
+  /// Carried out now or before.
+  Ok,
+  /// The platform has seen a higher token for the machine.
+  Fenced,
+  /// The machine isn't up or is leaving its pool.
+  Busy,
+  /// The machine isn't part of the wave, or the machine or pool doesn't exist.
+  Rejected,
+  /// Rate limited, overloaded or unreachable; this call did nothing.
+  Refused,
+  /// No answer, or a server error: the call may still be carried out.
+  Unknown,
+};
+
+/// What is known of an order after an answer.
+enum class OrderState : std::uint8_t {
+  Done,
+  /// Not carried out, and no call for it will be.
+  NotDone,
+  /// A call for it may still be carried out; the caller repeats the order.
+  Uncertain,
+  /// Another holder has given orders for the machine.
+  DutyLost,
+};
+
+/// Tracks the orders for all machines. A machine has at most one order at a
+/// time, and an order at most one call at a time.
+class MachineOrders {
+public:
+  explicit MachineOrders(Epoch Held) : Held_(Held) {}
+
+  /// Records that an order for the machine is sent, and returns its token.
+  OrderToken nextCall(const MachineId &Id);
+  /// Returns what the answer to the call with this token proves.
+  OrderState handleAnswer(const MachineId &Id, OrderToken Token,
+                          MachineOutcome O);
+  /// Whether an order for the machine may still be carried out.
+  bool isOpen(const MachineId &Id) const { return Open_.contains(Id); }
+  const std::set<MachineId> &open() const { return Open_; }
+
+private:
+  Epoch Held_;
+  std::set<MachineId> Open_;
+};
+
+} // namespace heathercross::schedule
