Give each machine order a higher fencing token

Seen in a test: a move whose answer is lost is repeated and answered, and the machine is ordered on to another pool; then the platform carries the first copy out and moves the machine back, which ends all that runs there. Cause: all orders of an epoch had the same token, so the platform could not tell the late copy from a new order.

A token is now the epoch, shifted by 26 bits, plus the number of the call for that machine. Once a call has been carried out, the earlier ones are refused. Where the platform doesn't check fences all calls of an epoch keep one token, since there a lower one must never come after a higher one; the new setting order_fencing says which it is.

--- a/src/entry/entry-settings.cc
+++ b/src/entry/entry-settings.cc
@@ -64,6 +64,13 @@
     return Number;
   }
 
+  bool flag(const char *Section, const char *Key) {
+    const std::string Value = readValue(Section, Key, true);
+    if (!Value.empty() && Value != "true" && Value != "false")
+      report(Section, Key, ProblemKind::WrongType, Value, "true or false");
+    return Value == "true";
+  }
+
   Millis millis(const char *Section, const char *Key) {
     return Millis(
         static_cast<std::int64_t>(number(Section, Key, 0, MaxMillis)));
@@ -126,6 +133,9 @@
   S.Advice_ = C.optionalEndpoint("advice", "address");
   S.RunLeaseMax_ = C.millis("bounds", "run_lease_max_ms");
   S.OrderLease_ = C.millis("bounds", "order_lease_ms");
+  S.OrderFencing_ = C.flag("bounds", "order_fencing")
+                        ? schedule::OrderFencing::Checked
+                        : schedule::OrderFencing::Unchecked;
   S.StatusKept_ = C.seconds("bounds", "status_kept_s");
   S.StopGrace_ = C.seconds("bounds", "stop_grace_s");
   S.Move_ = C.seconds("bounds", "move_s");
--- a/src/entry/entry-settings.h
+++ b/src/entry/entry-settings.h
@@ -3,6 +3,7 @@
 
 #include "heathercross/ids.h"
 #include "heathercross/units.h"
+#include "schedule/machine-orders.h"
 #include "settings/settings.h"
 
 #include <string>
@@ -33,6 +34,8 @@
   /// The platform's order lease: the minimum time between orders of different
   /// holders for the same machine.
   Millis OrderLease_{0};
+  /// Whether the platform checks the fencing tokens of machine orders.
+  schedule::OrderFencing OrderFencing_ = schedule::OrderFencing::Checked;
   /// How long the state of an ended job can be queried.
   Millis StatusKept_{0};
   /// Time from SIGTERM to SIGKILL.
--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -75,7 +75,7 @@
       Writer_(C, FleetDuty, std::move(Self), Guard,
               {[] {}, [this] { loseDuty("row-taken"); }}),
       HeldSince_(C.Clock_.now()), Cause_(Cause),
-      Orders_(Writer_.journal().self().Epoch_) {
+      Orders_(Writer_.journal().self().Epoch_, C.Settings_.OrderFencing_) {
   connect(&TickTimer_, &QTimer::timeout, this, [this] { tick(); });
   TickTimer_.start(TickIntervalMs);
   load();
--- a/src/schedule/machine-orders.cc
+++ b/src/schedule/machine-orders.cc
@@ -4,9 +4,20 @@
 
 namespace heathercross::schedule {
 
+namespace {
+
+/// The low bits of a token, which hold the number of the call.
+constexpr unsigned CallNumberBits = 26;
+constexpr std::uint64_t MaxCallNumber = (1ULL << CallNumberBits) - 1;
+
+} // namespace
+
 OrderToken MachineOrders::nextCall(const MachineId &Id) {
   Open_.insert(Id);
-  return OrderToken(Held_.value());
+  CallNumber &Last = LastCalls_[Id];
+  if (Fencing_ == OrderFencing::Checked && Last.value() < MaxCallNumber)
+    Last = Last.next();
+  return OrderToken((Held_.value() << CallNumberBits) + Last.value());
 }
 
 OrderState MachineOrders::handleAnswer(const MachineId &Id, OrderToken,
--- a/src/schedule/machine-orders.h
+++ b/src/schedule/machine-orders.h
@@ -40,13 +40,24 @@
   DutyLost,
 };
 
+/// Whether the platform refuses orders with a lower token than it has seen.
+enum class OrderFencing : std::uint8_t { Checked, Unchecked };
+
 /// Tracks the orders for all machines. A machine has at most one order at a
 /// time, and an order at most one call at a time.
+///
+/// A call without an answer may be carried out seconds later. Where the
+/// platform checks fences, each call has a higher token than the earlier ones
+/// for its machine, so once a call has been carried out, the earlier ones are
+/// refused. Elsewhere all calls of an epoch have the same token, as a late call
+/// with a lower one would break the order of tokens.
 class MachineOrders {
 public:
-  explicit MachineOrders(Epoch Held) : Held_(Held) {}
+  MachineOrders(Epoch Held, OrderFencing Fencing)
+      : Held_(Held), Fencing_(Fencing) {}
 
   /// Records that an order for the machine is sent, and returns its token.
+  /// Tokens of a later epoch are higher.
   OrderToken nextCall(const MachineId &Id);
   /// Returns what the answer to the call with this token proves.
   OrderState handleAnswer(const MachineId &Id, OrderToken Token,
@@ -56,7 +67,12 @@
   const std::set<MachineId> &open() const { return Open_; }
 
 private:
+  /// Numbers the calls for a machine within an epoch.
+  using CallNumber = Counter<struct CallNumberTag>;
+
   Epoch Held_;
+  OrderFencing Fencing_;
+  std::map<MachineId, CallNumber> LastCalls_;
   std::set<MachineId> Open_;
 };
 
--- a/test/entry/rows-test.cc
+++ b/test/entry/rows-test.cc
@@ -30,6 +30,7 @@
 [bounds]
 run_lease_max_ms = 10000
 order_lease_ms = 3000
+order_fencing = true
 status_kept_s = 120
 stop_grace_s = 6
 move_s = 1.5
@@ -71,8 +72,19 @@
     const EntrySettings S = parseEntrySettings(Settings, "f");
     CPPUNIT_ASSERT_EQUAL(Millis(1500).count(), S.Move_.count());
     CPPUNIT_ASSERT(!S.Advice_);
+    CPPUNIT_ASSERT(S.OrderFencing_ == schedule::OrderFencing::Checked);
     CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.9:7060"), S.Peers_.str());
   });
+  section("a platform may not check the tokens of orders", [] {
+    std::string Text = Settings;
+    Text.replace(Text.find("order_fencing = true"), 20,
+                 "order_fencing = false");
+    CPPUNIT_ASSERT(parseEntrySettings(Text, "f").OrderFencing_ ==
+                   schedule::OrderFencing::Unchecked);
+    Text.replace(Text.find("order_fencing = false"), 21, "order_fencing = yes");
+    CPPUNIT_ASSERT_EQUAL(std::string("bounds.order_fencing wrong-type;"),
+                         problemsOf(Text));
+  });
   section("each problem is named", [] {
     std::string Text = Settings;
     Text.replace(Text.find("cpu_share = 0.25"), 16, "cpu_share = much");
--- a/test/proof-deployment/deployment-proof-test.cc
+++ b/test/proof-deployment/deployment-proof-test.cc
@@ -190,6 +190,7 @@
         << "\n[machines]\naddress = " << loopbackAddress(StorePort_)
         << "\norders_per_s = 64.0\n[advice]\naddress =\n[bounds]\n"
            "run_lease_max_ms = 10000\norder_lease_ms = 3000\n"
+           "order_fencing = true\n"
            "status_kept_s = 120\nstop_grace_s = 6\nmove_s = 1.5\n"
            "upkeep_s = 2\n";
     E.Process_ = startProcess(
