Repeat an unanswered machine order until it is settled

Callers would see a machine that is given tasks and then moved or sent into its upkeep, which ends them: a call stayed unanswered, its repetition was answered 429, 503 or busy, and the controller took that as proof that nothing would happen. The late first call was then carried out. For a wave the machine no longer counted as unavailable, so one more than allowed could be in upkeep.

A refusal, or busy, settles an order only if none of its calls went unanswered; otherwise the order is repeated until a call is carried out, which makes the earlier ones void, or is rejected for what it asks. Until then the move stays pending and the machine evacuated. A fence refusal of a token below one that this holder has used itself isn't a lost duty.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -28,8 +28,10 @@
 constexpr Millis CallTimeout{900};
 /// Pause between two listings of all machines.
 constexpr Millis ListInterval{500};
-/// Delay before an unanswered order is repeated.
+/// Delay before an order of uncertain outcome is repeated.
 constexpr Millis OrderRetryDelay{300};
+/// Delay before an order is repeated for a machine that isn't up.
+constexpr Millis BusyRetryDelay{1000};
 /// A holder whose row wasn't renewed for this long gives no orders, since
 /// another entry may have taken the duty.
 constexpr Millis MaxRenewalAge{1500};
@@ -45,6 +47,10 @@
 /// Added to the platform's order lease for clock differences and call times.
 constexpr Millis OrderLeaseMargin{300};
 
+Millis retryDelay(MachineOutcome O) {
+  return O == MachineOutcome::Busy ? BusyRetryDelay : OrderRetryDelay;
+}
+
 QString toQString(const std::string &T) { return QString::fromStdString(T); }
 
 std::string encodeMachines(const std::set<MachineId> &Ids) {
@@ -311,7 +317,7 @@
     PendingMoves_.erase(M.Machine_);
     break;
   case OrderState::Uncertain:
-    QTimer::singleShot(OrderRetryDelay, this, [this, M] { orderMove(M); });
+    QTimer::singleShot(retryDelay(O), this, [this, M] { orderMove(M); });
     break;
   }
 }
@@ -436,7 +442,7 @@
     W.Plan_.refused(Id);
     break;
   case OrderState::Uncertain:
-    QTimer::singleShot(OrderRetryDelay, this,
+    QTimer::singleShot(retryDelay(O), this,
                        [this, Wave, Id] { orderUpkeep(Wave, Id); });
     break;
   }
--- a/src/schedule/machine-orders.cc
+++ b/src/schedule/machine-orders.cc
@@ -13,30 +13,41 @@
 } // namespace
 
 OrderToken MachineOrders::nextCall(const MachineId &Id) {
-  Open_.insert(Id);
+  Open_.try_emplace(Id, false);
   CallNumber &Last = LastCalls_[Id];
   if (Fencing_ == OrderFencing::Checked && Last.value() < MaxCallNumber)
     Last = Last.next();
-  return OrderToken((Held_.value() << CallNumberBits) + Last.value());
+  return lastToken(Id);
 }
 
-OrderState MachineOrders::handleAnswer(const MachineId &Id, OrderToken,
+OrderToken MachineOrders::lastToken(const MachineId &Id) const {
+  return OrderToken((Held_.value() << CallNumberBits) +
+                    LastCalls_.at(Id).value());
+}
+
+OrderState MachineOrders::handleAnswer(const MachineId &Id, OrderToken Token,
                                        MachineOutcome O) {
+  const auto Order = Open_.find(Id);
+  const bool Unanswered = Order != Open_.end() && Order->second;
   switch (O) {
   case MachineOutcome::Unknown:
+    Open_[Id] = true;
     return OrderState::Uncertain;
   case MachineOutcome::Fenced:
-    return OrderState::DutyLost;
-  case MachineOutcome::Ok:
-    Open_.erase(Id);
-    return OrderState::Done;
+    // This holder's own later call also makes the platform refuse a token.
+    return Token < lastToken(Id) ? OrderState::Uncertain : OrderState::DutyLost;
   case MachineOutcome::Busy:
-  case MachineOutcome::Rejected:
   case MachineOutcome::Refused:
+    // The platform may give both answers before it checks the fence.
+    if (Unanswered)
+      return OrderState::Uncertain;
+    break;
+  case MachineOutcome::Ok:
+  case MachineOutcome::Rejected:
     break;
   }
   Open_.erase(Id);
-  return OrderState::NotDone;
+  return O == MachineOutcome::Ok ? OrderState::Done : OrderState::NotDone;
 }
 
 } // namespace heathercross::schedule
--- a/src/schedule/machine-orders.h
+++ b/src/schedule/machine-orders.h
@@ -5,7 +5,6 @@
 #include "schedule/model.h"
 
 #include <map>
-#include <set>
 
 namespace heathercross::schedule {
 
@@ -23,7 +22,8 @@
   Busy,
   /// The machine isn't part of the wave, or the machine or pool doesn't exist.
   Rejected,
-  /// Rate limited, overloaded or unreachable; this call did nothing.
+  /// Rate limited, overloaded or unreachable; this call did nothing, but an
+  /// earlier one may.
   Refused,
   /// No answer, or a server error: the call may still be carried out.
   Unknown,
@@ -49,8 +49,9 @@
 /// A call without an answer may be carried out seconds later. Where the
 /// platform checks fences, each call has a higher token than the earlier ones
 /// for its machine, so once a call has been carried out, the earlier ones are
-/// refused. Elsewhere all calls of an epoch have the same token, as a late call
-/// with a lower one would break the order of tokens.
+/// refused. A refusal says nothing about the earlier calls. Elsewhere all calls
+/// of an epoch have the same token, as a late call with a lower one would break
+/// the order of tokens.
 class MachineOrders {
 public:
   MachineOrders(Epoch Held, OrderFencing Fencing)
@@ -64,16 +65,19 @@
                           MachineOutcome O);
   /// Whether an order for the machine may still be carried out.
   bool isOpen(const MachineId &Id) const { return Open_.contains(Id); }
-  const std::set<MachineId> &open() const { return Open_; }
 
 private:
   /// Numbers the calls for a machine within an epoch.
   using CallNumber = Counter<struct CallNumberTag>;
 
+  OrderToken lastToken(const MachineId &Id) const;
+
   Epoch Held_;
   OrderFencing Fencing_;
   std::map<MachineId, CallNumber> LastCalls_;
-  std::set<MachineId> Open_;
+  /// Machines with an order whose outcome is uncertain, and whether a call for
+  /// it went unanswered.
+  std::map<MachineId, bool> Open_;
 };
 
 } // namespace heathercross::schedule
--- a/test/schedule/machine-orders-test.cc
+++ b/test/schedule/machine-orders-test.cc
@@ -2,6 +2,8 @@
 #include "schedule/machine-orders.h"
 #include "support/story.h"
 
+#include <rapidcheck.h>
+
 #include <vector>
 
 using namespace heathercross;
@@ -13,6 +15,7 @@
 const MachineId M1("m1");
 const PoolId Quotes("quotes");
 const PoolId Bookings("bookings");
+const PoolId Standby("standby");
 
 /// What happens to a call.
 enum class Fate : std::uint8_t {
@@ -128,3 +131,75 @@
     CPPUNIT_ASSERT(Unchecked.nextCall(M1) == Unchecked.nextCall(M1));
   });
 }
+
+// Guards against a refusal that is taken as proof that an earlier call for the
+// same order won't be carried out.
+HEATHERCROSS_STORY(RefusalAfterLostAnswer,
+                   "a refusal doesn't settle an unanswered order") {
+  for (const Fate F : {Fate::Refused, Fate::Busy})
+    section(F == Fate::Busy ? "busy" : "refused", [&] {
+      ModelPlatform P;
+      ModelHolder H{P, MachineOrders(Epoch(1), OrderFencing::Checked)};
+      H.move(M1, Quotes, Fate::Late);
+      CPPUNIT_ASSERT(H.move(M1, Quotes, F) == OrderState::Uncertain);
+      CPPUNIT_ASSERT(H.Orders_.isOpen(M1));
+      section("until a repetition is answered", [&] {
+        CPPUNIT_ASSERT(H.move(M1, Quotes, Fate::Answered) == OrderState::Done);
+        CPPUNIT_ASSERT(!H.Orders_.isOpen(M1));
+        CPPUNIT_ASSERT(!P.carryOutLate(0));
+      });
+      section("a later order that is refused at once is settled", [&] {
+        CPPUNIT_ASSERT(H.move(M1, Standby, F) == OrderState::NotDone);
+        CPPUNIT_ASSERT(!H.Orders_.isOpen(M1));
+      });
+    });
+}
+
+// Guards against a duty given up because of the holder's own later call.
+HEATHERCROSS_STORY(FencedByOwnCall,
+                   "only another holder's token shows a lost duty") {
+  MachineOrders O(Epoch(1), OrderFencing::Checked);
+  const OrderToken First = O.nextCall(M1);
+  const OrderToken Second = O.nextCall(M1);
+  CPPUNIT_ASSERT(O.handleAnswer(M1, First, MachineOutcome::Fenced) ==
+                 OrderState::Uncertain);
+  CPPUNIT_ASSERT(O.handleAnswer(M1, Second, MachineOutcome::Fenced) ==
+                 OrderState::DutyLost);
+}
+
+namespace {
+
+/// Gives random orders, each repeated until it is settled, and lets the
+/// platform carry out late calls at random moments.
+void runLateCalls() {
+  const auto Script = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      60, rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 60)));
+  const std::vector<PoolId> Pools{Quotes, Bookings, Standby};
+  const std::vector<MachineId> Ids{M1, MachineId("m2")};
+  ModelPlatform P;
+  ModelHolder H{P, MachineOrders(Epoch(1), OrderFencing::Checked)};
+  std::map<MachineId, PoolId> Targets;
+  for (const auto &[Kind, Argument] : Script) {
+    const auto Number = static_cast<std::size_t>(Argument);
+    if (Kind > static_cast<int>(Fate::Busy)) {
+      if (P.lateCalls() == 0)
+        continue;
+      const auto Ended = P.carryOutLate(Number % P.lateCalls());
+      RC_ASSERT(!Ended || H.Orders_.isOpen(*Ended));
+      continue;
+    }
+    const MachineId &Id = Ids[Number % Ids.size()];
+    if (!H.Orders_.isOpen(Id))
+      Targets[Id] = Pools[Number % Pools.size()];
+    RC_ASSERT(H.move(Id, Targets[Id], static_cast<Fate>(Kind)) !=
+              OrderState::DutyLost);
+  }
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(LateCallsProperty,
+                   "no late call reaches a machine whose orders are settled") {
+  HEATHERCROSS_PROPERTY("whatever calls are late, lost or refused",
+                        [] { runLateCalls(); });
+}
