Keep a machine evacuated until its upkeep has begun

Callers would see tasks that start on a machine while its upkeep is ordered but unanswered, and end when the order is carried out late. Cause: a wave's step named only machines that are still to be ordered, so the evacuation of an ordered one ran out after 1.5 s and the sizing could move it. The step now names ordered machines, too, and no upkeep is ordered for a machine whose move isn't settled.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -393,7 +393,7 @@
   }
   if (mayGiveOrders())
     for (const MachineId &Id : Step.Order_) {
-      if (awaitsFormerOrder(Id))
+      if (awaitsFormerOrder(Id) || Orders_.isOpen(Id))
         continue;
       recordOrder(Id);
       W.Plan_.ordered(Id);
--- a/src/schedule/wave-plan.cc
+++ b/src/schedule/wave-plan.cc
@@ -57,7 +57,9 @@
       continue;
     const auto BeginTime = Begun_.find(Id);
     if (BeginTime == Begun_.end()) {
-      if (!Ordered_.contains(Id))
+      if (Ordered_.contains(Id))
+        Out.Evacuate_.push_back(Id);
+      else
         Pending.push_back(Id);
       continue;
     }
--- a/src/schedule/wave-plan.h
+++ b/src/schedule/wave-plan.h
@@ -25,7 +25,7 @@
 
 /// The actions that are due for a wave.
 struct WaveStep {
-  /// Machines to evacuate.
+  /// Machines to evacuate, with those whose upkeep may begin at any moment.
   std::vector<MachineId> Evacuate_;
   /// Machines to send into their upkeep now.
   std::vector<MachineId> Order_;
--- a/test/schedule/machines-test.cc
+++ b/test/schedule/machines-test.cc
@@ -243,3 +243,36 @@
                    S.Evacuate_.end());
   });
 }
+
+// Guards against tasks that start on a machine while it is uncertain whether
+// its upkeep begins: a late order would end them.
+HEATHERCROSS_STORY(OrderedMachineEvacuated,
+                   "a machine stays evacuated until its upkeep has begun") {
+  UpkeepWave W;
+  W.Number_ = 1;
+  W.MaxAtOnce_ = 1;
+  W.TimeLimit_ = Millis(25'000);
+  const MachineId First("m0");
+  std::map<MachineId, Machine> Machines;
+  std::map<MachineId, MachineLoad> Loads;
+  for (const MachineId &Id : {First, MachineId("m1")}) {
+    W.Machines_.push_back(Id);
+    Machines[Id] = {Id, PoolId("quotes"), MachineState::Up, {}, {}, {}, {}};
+    Loads[Id] = {0, 0, true, true};
+  }
+  const Instant Now{Seconds(5)};
+  WavePlan Plan(W, Now);
+  const auto Evacuated = [&](const MachineId &Id) {
+    const WaveStep S = Plan.step(Machines, Loads, Seconds(2), Now);
+    return std::ranges::find(S.Evacuate_, Id) != S.Evacuate_.end();
+  };
+  Plan.ordered(First);
+  CPPUNIT_ASSERT(Evacuated(First));
+  section("and no other one is ordered beyond the limit", [&] {
+    CPPUNIT_ASSERT(Plan.step(Machines, Loads, Seconds(2), Now).Order_.empty());
+  });
+  section("not once it has begun", [&] {
+    Plan.began(First, Now);
+    CPPUNIT_ASSERT(!Evacuated(First));
+  });
+}
