Settle the machine orders that a former holder left open

Callers would see tasks ended on a machine to which a former holder's unanswered move or upkeep comes late: the successor's higher epoch makes it void only once the successor has ordered something for that machine.

A holder that gives the duty back also stores the machines whose orders are open. Its successor keeps them evacuated and, after the order lease, orders each into the pool that it is in, which costs one call a machine and raises the fence. Orders that a crashed holder left open aren't known and stay a gap.

Test: "a former holder's open order is settled by a call" needs the new adopt() and passes.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -44,6 +44,9 @@
 /// Key of the row that lists the machines for which a holder gave orders
 /// shortly before it gave the duty back. The other rows' keys are wave numbers.
 constexpr const char *RecentOrdersKey = "late-orders";
+/// Key of the row that lists the machines whose orders were still open when a
+/// holder gave the duty back.
+constexpr const char *OpenOrdersKey = "open-orders";
 /// Added to the platform's order lease for clock differences and call times.
 constexpr Millis OrderLeaseMargin{300};
 
@@ -100,6 +103,11 @@
             FormerOrders_ = decodeMachines(Row.Value_);
             continue;
           }
+          if (Row.Place_.Key_ == OpenOrdersKey) {
+            FormerOpen_ = decodeMachines(Row.Value_);
+            Orders_.adopt(FormerOpen_);
+            continue;
+          }
           StoredWaves_[std::strtoull(Row.Place_.Key_.c_str(), nullptr, 10)] =
               decodeMachines(Row.Value_);
         }
@@ -109,7 +117,8 @@
             {{"pool", toQString(FleetDuty.str())},
              {"epoch",
               static_cast<qint64>(Writer_.journal().self().Epoch_.value())},
-             {"waves", static_cast<qint64>(StoredWaves_.size())}});
+             {"waves", static_cast<qint64>(StoredWaves_.size())},
+             {"open_orders", static_cast<qint64>(FormerOpen_.size())}});
       }));
 }
 
@@ -148,7 +157,7 @@
 
 std::set<MachineId> FleetController::recentOrders() const {
   const Instant Now = Context_.Clock_.now();
-  std::set<MachineId> Recent;
+  std::set<MachineId> Recent = Orders_.open();
   for (const auto &[Id, OrderedAt] : LastOrders_)
     if (Now - OrderedAt < Context_.Settings_.OrderLease_ + CallTimeout)
       Recent.insert(Id);
@@ -175,6 +184,7 @@
   for (auto &[Number, W] : Waves_)
     if (!W.CompleteWritten_)
       runWave(W);
+  settleFormerOrders();
   sizePools();
   pollHolders();
 }
@@ -227,6 +237,24 @@
   return All;
 }
 
+void FleetController::settleFormerOrders() {
+  for (auto It = FormerOpen_.begin(); It != FormerOpen_.end();) {
+    const MachineId Id = *It++;
+    const auto M = Machines_.find(Id);
+    if (M == Machines_.end())
+      continue;
+    evacuate(Id);
+    Reserved_.insert(Id);
+    if (!mayGiveOrders() || awaitsFormerOrder(Id) ||
+        M->second.State_ != MachineState::Up)
+      continue;
+    FormerOpen_.erase(Id);
+    PendingMoves_[Id] = {M->second.Pool_, std::nullopt};
+    recordOrder(Id);
+    orderMove({Id, M->second.Pool_});
+  }
+}
+
 void FleetController::sizePools() {
   const Instant Now = Context_.Clock_.now();
   std::erase_if(PendingMoves_, [&](const auto &Entry) {
@@ -514,6 +542,9 @@
   Writer_.journal().put({schedule::RowKind::Wave, RecentOrdersKey,
                          encodeMachines(recentOrders())},
                         true, Context_.Clock_.now());
+  Writer_.journal().put(
+      {schedule::RowKind::Wave, OpenOrdersKey, encodeMachines(Orders_.open())},
+      true, Context_.Clock_.now());
   OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
     Writer_.giveBack(guarded(this, [this, OnDone] {
       loseDuty("handed-over");
--- a/src/entry/fleet-controller.h
+++ b/src/entry/fleet-controller.h
@@ -59,6 +59,9 @@
   void handleUpkeepAnswer(std::uint64_t Wave, const schedule::MachineId &Id,
                           schedule::OrderToken Token,
                           platform_api::MachineOutcome O);
+  /// Orders machines into the pools that they are in, to make a former holder's
+  /// open orders for them void.
+  void settleFormerOrders();
   void sizePools();
   void logSizes(const std::map<PoolId, schedule::PoolSize> &Sizes,
                 const std::map<PoolId, schedule::PoolNeed> &Needs);
@@ -77,7 +80,7 @@
   bool awaitsFormerOrder(const schedule::MachineId &Id) const;
   void recordOrder(const schedule::MachineId &Id);
   /// Machines for which this holder gave an order within the platform's order
-  /// lease.
+  /// lease or has an open one.
   std::set<schedule::MachineId> recentOrders() const;
   std::map<schedule::MachineId, schedule::MachineLoad> machineLoads() const;
   void loseDuty(const char *Cause);
@@ -92,6 +95,9 @@
   /// Machines for which the former holder gave orders shortly before it gave
   /// the duty back.
   std::set<schedule::MachineId> FormerOrders_;
+  /// Machines for which the former holder left open orders and this one hasn't
+  /// given any.
+  std::set<schedule::MachineId> FormerOpen_;
   /// When this holder gave the last order for each machine.
   std::map<schedule::MachineId, Instant> LastOrders_;
   schedule::MachineOrders Orders_;
--- a/src/schedule/machine-orders.cc
+++ b/src/schedule/machine-orders.cc
@@ -12,6 +12,18 @@
 
 } // namespace
 
+void MachineOrders::adopt(const std::set<MachineId> &Machines) {
+  for (const MachineId &Id : Machines)
+    Open_[Id] = true;
+}
+
+std::set<MachineId> MachineOrders::open() const {
+  std::set<MachineId> Ids;
+  for (const auto &[Id, Unanswered] : Open_)
+    Ids.insert(Id);
+  return Ids;
+}
+
 OrderToken MachineOrders::nextCall(const MachineId &Id) {
   Open_.try_emplace(Id, false);
   CallNumber &Last = LastCalls_[Id];
--- a/src/schedule/machine-orders.h
+++ b/src/schedule/machine-orders.h
@@ -5,6 +5,7 @@
 #include "schedule/model.h"
 
 #include <map>
+#include <set>
 
 namespace heathercross::schedule {
 
@@ -57,6 +58,10 @@
   MachineOrders(Epoch Held, OrderFencing Fencing)
       : Held_(Held), Fencing_(Fencing) {}
 
+  /// Records that a former holder's calls for these machines may still be
+  /// carried out. A call for each of them settles that, such as a move to the
+  /// pool that it is in.
+  void adopt(const std::set<MachineId> &Machines);
   /// Records that an order for the machine is sent, and returns its token.
   /// Tokens of a later epoch are higher.
   OrderToken nextCall(const MachineId &Id);
@@ -65,6 +70,7 @@
                           MachineOutcome O);
   /// Whether an order for the machine may still be carried out.
   bool isOpen(const MachineId &Id) const { return Open_.contains(Id); }
+  std::set<MachineId> open() const;
 
 private:
   /// Numbers the calls for a machine within an epoch.
--- a/test/schedule/machine-orders-test.cc
+++ b/test/schedule/machine-orders-test.cc
@@ -155,6 +155,27 @@
     });
 }
 
+// Guards against late orders of a former holder that end what its successor has
+// started on the machine.
+HEATHERCROSS_STORY(FormerOpenOrder,
+                   "a former holder's open order is settled by a call") {
+  ModelPlatform P;
+  ModelHolder Former{P, MachineOrders(Epoch(1), OrderFencing::Checked)};
+  Former.move(M1, Quotes, Fate::Late);
+  ModelHolder H{P, MachineOrders(Epoch(2), OrderFencing::Checked)};
+  H.Orders_.adopt(Former.Orders_.open());
+  CPPUNIT_ASSERT(H.Orders_.isOpen(M1));
+  section("a refusal doesn't settle it", [&] {
+    CPPUNIT_ASSERT(H.move(M1, P.pool(M1), Fate::Refused) ==
+                   OrderState::Uncertain);
+  });
+  section("a move to the machine's own pool does", [&] {
+    CPPUNIT_ASSERT(H.move(M1, P.pool(M1), Fate::Answered) == OrderState::Done);
+    CPPUNIT_ASSERT(!H.Orders_.isOpen(M1));
+    CPPUNIT_ASSERT(!P.carryOutLate(0));
+  });
+}
+
 // Guards against a duty given up because of the holder's own later call.
 HEATHERCROSS_STORY(FencedByOwnCall,
                    "only another holder's token shows a lost duty") {
