--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -21,13 +21,17 @@
 using schedule::Machine;
 using schedule::MachineId;
 using schedule::MachineState;
+using schedule::OrderState;
+using schedule::OrderToken;
 
 constexpr int TickIntervalMs = 100;
 constexpr Millis CallTimeout{900};
 /// Pause between two listings of all machines.
 constexpr Millis ListInterval{500};
-/// Delay before an unanswered order is repeated.
+/// Delay before an order of uncertain outcome is repeated.
 constexpr Millis OrderRetryDelay{300};
+/// Delay before an order is repeated for a machine that isn't up.
+constexpr Millis BusyRetryDelay{1000};
 /// A holder whose row wasn't renewed for this long gives no orders, since
 /// another entry may have taken the duty.
 constexpr Millis MaxRenewalAge{1500};
@@ -40,9 +44,16 @@
 /// Key of the row that lists the machines for which a holder gave orders
 /// shortly before it gave the duty back. The other rows' keys are wave numbers.
 constexpr const char *RecentOrdersKey = "late-orders";
+/// Key of the row that lists the machines whose orders were still open when a
+/// holder gave the duty back.
+constexpr const char *OpenOrdersKey = "open-orders";
 /// Added to the platform's order lease for clock differences and call times.
 constexpr Millis OrderLeaseMargin{300};
 
+Millis retryDelay(MachineOutcome O) {
+  return O == MachineOutcome::Busy ? BusyRetryDelay : OrderRetryDelay;
+}
+
 QString toQString(const std::string &T) { return QString::fromStdString(T); }
 
 std::string encodeMachines(const std::set<MachineId> &Ids) {
@@ -72,7 +83,8 @@
       OnLost_(std::move(OnLost)),
       Writer_(C, FleetDuty, std::move(Self), Guard,
               {[] {}, [this] { loseDuty("row-taken"); }}),
-      HeldSince_(C.Clock_.now()), Cause_(Cause) {
+      HeldSince_(C.Clock_.now()), Cause_(Cause),
+      Orders_(Writer_.journal().self().Epoch_, C.Settings_.OrderFencing_) {
   connect(&TickTimer_, &QTimer::timeout, this, [this] { tick(); });
   TickTimer_.start(TickIntervalMs);
   load();
@@ -91,6 +103,11 @@
             FormerOrders_ = decodeMachines(Row.Value_);
             continue;
           }
+          if (Row.Place_.Key_ == OpenOrdersKey) {
+            FormerOpen_ = decodeMachines(Row.Value_);
+            Orders_.adopt(FormerOpen_);
+            continue;
+          }
           StoredWaves_[std::strtoull(Row.Place_.Key_.c_str(), nullptr, 10)] =
               decodeMachines(Row.Value_);
         }
@@ -100,7 +117,8 @@
             {{"pool", toQString(FleetDuty.str())},
              {"epoch",
               static_cast<qint64>(Writer_.journal().self().Epoch_.value())},
-             {"waves", static_cast<qint64>(StoredWaves_.size())}});
+             {"waves", static_cast<qint64>(StoredWaves_.size())},
+             {"open_orders", static_cast<qint64>(FormerOpen_.size())}});
       }));
 }
 
@@ -139,7 +157,7 @@
 
 std::set<MachineId> FleetController::recentOrders() const {
   const Instant Now = Context_.Clock_.now();
-  std::set<MachineId> Recent;
+  std::set<MachineId> Recent = Orders_.open();
   for (const auto &[Id, OrderedAt] : LastOrders_)
     if (Now - OrderedAt < Context_.Settings_.OrderLease_ + CallTimeout)
       Recent.insert(Id);
@@ -166,6 +184,7 @@
   for (auto &[Number, W] : Waves_)
     if (!W.CompleteWritten_)
       runWave(W);
+  settleFormerOrders();
   sizePools();
   pollHolders();
 }
@@ -218,6 +237,24 @@
   return All;
 }
 
+void FleetController::settleFormerOrders() {
+  for (auto It = FormerOpen_.begin(); It != FormerOpen_.end();) {
+    const MachineId Id = *It++;
+    const auto M = Machines_.find(Id);
+    if (M == Machines_.end())
+      continue;
+    evacuate(Id);
+    Reserved_.insert(Id);
+    if (!mayGiveOrders() || awaitsFormerOrder(Id) ||
+        M->second.State_ != MachineState::Up)
+      continue;
+    FormerOpen_.erase(Id);
+    PendingMoves_[Id] = {M->second.Pool_, std::nullopt};
+    recordOrder(Id);
+    orderMove({Id, M->second.Pool_});
+  }
+}
+
 void FleetController::sizePools() {
   const Instant Now = Context_.Clock_.now();
   std::erase_if(PendingMoves_, [&](const auto &Entry) {
@@ -278,14 +315,16 @@
     QTimer::singleShot(OrderRetryDelay, this, [this, M] { orderMove(M); });
     return;
   }
-  Context_.Machines_.move(
-      {Context_.Incarnation_, Writer_.journal().self().Epoch_}, M.Machine_,
-      M.To_, CallTimeout,
-      guarded(this, [this, M](MachineOutcome O) { handleMoveAnswer(M, O); }));
+  const OrderToken Token = Orders_.nextCall(M.Machine_);
+  Context_.Machines_.move({Context_.Incarnation_, Token}, M.Machine_, M.To_,
+                          CallTimeout,
+                          guarded(this, [this, M, Token](MachineOutcome O) {
+                            handleMoveAnswer(M, Token, O);
+                          }));
 }
 
 void FleetController::handleMoveAnswer(const schedule::MachineMove &M,
-                                       MachineOutcome O) {
+                                       OrderToken Token, MachineOutcome O) {
   Context_.Log_.write(
       "move-answered",
       {{"machine", toQString(M.Machine_.str())},
@@ -294,21 +333,19 @@
        {"outcome", platform_api::outcomeName(O)}});
   if (Lost_)
     return;
-  switch (O) {
-  case MachineOutcome::Ok:
+  switch (Orders_.handleAnswer(M.Machine_, Token, O)) {
+  case OrderState::Done:
     PendingMoves_[M.Machine_].AnsweredAt_ = Context_.Clock_.now();
     Context_.Metrics_.add("heathercross_moves_total",
                           "Machines that were moved to another pool.");
     break;
-  case MachineOutcome::Fenced:
+  case OrderState::DutyLost:
     return loseDuty("fenced-by-machine");
-  case MachineOutcome::Busy:
-  case MachineOutcome::Rejected:
-  case MachineOutcome::Refused:
+  case OrderState::NotDone:
     PendingMoves_.erase(M.Machine_);
     break;
-  case MachineOutcome::Unknown:
-    QTimer::singleShot(OrderRetryDelay, this, [this, M] { orderMove(M); });
+  case OrderState::Uncertain:
+    QTimer::singleShot(retryDelay(O), this, [this, M] { orderMove(M); });
     break;
   }
 }
@@ -384,7 +421,7 @@
   }
   if (mayGiveOrders())
     for (const MachineId &Id : Step.Order_) {
-      if (awaitsFormerOrder(Id))
+      if (awaitsFormerOrder(Id) || Orders_.isOpen(Id))
         continue;
       recordOrder(Id);
       W.Plan_.ordered(Id);
@@ -403,15 +440,16 @@
                          [this, Wave, Id] { orderUpkeep(Wave, Id); });
     return;
   }
+  const OrderToken Token = Orders_.nextCall(Id);
   Context_.Machines_.upkeep(
-      {Context_.Incarnation_, Writer_.journal().self().Epoch_}, Id, Wave,
-      CallTimeout, guarded(this, [this, Wave, Id](MachineOutcome O) {
-        handleUpkeepAnswer(Wave, Id, O);
+      {Context_.Incarnation_, Token}, Id, Wave, CallTimeout,
+      guarded(this, [this, Wave, Id, Token](MachineOutcome O) {
+        handleUpkeepAnswer(Wave, Id, Token, O);
       }));
 }
 
 void FleetController::handleUpkeepAnswer(std::uint64_t Wave,
-                                         const MachineId &Id,
+                                         const MachineId &Id, OrderToken Token,
                                          MachineOutcome O) {
   Context_.Log_.write(
       "upkeep-answered",
@@ -422,19 +460,17 @@
   if (Lost_)
     return;
   WaveState &W = Waves_.at(Wave);
-  switch (O) {
-  case MachineOutcome::Ok:
+  switch (Orders_.handleAnswer(Id, Token, O)) {
+  case OrderState::Done:
     W.Plan_.began(Id, Context_.Clock_.now());
     break;
-  case MachineOutcome::Fenced:
+  case OrderState::DutyLost:
     return loseDuty("fenced-by-machine");
-  case MachineOutcome::Busy:
-  case MachineOutcome::Rejected:
-  case MachineOutcome::Refused:
+  case OrderState::NotDone:
     W.Plan_.refused(Id);
     break;
-  case MachineOutcome::Unknown:
-    QTimer::singleShot(OrderRetryDelay, this,
+  case OrderState::Uncertain:
+    QTimer::singleShot(retryDelay(O), this,
                        [this, Wave, Id] { orderUpkeep(Wave, Id); });
     break;
   }
@@ -506,6 +542,9 @@
   Writer_.journal().put({schedule::RowKind::Wave, RecentOrdersKey,
                          encodeMachines(recentOrders())},
                         true, Context_.Clock_.now());
+  Writer_.journal().put(
+      {schedule::RowKind::Wave, OpenOrdersKey, encodeMachines(Orders_.open())},
+      true, Context_.Clock_.now());
   OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
     Writer_.giveBack(guarded(this, [this, OnDone] {
       loseDuty("handed-over");
