--- a/test/platform/store-test.cc
+++ b/test/platform/store-test.cc
@@ -2,6 +2,7 @@
 #include "http/http-server.h"
 #include "platform/store.h"
 #include "support/event-loop.h"
+#include "support/resend-server.h"
 #include "support/story.h"
 
 #include <QJsonArray>
@@ -99,6 +100,50 @@
   });
 }
 
+// A refused second copy was taken as proof that the first one wrote nothing.
+HEATHERCROSS_STORY(ResentWrite,
+                   "a refusal of a write's second copy leaves the first open") {
+  startQt();
+  const auto Resent = [](int Status, const auto &Write) {
+    heathercross::test::ResendServer Server;
+    Server.Status_ = Status;
+    http::Client Http;
+    Store S(Http, {Server.address(), {}, false});
+    std::optional<StoreOutcome> Outcome;
+    const auto Done = [&](const auto &R) { Outcome = R.Outcome_; };
+    S.readRow({"t", "p", "k"}, Millis(3000), Done);
+    waitFor([&] { return Outcome.has_value(); });
+    Outcome.reset();
+    Write(S, Done);
+    waitFor([&] { return Outcome.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(3, Server.received());
+    return *Outcome;
+  };
+  const auto Transact = [](Store &S, const auto &Done) {
+    S.transact({{}, {{{"t", "p", "k"}, "value"}}}, Millis(3000), Done);
+  };
+  const auto PutObject = [](Store &S, const auto &Done) {
+    S.putObject("name", "bytes", Millis(3000), Done);
+  };
+  for (const int Refusal : {429, 503, 400, 403, 404, 409}) {
+    section("a transaction, status " + std::to_string(Refusal), [&] {
+      CPPUNIT_ASSERT(Resent(Refusal, Transact) == StoreOutcome::Unknown);
+    });
+    // 404 says that there is no such object.
+    if (Refusal != 404)
+      section("an object, status " + std::to_string(Refusal), [&] {
+        CPPUNIT_ASSERT(Resent(Refusal, PutObject) == StoreOutcome::Unknown);
+      });
+  }
+  section("a conflict remains one: its rows show what was applied", [&] {
+    CPPUNIT_ASSERT(Resent(412, Transact) == StoreOutcome::Conflict);
+  });
+  section("an applied second copy is a success", [&] {
+    CPPUNIT_ASSERT(Resent(200, Transact) == StoreOutcome::Ok);
+    CPPUNIT_ASSERT(Resent(200, PutObject) == StoreOutcome::Ok);
+  });
+}
+
 HEATHERCROSS_STORY(StoreRows, "rows are read with their versions") {
   startQt();
   FakeStore M;
