Give each epoch attempt numbers of its own

A task may start after its last allowed failure, and workers may turn a start down as old.

Cause: a new holder numbers attempts above 16 for each epoch since the job was accepted, but a task takes a number with each order, also a refused or unanswered one. After more than 16 in one epoch the next holder gives a number again, and a failure with a number that is stored already isn't counted.

Change: 65,536 numbers an epoch, from a function with a strong type for epochs, which the model of the tests calls too, with the epoch in which each job was accepted. At the limits: a holder that uses its numbers up goes on with the next epoch's, the numbers of the 65,536th epoch serve all later ones, and the highest number doesn't wrap around. Stored rows are unchanged; their numbers lie below the new ones.

--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -3,7 +3,6 @@
 #include "entry/pool-holder.h"
 #include "platform/documents.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace heathercross::entry {
@@ -20,9 +19,6 @@
 
 /// The store usually answers in 5 ms, and in 60 times that when it is slow.
 constexpr Millis ReadTimeout{1500};
-/// Attempt numbers increase by this for each epoch since the job was accepted,
-/// because the last attempt number of an earlier holder isn't stored.
-constexpr std::uint64_t AttemptsPerEpoch = 16;
 
 } // namespace
 
@@ -89,15 +85,12 @@
       Context_.Log_.write("progress-unreadable", F);
       continue;
     }
-    const std::uint64_t Epochs =
-        self().Epoch_.value() -
-        std::min(self().Epoch_.value(), Stored->Epoch_.value());
     if (isFinal(J.state()))
       JobEnds_[Id] = {0, Now};
     else
       ++OpenJobs;
-    Scheduler_.restore(std::move(J), static_cast<schedule::Attempt>(
-                                         Epochs * AttemptsPerEpoch));
+    Scheduler_.restore(std::move(J),
+                       schedule::attemptFloor(self().Epoch_, Stored->Epoch_));
   }
   std::set<InstanceId> Awaited;
   for (const auto &Row : LoadedRows_[RosterTable])
--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <ranges>
 
 namespace heathercross::schedule {
@@ -78,6 +79,14 @@
 
 } // namespace
 
+Attempt attemptFloor(Epoch Holder, Epoch Accepted) {
+  constexpr std::uint64_t LastRange =
+      std::numeric_limits<Attempt>::max() / AttemptsPerEpoch;
+  const std::uint64_t Epochs =
+      Holder.value() - std::min(Holder.value(), Accepted.value());
+  return static_cast<Attempt>(std::min(Epochs, LastRange)) * AttemptsPerEpoch;
+}
+
 bool JobSpec::longRunning() const {
   return std::ranges::any_of(Steps_, &StepSpec::LongRunning_);
 }
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -4,6 +4,7 @@
 #include "schedule/model.h"
 
 #include <algorithm>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,18 @@
 /// stores their number as one digit. Further failures are not counted.
 inline constexpr std::uint32_t MaxRecordedFailures = 9;
 
+/// How many attempts of a task have numbers that belong to one epoch. A holder
+/// that orders more goes on with the numbers of the next epoch, which a later
+/// holder may give again.
+inline constexpr Attempt AttemptsPerEpoch = Attempt{1} << 16U;
+
+/// Returns the number above which the holder of an epoch numbers the attempts
+/// of a job that was accepted in an earlier one. Each epoch has its own
+/// numbers, because the last number that an earlier holder gave isn't stored.
+/// The range of Attempt holds those of 65,536 epochs; all later epochs share
+/// the numbers of the last one.
+Attempt attemptFloor(Epoch Holder, Epoch Accepted);
+
 struct TaskState {
   TaskPhase Phase_ = TaskPhase::Waiting;
   /// The highest attempt that this holder ordered or found in a report.
@@ -33,7 +46,12 @@
   Instant OrderedAt_;
   const char *ReleaseCause_ = "";
 
-  Attempt nextAttempt() const { return std::max(Attempt_, AttemptFloor_) + 1; }
+  /// The number of the next attempt. The highest number is given again, as the
+  /// numbers must not start anew.
+  Attempt nextAttempt() const {
+    const Attempt Last = std::max(Attempt_, AttemptFloor_);
+    return Last == std::numeric_limits<Attempt>::max() ? Last : Last + 1;
+  }
 };
 
 struct StepState {
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -131,6 +131,7 @@
   std::map<JobId, std::string> StoredProgress_;
   std::map<JobId, JobSpec> Specs_;
   std::map<JobId, Instant> Accepted_;
+  std::map<JobId, Epoch> AcceptedIn_;
   std::set<TaskKey> StoredDone_;
   std::map<InstanceId, std::uint64_t> Acked_;
   std::uint32_t Starts_ = 0;
@@ -148,6 +149,8 @@
     Scheduler_.setQueues({{Queue_, Q}});
   }
 
+  /// The epoch of the current holder.
+  Epoch epoch() const { return Epoch(HolderChanges_ + 1); }
   WallTime wall() const { return WallTime(toMillis(Now_.time_since_epoch())); }
 
   ModelWorker &addWorker(const std::string &Id, const std::string &Rack = "r1",
@@ -165,6 +168,7 @@
     const JobId Key(Id);
     Specs_[Key] = Spec;
     Accepted_[Key] = Now_;
+    AcceptedIn_[Key] = epoch();
     Scheduler_.admit(Job(Key, Queue_, std::move(Spec), Now_));
   }
 
@@ -187,7 +191,7 @@
       if (const auto It = StoredProgress_.find(Id); It != StoredProgress_.end())
         J.decodeProgress(It->second);
       Scheduler_.restore(std::move(J),
-                         static_cast<Attempt>(16 * HolderChanges_));
+                         attemptFloor(epoch(), AcceptedIn_.at(Id)));
     }
     Scheduler_.awaitWorkers(Roster, Now_ + Seconds(11));
   }
