Answer no submission as refused that a holder may have stored

Cause: libcurl sends a call to another entry again if a kept-alive connection turns out to be closed. The answer to the second copy, "rejected" or "not the holder", was passed on, though the first copy may have been stored, or may still be. The same after a call without an answer: a rejection by the same holder was passed on as 429.

Change: an answer to a call that was sent more than once is uncertain. A request keeps the last epoch whose holder may have one of its calls; a rejection in that epoch is answered as an unknown outcome (504), after which the caller repeats it. Holders of later epochs have loaded what former ones stored, and refuse delayed calls for them, so their rejection holds.

Measured: entry-test with an entry, a store and a holder; the story fails before the change (429 instead of 504) and passes after it. Its section on a call without an answer fails if only the calls that were sent twice are treated so.

--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -121,7 +121,9 @@
   if (Local)
     return callLocalHolder(
         *Local, C->Request_,
-        guarded(this, [this, C](const JobAnswer &A) { handleAnswer(C, A); }));
+        guarded(this, [this, C, E = Local->self().Epoch_](const JobAnswer &A) {
+          handleAnswer(C, A, E);
+        }));
   // While the store doesn't answer, no holder is expected to become known.
   if (!Known && !ClusterState_.storeAnswers())
     return giveUp(C);
@@ -157,8 +159,7 @@
     return true;
   });
   for (const CallPtr &C : ToResend) {
-    C->AskedEpoch_.reset();
-    C->Uncertain_ = true;
+    C->UncertainIn_ = std::exchange(C->AskedEpoch_, std::nullopt);
     attempt(C);
   }
 }
@@ -203,7 +204,7 @@
     if (const CallPtr C = Weak.lock(); C &&
                                        C->AskedEpoch_ == Holder.Row_.Epoch_ &&
                                        C->Request_.Pool_ == Pool) {
-      C->Uncertain_ = true;
+      C->UncertainIn_ = C->AskedEpoch_;
       Waiting.push_back(C);
     }
   for (const CallPtr &C : Waiting)
@@ -253,9 +254,9 @@
                   Contacts_[Address].AnsweredAt_ = Context_.Clock_.now();
                 switch (R.Kind_) {
                 case PeerReply::Kind::Answered:
-                  return handleAnswer(C, R.Answer_);
+                  return handleAnswer(C, R.Answer_, E);
                 case PeerReply::Kind::Unknown:
-                  C->Uncertain_ = true;
+                  C->UncertainIn_ = E;
                   return retryLater(C);
                 case PeerReply::Kind::Unreachable:
                   Duties_.unreachable(C->Request_.Pool_);
@@ -264,15 +265,18 @@
               }));
 }
 
-void Front::handleAnswer(const CallPtr &C, const JobAnswer &A) {
+void Front::handleAnswer(const CallPtr &C, const JobAnswer &A, Epoch E) {
+  if (A.Uncertain_)
+    C->UncertainIn_ = E;
   switch (A.Kind_) {
   case AnswerKind::Accepted:
     return answer(C, Ok, {}, "stored");
   case AnswerKind::Rejected:
+    if (C->UncertainIn_ >= E)
+      return giveUp(C);
     return answer(C, A.Cause_ == "store-away" ? Unavailable : TooManyRequests,
                   {}, A.Cause_, A.RetryAfter_);
   case AnswerKind::NotHolder:
-    C->Uncertain_ |= A.Uncertain_;
     return retryLater(C);
   case AnswerKind::Known:
     if (C->Request_.Kind_ == Kind::Queued)
@@ -287,7 +291,7 @@
 
 void Front::retryLater(const CallPtr &C) {
   const Instant Now = Context_.Clock_.now();
-  const bool TimedOut = C->Request_.Kind_ == Kind::Submit && !C->Uncertain_ &&
+  const bool TimedOut = C->Request_.Kind_ == Kind::Submit && !C->UncertainIn_ &&
                         Now - C->Arrived_ > HolderTimeout;
   if (TimedOut || Now + RetryPause + AnswerMargin > C->Deadline_)
     return giveUp(C);
@@ -295,7 +299,7 @@
 }
 
 void Front::giveUp(const CallPtr &C) {
-  if (C->Uncertain_)
+  if (C->UncertainIn_)
     return answer(C, GatewayTimeout, {}, "outcome-unknown");
   answer(C, Unavailable, {}, "no-holder", RetryAfterTakeover);
 }
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -46,8 +46,10 @@
     Instant Arrived_;
     /// When the caller stops waiting.
     Instant Deadline_;
-    /// An unanswered attempt may have been carried out.
-    bool Uncertain_ = false;
+    /// The last epoch whose holder may still carry out, or may have carried
+    /// out, an unanswered attempt; none if there is no such attempt. Holders of
+    /// later epochs know what came of it.
+    std::optional<Epoch> UncertainIn_;
     std::uint32_t Attempts_ = 0;
     /// Epoch of the remote holder that has an unanswered request for this call;
     /// none if there is no such request.
@@ -70,7 +72,8 @@
   void pingHolder(const PoolId &Pool, const schedule::StoredHolder &Holder);
   void handlePingReply(const PoolId &Pool, const schedule::StoredHolder &Holder,
                        bool Answered);
-  void handleAnswer(const CallPtr &C, const JobAnswer &A);
+  /// Handles the answer of the holder of an epoch.
+  void handleAnswer(const CallPtr &C, const JobAnswer &A, Epoch E);
   /// Repeats a request after a pause if the caller's deadline allows it.
   void retryLater(const CallPtr &C);
   /// Answers that the request failed, or that its outcome is unknown.
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -139,6 +139,7 @@
                     if (const auto A = parseAnswer(R.Body_)) {
                       Reply.Kind_ = PeerReply::Kind::Answered;
                       Reply.Answer_ = *A;
+                      Reply.Answer_.Uncertain_ |= R.Sent_ > 1;
                     }
                   OnDone(Reply);
                 });
