Answer requests that wait for a ping when the store is back

Cause: while the store doesn't answer, a request waits until its holder has answered a ping. If the ping failed and the store answered again by then, the waiting requests were dropped. When it was answered, all of them were sent with the epoch of the pool that was pinged for, also those for other pools of the same process, which the holder turns down.

Change: after a failed ping they are tried again, after a successful one each is sent to the holder of its own pool.

Measured: entry-test; the new story gets no answer within 2 s before the change, at a deadline of 1.2 s, and one after it. The epoch of other pools was found by reading and has no test of its own.

--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -184,8 +184,9 @@
   (Answered ? Peer.AnsweredAt_ : Peer.FailedAt_) = Now;
   std::vector<CallPtr> Waiting = std::exchange(Peer.Waiting_, {});
   if (Answered) {
+    // The requests may be for other pools that the same process holds.
     for (const CallPtr &C : Waiting)
-      send(C, Holder);
+      attempt(C);
     return;
   }
   Context_.Log_.write(
@@ -198,8 +199,11 @@
   Duties_.unreachable(Pool);
   // If the store answers, another holder will be known soon. Otherwise this
   // entry can't serve these requests.
-  if (ClusterState_.storeAnswers())
+  if (ClusterState_.storeAnswers()) {
+    for (const CallPtr &C : Waiting)
+      retryLater(C);
     return;
+  }
   for (const std::weak_ptr<Call> &Weak : AwaitingReply_)
     if (const CallPtr C = Weak.lock(); C &&
                                        C->AskedEpoch_ == Holder.Row_.Epoch_ &&
--- a/test/entry/front-test.cc
+++ b/test/entry/front-test.cc
@@ -243,3 +243,36 @@
     CPPUNIT_ASSERT_EQUAL(Ok, answerTo(Accepted));
   });
 }
+
+// Requests that waited for a ping got no answer if the store was back when the
+// ping failed.
+HEATHERCROSS_STORY(PingFails, "a request that waits for a ping is answered "
+                              "whether or not the store answers again") {
+  startQt();
+  std::vector<http::Responder> Unanswered;
+  http::Server Holder({}, [&](http::Request &&, http::Responder &&To) {
+    Unanswered.push_back(std::move(To));
+  });
+  Holder.listen(QHostAddress::LocalHost, 0);
+  for (const bool StoreReturns : {true, false})
+    section(StoreReturns ? "it does" : "it doesn't", [&] {
+      FrontOfHolder F("127.0.0.1:" + std::to_string(Holder.port()));
+      F.store().Answers_ = false;
+      waitFor([&] { return !F.state().storeAnswers(); });
+      std::optional<int> Status;
+      F.submit(Millis(1200), [&](int S) { Status = S; });
+      waitFor([&] { return F.front().pending() == 1; });
+      if (StoreReturns) {
+        F.store().Answers_ = true;
+        waitFor([&] {
+          F.state().pollDutiesNow();
+          return F.state().storeAnswers();
+        });
+        CPPUNIT_ASSERT(!Status);
+      }
+      heathercross::test::runFor(2000);
+      CPPUNIT_ASSERT(Status.has_value());
+      CPPUNIT_ASSERT(*Status == Unavailable || *Status == GatewayTimeout);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, F.front().pending());
+    });
+}
