Take no refusal of a request's second copy for the first one

Cause: the daemon's client of the workers took a refusal for the answer to the whole call, also if libcurl had sent the call before on a connection that turned out to be closed.

Change: such a call counts as lost, after which the request may have run.

--- a/src/daemon/worker-client.cc
+++ b/src/daemon/worker-client.cc
@@ -80,7 +80,10 @@
     T.Result_ = TryResult::WorkFailed;
     T.Body_ = R.Body_;
   }
-  if (R.Status_ == StatusRefused && !R.header("X-Refused").empty()) {
+  // A refusal concerns the last copy of the call only; an earlier copy may run.
+  const bool SentOnce = R.Sent_ <= 1;
+  if (SentOnce && R.Status_ == StatusRefused &&
+      !R.header("X-Refused").empty()) {
     T.Result_ = TryResult::Refused;
     T.Refusal_ = parseRefusal(R.header("X-Refused"));
   }
--- a/test/support/resend-server.h
+++ b/test/support/resend-server.h
@@ -16,6 +16,8 @@
 class ResendServer {
 public:
   int Status_ = 200;
+  /// Header lines, each with its end.
+  QByteArray Headers_;
   QByteArray Body_ = "{}";
 
   ResendServer() {
@@ -60,17 +62,18 @@
     Request.clear();
     switch (++Received_) {
     case 1:
-      return respond(Socket, 200, "{}");
+      return respond(Socket, 200, "", "{}");
     case 2:
       return Socket->abort();
     default:
-      return respond(Socket, Status_, Body_);
+      return respond(Socket, Status_, Headers_, Body_);
     }
   }
 
-  static void respond(QTcpSocket *Socket, int Status, const QByteArray &Body) {
-    Socket->write("HTTP/1.1 " + QByteArray::number(Status) +
-                  " Answer\r\nContent-Length: " +
+  static void respond(QTcpSocket *Socket, int Status, const QByteArray &Headers,
+                      const QByteArray &Body) {
+    Socket->write("HTTP/1.1 " + QByteArray::number(Status) + " Answer\r\n" +
+                  Headers + "Content-Length: " +
                   QByteArray::number(Body.size()) + "\r\n\r\n" + Body);
   }
 
