--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -121,7 +121,9 @@
   if (Local)
     return callLocalHolder(
         *Local, C->Request_,
-        guarded(this, [this, C](const JobAnswer &A) { handleAnswer(C, A); }));
+        guarded(this, [this, C, E = Local->self().Epoch_](const JobAnswer &A) {
+          handleAnswer(C, A, E);
+        }));
   // While the store doesn't answer, no holder is expected to become known.
   if (!Known && !ClusterState_.storeAnswers())
     return giveUp(C);
@@ -157,8 +159,7 @@
     return true;
   });
   for (const CallPtr &C : ToResend) {
-    C->AskedEpoch_.reset();
-    C->Uncertain_ = true;
+    C->UncertainIn_ = std::exchange(C->AskedEpoch_, std::nullopt);
     attempt(C);
   }
 }
@@ -183,8 +184,9 @@
   (Answered ? Peer.AnsweredAt_ : Peer.FailedAt_) = Now;
   std::vector<CallPtr> Waiting = std::exchange(Peer.Waiting_, {});
   if (Answered) {
+    // The requests may be for other pools that the same process holds.
     for (const CallPtr &C : Waiting)
-      send(C, Holder);
+      attempt(C);
     return;
   }
   Context_.Log_.write(
@@ -197,13 +199,16 @@
   Duties_.unreachable(Pool);
   // If the store answers, another holder will be known soon. Otherwise this
   // entry can't serve these requests.
-  if (ClusterState_.storeAnswers())
+  if (ClusterState_.storeAnswers()) {
+    for (const CallPtr &C : Waiting)
+      retryLater(C);
     return;
+  }
   for (const std::weak_ptr<Call> &Weak : AwaitingReply_)
     if (const CallPtr C = Weak.lock(); C &&
                                        C->AskedEpoch_ == Holder.Row_.Epoch_ &&
                                        C->Request_.Pool_ == Pool) {
-      C->Uncertain_ = true;
+      C->UncertainIn_ = C->AskedEpoch_;
       Waiting.push_back(C);
     }
   for (const CallPtr &C : Waiting)
@@ -253,9 +258,9 @@
                   Contacts_[Address].AnsweredAt_ = Context_.Clock_.now();
                 switch (R.Kind_) {
                 case PeerReply::Kind::Answered:
-                  return handleAnswer(C, R.Answer_);
+                  return handleAnswer(C, R.Answer_, E);
                 case PeerReply::Kind::Unknown:
-                  C->Uncertain_ = true;
+                  C->UncertainIn_ = E;
                   return retryLater(C);
                 case PeerReply::Kind::Unreachable:
                   Duties_.unreachable(C->Request_.Pool_);
@@ -264,15 +269,18 @@
               }));
 }
 
-void Front::handleAnswer(const CallPtr &C, const JobAnswer &A) {
+void Front::handleAnswer(const CallPtr &C, const JobAnswer &A, Epoch E) {
+  if (A.Uncertain_)
+    C->UncertainIn_ = E;
   switch (A.Kind_) {
   case AnswerKind::Accepted:
     return answer(C, Ok, {}, "stored");
   case AnswerKind::Rejected:
+    if (C->UncertainIn_ >= E)
+      return giveUp(C);
     return answer(C, A.Cause_ == "store-away" ? Unavailable : TooManyRequests,
                   {}, A.Cause_, A.RetryAfter_);
   case AnswerKind::NotHolder:
-    C->Uncertain_ |= A.Uncertain_;
     return retryLater(C);
   case AnswerKind::Known:
     if (C->Request_.Kind_ == Kind::Queued)
@@ -287,7 +295,7 @@
 
 void Front::retryLater(const CallPtr &C) {
   const Instant Now = Context_.Clock_.now();
-  const bool TimedOut = C->Request_.Kind_ == Kind::Submit && !C->Uncertain_ &&
+  const bool TimedOut = C->Request_.Kind_ == Kind::Submit && !C->UncertainIn_ &&
                         Now - C->Arrived_ > HolderTimeout;
   if (TimedOut || Now + RetryPause + AnswerMargin > C->Deadline_)
     return giveUp(C);
@@ -295,7 +303,7 @@
 }
 
 void Front::giveUp(const CallPtr &C) {
-  if (C->Uncertain_)
+  if (C->UncertainIn_)
     return answer(C, GatewayTimeout, {}, "outcome-unknown");
   answer(C, Unavailable, {}, "no-holder", RetryAfterTakeover);
 }
