Keep the only run of a task, whatever its attempt

What callers would see: a long-running task is stopped at work while others of its step are away (AVAIL).

Cause: a restarted worker may list an earlier attempt than the one on record, from an order that it carried out late. The recorded run is given up, rightly, but the listed one, then the only run of its task, was stopped.

Change: a listed run is adopted if its task waits and no run of it is being stopped. The attempt of the current run is kept beside the highest one, by which new attempts are numbered.

Evidence: the story of the earlier attempt failed in a trial on the tree before (a stop was ordered); the other stories guard faults that are fixed already.

--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -31,6 +31,8 @@
   TaskPhase Phase_ = TaskPhase::Waiting;
   /// The highest attempt that this holder ordered or found in a report.
   Attempt Attempt_ = 0;
+  /// The attempt of the current run.
+  Attempt RunAttempt_ = 0;
   /// The highest attempt that a worker is known to have carried out or refused
   /// as outdated.
   Attempt SeenAttempt_ = 0;
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -314,7 +314,7 @@
 void PoolScheduler::orderStart(Job &J, const TaskKey &Key, Worker &W, Attempt A,
                                Instant Now, Orders &Out) {
   TaskState &T = J.task(Key);
-  T.Attempt_ = A;
+  T.Attempt_ = T.RunAttempt_ = A;
   T.Phase_ = TaskPhase::Placed;
   T.Worker_ = W.info().Id_;
   T.OrderedAt_ = Now;
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -261,7 +261,7 @@
   if (!J || !J->has(Key))
     return;
   TaskState &T = J->task(Key);
-  if (T.Phase_ != TaskPhase::Placed || T.Attempt_ != A)
+  if (T.Phase_ != TaskPhase::Placed || T.RunAttempt_ != A)
     return;
   T.Phase_ = TaskPhase::Waiting;
   T.ReleaseCause_ = Cause;
@@ -473,15 +473,20 @@
   NewRun.LastProgress_ = Now;
   NewRun.Percent_ = R.Percent_;
   NewRun.Load_ = R.Load_;
-  const bool CanAdopt = J && J->has(R.Task_) && !isFinal(J->state()) &&
-                        J->task(R.Task_).Phase_ == TaskPhase::Waiting &&
-                        !W.find(R.Task_);
   if (J && J->has(R.Task_)) {
+    logLateStart(J->task(R.Task_), R, W, Now);
+    markSeen(J->task(R.Task_), R.Attempt_);
+  }
+  if (const Run *Other = W.find(R.Task_)) {
+    raiseFence(W, Other->Fence_);
+    recordUnresolved(W, R.Task_, *Other);
+    release(W, R.Task_, "other-attempt-listed");
+  }
+  if (J && J->has(R.Task_) && !isFinal(J->state())) {
     TaskState &T = J->task(R.Task_);
-    logLateStart(T, R, W, Now);
-    markSeen(T, R.Attempt_);
-    if (CanAdopt && T.Attempt_ == R.Attempt_) {
+    if (T.Phase_ == TaskPhase::Waiting && T.UnwantedRuns_ == 0) {
       T.Phase_ = TaskPhase::Placed;
+      T.RunAttempt_ = R.Attempt_;
       T.Worker_ = W.info().Id_;
       if (J->state() == JobState::Queued)
         J->setState(JobState::Active);
@@ -491,11 +496,6 @@
       return;
     }
   }
-  if (const Run *Other = W.find(R.Task_)) {
-    raiseFence(W, Other->Fence_);
-    recordUnresolved(W, R.Task_, *Other);
-    release(W, R.Task_, "other-attempt-listed");
-  }
   stopRun(NewRun);
   if (J && J->has(R.Task_)) {
     NewRun.Unwanted_ = true;
--- /dev/null
+++ b/test/schedule-faults/restart-test.cc
@@ -0,0 +1,165 @@
+// Tests of a pool's scheduler, call by call: answers that belong to earlier
+// orders, and workers that start again under their id.
+#include "schedule/model-pool.h"
+#include "support/story.h"
+
+using namespace heathercross;
+using namespace heathercross::schedule;
+using namespace heathercross::schedule::test;
+using heathercross::test::section;
+
+namespace {
+
+/// A scheduler whose calls and answers the test plays one by one.
+class ManualPool {
+public:
+  PoolScheduler Scheduler_;
+  Instant Now_{Seconds(100)};
+
+  explicit ManualPool(const char *Id, std::int64_t CpuMilli) {
+    Scheduler_.setMaxLease(ModelPool::MaxLease);
+    addWorker(Id, CpuMilli);
+  }
+
+  void addWorker(const char *Id, std::int64_t CpuMilli) {
+    Scheduler_.setWorker(workerInfo(Id, "r1", CpuMilli));
+    report(Id, 1, {});
+    Scheduler_.setRostered(InstanceId(Id), true);
+  }
+
+  /// A renewal that is sent and answered now, by a life of the worker.
+  void report(const char *Id, std::int64_t Life,
+              std::vector<RunningReport> Running,
+              std::vector<EndReport> Ended = {}) {
+    const InstanceId Worker(Id);
+    Scheduler_.leaseGranted(Worker, Now_, ModelPool::Lease);
+    Scheduler_.report(Worker, {Life, std::move(Running), std::move(Ended)},
+                      Now_, Scheduler_.fence(Worker), Now_);
+    Now_ += Millis(1);
+  }
+
+  std::vector<StartOrder> submit(const char *Id, JobSpec Spec) {
+    Scheduler_.admit(Job(JobId(Id), QueueId("q"), std::move(Spec), Now_));
+    return step().Starts_;
+  }
+
+  Orders step() { return Scheduler_.step(Now_, WallTime()); }
+
+  void answer(const StartOrder &O, StartAnswer A) {
+    Scheduler_.started(O, A, Now_);
+  }
+
+  Resources used(const char *Id) const {
+    return Scheduler_.workers().at(InstanceId(Id)).used();
+  }
+};
+
+RunningReport running(const StartOrder &O) {
+  return {O.Task_, O.Attempt_, "", 100, 0};
+}
+
+JobSpec lasting() {
+  StepSpec S = step(1, 2000, Millis(1000));
+  S.LongRunning_ = true;
+  S.MaxUnavailable_ = 1;
+  return job({S});
+}
+
+} // namespace
+
+// Guards against a task that runs twice or is stopped at work: its only run is
+// of an earlier attempt, which a restarted worker took late.
+HEATHERCROSS_STORY(EarlierAttemptAfterRestart,
+                   "the only run of a task is kept, whatever its attempt") {
+  ManualPool P("w1", 4000);
+  const auto First = P.submit("j1", lasting());
+  P.Now_ += Millis(600);
+  P.answer(First[0], StartAnswer::Unknown);
+  P.report("w1", 1, {});
+  const auto Again = P.step().Starts_;
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Again.size());
+  P.answer(Again[0], StartAnswer::Started);
+  P.report("w1", 1, {},
+           {{1, Again[0].Task_, Again[0].Attempt_, RunEnd::Failed, ""}});
+  const auto Higher = P.step().Starts_;
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Higher.size());
+  CPPUNIT_ASSERT(Higher[0].Attempt_ > First[0].Attempt_);
+  P.answer(Higher[0], StartAnswer::Started);
+  P.addWorker("w2", 4000);
+  section("nothing starts or stops while it lists the first attempt", [&] {
+    for (int I = 0; I < 4; ++I) {
+      P.Now_ += Millis(300);
+      P.report("w1", 2, {running(First[0])});
+      P.report("w2", 1, {});
+      const Orders O = P.step();
+      CPPUNIT_ASSERT(O.Starts_.empty());
+      CPPUNIT_ASSERT(O.Stops_.empty());
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{2000}, P.used("w1").CpuMilli_);
+    }
+  });
+}
+
+// Guards against a run of a cancelled job that goes on: the worker's former
+// life accepted the stop, and none is sent to the next one.
+HEATHERCROSS_STORY(StopOfFormerLife,
+                   "a stop that a former life accepted is sent again") {
+  ManualPool P("w1", 4000);
+  const auto First = P.submit("j1", lasting());
+  P.answer(First[0], StartAnswer::Started);
+  P.Now_ += Millis(100);
+  P.report("w1", 1, {running(First[0])});
+  P.Scheduler_.cancel(JobId("j1"));
+  const auto Stops = P.step().Stops_;
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Stops.size());
+  P.Scheduler_.stopped(Stops[0], StopAnswer::Accepted, P.Now_);
+  for (int I = 0; I < 2; ++I) {
+    P.Now_ += Millis(300);
+    P.report("w1", 2, {running(First[0])});
+  }
+  P.Now_ += Millis(300);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.step().Stops_.size());
+}
+
+// Guards against a task that runs twice: only the clock in the answer to the
+// order shows that the worker started again and granted its longest lease.
+HEATHERCROSS_STORY(UnnoticedRestart,
+                   "a run of a new life that only its clock shows is given up "
+                   "only after the longest lease") {
+  ManualPool P("w1", 4000);
+  const auto First = P.submit("j1", lasting());
+  P.Scheduler_.leaseGranted(InstanceId("w1"), P.Now_, ModelPool::Lease);
+  P.answer(First[0], StartAnswer::Started);
+  P.Scheduler_.suspectRestart(InstanceId("w1"));
+  const Instant Ordered = P.Now_;
+  P.addWorker("w2", 4000);
+  P.Scheduler_.unresponsive(InstanceId("w1"), P.Now_ + Millis(100));
+  for (P.Now_ += Millis(100);
+       P.Now_ + Millis(100) < Ordered + ModelPool::MaxLease;
+       P.Now_ += Millis(100)) {
+    P.report("w2", 1, {});
+    CPPUNIT_ASSERT(P.step().Starts_.empty());
+  }
+}
+
+// Guards against a task that runs twice: a renewal for the former life's clock
+// comes after the new life's first report.
+HEATHERCROSS_STORY(RenewalBeforeConfirmation,
+                   "the longest lease counts from the confirmed fence") {
+  ManualPool P("w1", 4000);
+  P.report("w1", 2, {});
+  P.Now_ += Seconds(4);
+  P.report("w1", 2, {});
+  const Instant Confirmed = P.Now_ - Millis(1);
+  const auto First = P.submit("j1", lasting());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, First.size());
+  P.answer(First[0], StartAnswer::Started);
+  P.Now_ += Millis(50);
+  P.report("w1", 2, {running(First[0])});
+  P.addWorker("w2", 4000);
+  P.Scheduler_.unresponsive(InstanceId("w1"), P.Now_);
+  for (; P.Now_ + Millis(100) < Confirmed + ModelPool::MaxLease;
+       P.Now_ += Millis(100)) {
+    P.report("w2", 1, {});
+    CPPUNIT_ASSERT(P.step().Starts_.empty());
+  }
+}
