Give runs of an unconfirmed restart up only after late renewals

What callers would see: a task runs twice (TWICE).

Cause: a worker starts again, lists a run that it took late, and falls silent before it confirms the raised fence. A renewal for its former life's clock may still reach it and extend the lease to the longest one.

Change: until the fence is confirmed after a restart, its runs are given up only when no call can be carried out any more and the longest lease has ended.

Remaining: a worker that starts again and dies for good at once holds its tasks back for up to 22 s.

--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -297,11 +297,13 @@
     return;
   std::vector<TaskKey> Expired;
   for (const auto &[Key, R] : W.runs()) {
-    const bool Working = R.Phase_ == RunPhase::Working;
+    // Until the fence is confirmed after a restart, a late renewal may extend
+    // the lease of any run.
+    const bool Settled = R.Phase_ == RunPhase::Working && !W.Restarted_;
     const Instant End =
-        Working && R.LeaseKnown_
+        Settled && R.LeaseKnown_
             ? W.LeasesEnd_
-            : W.MaxLeaseEnd_ + (Working ? Millis(0) : MaxOrderDelay);
+            : W.MaxLeaseEnd_ + (Settled ? Millis(0) : MaxOrderDelay);
     if (Now >= End)
       Expired.push_back(Key);
   }
--- a/test/schedule-faults/restart-test.cc
+++ b/test/schedule-faults/restart-test.cc
@@ -163,3 +163,24 @@
     CPPUNIT_ASSERT(P.step().Starts_.empty());
   }
 }
+
+// Guards against a task that runs twice: a renewal for the former life's clock
+// comes after the last report of a new life that hasn't confirmed its fence.
+HEATHERCROSS_STORY(SilentAfterRestart,
+                   "runs of a new life that fell silent before it confirmed "
+                   "its fence are given up only after late renewals") {
+  ManualPool P("w1", 4000);
+  const auto First = P.submit("j1", lasting());
+  P.answer(First[0], StartAnswer::Started);
+  P.report("w1", 1, {running(First[0])});
+  P.Now_ += Millis(500);
+  const Instant LastRenewal = P.Now_;
+  P.report("w1", 2, {running(First[0])});
+  P.addWorker("w2", 4000);
+  P.Scheduler_.unresponsive(InstanceId("w1"), P.Now_);
+  for (; P.Now_ < LastRenewal + ModelPool::MaxLease + Seconds(11);
+       P.Now_ += Millis(100)) {
+    P.report("w2", 1, {});
+    CPPUNIT_ASSERT(P.step().Starts_.empty());
+  }
+}
