Start nothing on a restarted worker before it has registered again

What callers would see: a worker over its capacity (LIMIT), or a task on a worker without the label that it requires (ROUTE).

Cause: a worker may start again under its id as one of another kind. Capacity and labels came from the registration of the former life until the new one arrived.

Change: tasks start only if the registration's start time is that of the worker's reports, as far as it has one; a newer registration makes the next renewal due.

Evidence: found in review; the story fails with the check taken out and passes with it.

--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -107,7 +107,11 @@
     Scheduler_.setWorker(Info);
     if (Roster_.contains(Id) && Journal_.durable() >= RosterTicket_)
       Scheduler_.setRostered(Id, true);
-    Links_[Id].Address_ = Info.Address_;
+    Link &L = Links_[Id];
+    L.Address_ = Info.Address_;
+    if (Info.Incarnation_ && L.Incarnation_ != 0 &&
+        *Info.Incarnation_ > L.Incarnation_)
+      L.NextRenew_ = std::min(L.NextRenew_, Context_.Clock_.now());
   }
   for (const auto &[Id, W] : Scheduler_.workers())
     if (W.Registered_ && !All.contains(Id))
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -203,8 +203,9 @@
 bool PoolScheduler::acceptsTasks(const Worker &W, Instant Now) const {
   return W.hasReported() && W.Registered_ && W.Rostered_ &&
          !W.info().Draining_ && !W.UnresponsiveSince_ && !W.AnswerOverdue_ &&
-         W.fenceConfirmed() && Now >= W.PausedUntil_ &&
-         Now >= W.EvacuateUntil_ && W.LeasesEnd_ > Now + MinLease;
+         W.fenceConfirmed() && W.matchesRegistration() &&
+         Now >= W.PausedUntil_ && Now >= W.EvacuateUntil_ &&
+         W.LeasesEnd_ > Now + MinLease;
 }
 
 Rank PoolScheduler::timedRank(const Job &J, std::uint32_t OccurrenceIndex,
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -121,6 +121,13 @@
            Now < std::max(Until + MaxLease, MaxLeaseEnd_ + MaxOrderDelay);
   }
 
+  /// Whether the registration is that of the reported incarnation. A new one
+  /// may have another capacity and other labels.
+  bool matchesRegistration() const {
+    return !Info_.Incarnation_ || !Incarnation_ ||
+           Info_.Incarnation_ == Incarnation_;
+  }
+
   /// Whether the worker is unregistered, draining or being evacuated.
   bool isLeaving(Instant Now) const {
     return !Registered_ || Info_.Draining_ || EvacuateUntil_ > Now;
--- a/test/schedule-faults/restart-test.cc
+++ b/test/schedule-faults/restart-test.cc
@@ -207,3 +207,23 @@
   }
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts.size());
 }
+
+// Guards against a worker over its capacity: a restarted worker gets tasks by
+// the capacity of its former life.
+HEATHERCROSS_STORY(
+    RegistrationOfFormerLife,
+    "a restarted worker gets no tasks before it has registered") {
+  ManualPool P("w1", 4000);
+  WorkerInfo Info = workerInfo("w1", "r1", 4000);
+  Info.Incarnation_ = 1;
+  P.Scheduler_.setWorker(Info);
+  P.report("w1", 2, {});
+  P.report("w1", 2, {});
+  section("its capacity isn't known yet",
+          [&] { CPPUNIT_ASSERT(P.submit("j1", lasting()).empty()); });
+  section("the registration of the new life has it", [&] {
+    Info.Incarnation_ = 2;
+    P.Scheduler_.setWorker(Info);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.step().Starts_.size());
+  });
+}
