Count a job as begun when a task has started, not when one is ordered

Cause: a job became active with its first order. Orders that stay unanswered made jobs look begun of which no task had started.

Change: a job becomes active with the first answer or report that shows a task of it.

Evidence: the story fails if the order makes the job active and passes with the change.

--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -324,8 +324,6 @@
   R.OrderedAt_ = Now;
   R.Fence_ = W.Fence_;
   W.add(Key, R);
-  if (J.state() == JobState::Queued)
-    J.setState(JobState::Active);
   Out.Starts_.push_back(startOrder(J, Key, W, A));
 }
 
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -381,7 +381,10 @@
   endJob(J, JobState::Failed);
 }
 
-void PoolScheduler::markSeen(TaskState &T, Attempt A) {
+void PoolScheduler::markSeen(Job &J, const TaskKey &Key, Attempt A) {
+  if (J.state() == JobState::Queued)
+    J.setState(JobState::Active);
+  TaskState &T = J.task(Key);
   T.Attempt_ = std::max(T.Attempt_, A);
   T.SeenAttempt_ = std::max(T.SeenAttempt_, A);
 }
@@ -396,7 +399,7 @@
     return;
   }
   TaskState &T = J->task(E.Task_);
-  markSeen(T, E.Attempt_);
+  markSeen(*J, E.Task_, E.Attempt_);
   if (!E.Checkpoint_.empty())
     T.Checkpoint_ = E.Checkpoint_;
   switch (E.End_) {
@@ -459,7 +462,7 @@
     Known->Percent_ = R.Percent_;
     Known->Load_ = R.Load_;
     if (Job *J = findJob(R.Task_.Job_); J && J->has(R.Task_)) {
-      markSeen(J->task(R.Task_), R.Attempt_);
+      markSeen(*J, R.Task_, R.Attempt_);
       if (!R.Checkpoint_.empty())
         J->task(R.Task_).Checkpoint_ = R.Checkpoint_;
     }
@@ -482,7 +485,7 @@
   NewRun.Load_ = R.Load_;
   if (J && J->has(R.Task_)) {
     logLateStart(J->task(R.Task_), R, W, Now);
-    markSeen(J->task(R.Task_), R.Attempt_);
+    markSeen(*J, R.Task_, R.Attempt_);
   }
   if (const Run *Other = W.find(R.Task_)) {
     raiseFence(W, Other->Fence_);
@@ -495,8 +498,6 @@
       T.Phase_ = TaskPhase::Placed;
       T.RunAttempt_ = R.Attempt_;
       T.Worker_ = W.info().Id_;
-      if (J->state() == JobState::Queued)
-        J->setState(JobState::Active);
       NewRun.ThrottleKnown_ = false;
       W.add(R.Task_, NewRun);
       logDecision("run-adopted", R.Task_, R.Attempt_, W.info().Id_, "");
@@ -558,7 +559,7 @@
   Job *J = findJob(Key.Job_);
   if (J && J->has(Key) &&
       (Answer == StartAnswer::Started || Answer == StartAnswer::Outdated))
-    markSeen(J->task(Key), A);
+    markSeen(*J, Key, A);
   switch (Answer) {
   case StartAnswer::Started:
     if (R->Phase_ == RunPhase::Working)
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -229,7 +229,7 @@
   static Run *findRun(Worker *W, const TaskKey &Key, Attempt A);
   /// Records that a worker has carried out an attempt, or refused it as
   /// outdated.
-  static void markSeen(TaskState &T, Attempt A);
+  static void markSeen(Job &J, const TaskKey &Key, Attempt A);
   void handleEnd(Worker &W, const EndReport &E, Instant Now);
   void handleFailure(Worker &W, Job &J, const TaskKey &Key, Attempt A,
                      Instant Now);
--- a/test/schedule-faults/restart-test.cc
+++ b/test/schedule-faults/restart-test.cc
@@ -227,3 +227,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.step().Starts_.size());
   });
 }
+
+// Guards against jobs that are missing among the waiting ones although none of
+// their tasks has started.
+HEATHERCROSS_STORY(UnansweredJobWaits,
+                   "a job whose orders are unanswered counts as waiting") {
+  ManualPool P("w1", 4000);
+  const auto Starts = P.submit("j1", lasting());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts.size());
+  CPPUNIT_ASSERT_EQUAL(1U, P.Scheduler_.queuedJobs(QueueId("q")));
+  section("the first task that starts makes it active", [&] {
+    P.answer(Starts[0], StartAnswer::Started);
+    CPPUNIT_ASSERT_EQUAL(0U, P.Scheduler_.queuedJobs(QueueId("q")));
+  });
+}
