Keep a run that a report has shown when its repeated order is refused

What callers would see: a worker over its capacity (LIMIT), a task that runs twice.

Cause: a worker may carry out the first order of an attempt although a repetition is refused, by a worker that is unhealthy for a moment. The refusal released the run after a report had shown it at work.

Change: answers change nothing about a run that works; reports do.

Evidence: the new section fails without the change and passes with it.

--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -560,18 +560,18 @@
   if (J && J->has(Key) &&
       (Answer == StartAnswer::Started || Answer == StartAnswer::Outdated))
     markSeen(*J, Key, A);
+  // A report has shown the run: the worker carried out an earlier order for the
+  // same attempt.
+  if (R->Phase_ == RunPhase::Working)
+    return;
   switch (Answer) {
   case StartAnswer::Started:
-    if (R->Phase_ == RunPhase::Working)
-      return;
     R->Phase_ = RunPhase::Working;
     R->LeaseKnown_ = true;
     R->ConfirmedAt_ = Now;
     R->LastProgress_ = Now;
     return;
   case StartAnswer::Unknown:
-    if (R->Phase_ == RunPhase::Working)
-      return;
     // A stop could be late, too, and end the run when it is at work. A raised
     // fence only prevents a start.
     R->Phase_ = RunPhase::Unresolved;
--- a/test/schedule-faults/repeated-order-test.cc
+++ b/test/schedule-faults/repeated-order-test.cc
@@ -42,4 +42,12 @@
     S.started(Second.Starts_[1], StartAnswer::NoRoom, Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, S.workers().at(Id).runs().size());
   });
+  section("but not if a report has shown the run", [&] {
+    const StartOrder &O = Second.Starts_[0];
+    Now += Millis(20);
+    S.report(Id, {1, {{O.Task_, O.Attempt_, "", 10, 0}}, {}}, Now, S.fence(Id),
+             Now);
+    S.started(O, StartAnswer::Unhealthy, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, S.workers().at(Id).runs().size());
+  });
 }
