--- a/test/standin/bench/main.cc
+++ b/test/standin/bench/main.cc
@@ -2,6 +2,7 @@
 #include "capacity.h"
 #include "policy.h"
 #include "speed.h"
+#include "starts.h"
 
 #include <QCoreApplication>
 
@@ -22,6 +23,10 @@
             "policy: one entry only starts at the middle of the run");
 DEFINE_double(declared_spread, 4,
               "policy: declared run times are off by up to this factor");
+DEFINE_int32(workers, 400, "starts: model workers");
+DEFINE_int32(jobs_per_s, 250, "starts: jobs of 8 tasks that are submitted");
+DEFINE_int32(state_poll_ms, 500,
+             "starts: time between two requests for a job's state");
 
 namespace {
 
@@ -30,6 +35,7 @@
 constexpr int PolicySeconds = 30;
 constexpr int SpeedSeconds = 5;
 constexpr int CapacitySeconds = 10;
+constexpr int StartsSeconds = 10;
 constexpr int UsageError = 2;
 
 int secondsOrDefault(int DefaultSeconds) {
@@ -60,7 +66,15 @@
     return runSpeed(secondsOrDefault(SpeedSeconds)) ? 0 : 1;
   if (Benchmark == "capacity")
     return runCapacity(secondsOrDefault(CapacitySeconds)) ? 0 : 1;
-  std::cerr << "usage: standin-bench policy|speed|capacity [--flags]\n";
+  if (Benchmark == "starts") {
+    StartLoad Load;
+    Load.Workers_ = FLAGS_workers;
+    Load.JobsPerSecond_ = FLAGS_jobs_per_s;
+    Load.StatePollMs_ = FLAGS_state_poll_ms;
+    Load.Seconds_ = secondsOrDefault(StartsSeconds);
+    return runStarts(Load) ? 0 : 1;
+  }
+  std::cerr << "usage: standin-bench policy|speed|capacity|starts [--flags]\n";
   return UsageError;
 }
 
