Scheduling rounds look only at what may change

Cause: each round went through all open jobs, their tasks, all workers and all runs, with a search by name for each; a backlog made rounds dearer, so that a holder started fewer tasks the more were waiting.

Change: jobs count their waiting tasks, workers know whether an order of theirs is open, placement leaves out workers without room for any ready step, roster and workers are walked in parallel, ends are noted as they are reported, and lines that the log drops aren't built. The random faults compare the counts with the tasks.

--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -328,25 +328,29 @@
   Context_.Metrics_.add("heathercross_calls_" + std::to_string(Status) +
                             "_total",
                         "Calls answered with this status.");
-  QJsonObject F{
-      {"kind", kindName(C->Request_.Kind_)},
-      {"job", toQString(C->Request_.Job_.str())},
-      {"queue", toQString(C->Request_.Queue_.str())},
-      {"pool", toQString(C->Request_.Pool_.str())},
-      {"status", Status},
-      {"took_ms", static_cast<qint64>(toMillis(Took).count())},
-      {"attempts", static_cast<qint64>(C->Attempts_)},
-      {"holder", toQString(C->Holder_)},
-      {"configuration", static_cast<qint64>(C->ConfigurationVersion_)}};
-  if (!Cause.empty())
-    F["cause"] = toQString(Cause);
-  if (RetryAfter.count() > 0)
-    F["retry_after_ms"] = static_cast<qint64>(RetryAfter.count());
-  if (!Delivered)
-    F["caller_gone"] = true;
-  Context_.Log_.write("call-answered", F,
-                      Status == Ok ? process::LineClass::Routine
-                                   : process::LineClass::Decision);
+  const auto MakeFields = [&] {
+    QJsonObject F{
+        {"kind", kindName(C->Request_.Kind_)},
+        {"job", toQString(C->Request_.Job_.str())},
+        {"queue", toQString(C->Request_.Queue_.str())},
+        {"pool", toQString(C->Request_.Pool_.str())},
+        {"status", Status},
+        {"took_ms", static_cast<qint64>(toMillis(Took).count())},
+        {"attempts", static_cast<qint64>(C->Attempts_)},
+        {"holder", toQString(C->Holder_)},
+        {"configuration", static_cast<qint64>(C->ConfigurationVersion_)}};
+    if (!Cause.empty())
+      F["cause"] = toQString(Cause);
+    if (RetryAfter.count() > 0)
+      F["retry_after_ms"] = static_cast<qint64>(RetryAfter.count());
+    if (!Delivered)
+      F["caller_gone"] = true;
+    return F;
+  };
+  if (Status == Ok)
+    Context_.Log_.writeRoutine("call-answered", MakeFields);
+  else
+    Context_.Log_.write("call-answered", MakeFields());
 }
 
 void Front::servePeer(http::Request &&R, http::Responder &&To) {
--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -153,8 +153,9 @@
   return {Id, It == Links_.end() ? std::string() : It->second.Address_};
 }
 
-bool PoolHolder::renewalDue(const InstanceId &Id, const Link &L) const {
-  if (Context_.Clock_.now() < L.NextRenew_)
+bool PoolHolder::renewalDue(const InstanceId &Id, const Link &L,
+                            Instant Now) const {
+  if (Now < L.NextRenew_)
     return false;
   const bool Raised = L.RenewFence_ < Scheduler_.fence(Id);
   return L.RenewalsInFlight_ == 0 || (L.RenewalsInFlight_ == 1 && Raised);
@@ -237,6 +238,8 @@
     Scheduler_.leaseGranted(Id, Now, leaseBound());
   L.ReportSentAt_ = Sent.SentAt_;
   Scheduler_.report(Id, R.Report_, Sent.SentAt_, Sent.Fence_, Now);
+  if (!R.Report_.Ended_.empty())
+    ReportedEnds_.insert(Id);
   const auto W = Scheduler_.workers().find(Id);
   if (W == Scheduler_.workers().end())
     return scheduleRound();
@@ -319,17 +322,22 @@
         const Instant AnsweredAt = Context_.Clock_.now();
         Context_.Metrics_.add("heathercross_starts_total",
                               "Orders to start a task.");
-        QJsonObject F = jobFields(O.Task_.Job_);
-        F["task"] = toQString(platform_api::taskName(O.Task_));
-        F["attempt"] = static_cast<qint64>(O.Attempt_);
-        F["worker"] = toQString(O.Worker_.str());
-        F["answer"] = answerName(A);
-        if (Reply.Sent_ > 1)
-          F["sent"] = static_cast<qint64>(Reply.Sent_);
-        F["took_ms"] = static_cast<qint64>(toMillis(AnsweredAt - Now).count());
-        Context_.Log_.write("start-answered", F,
-                            A == StartAnswer::Started ? LineClass::Routine
-                                                      : LineClass::Decision);
+        const auto MakeFields = [&] {
+          QJsonObject F = jobFields(O.Task_.Job_);
+          F["task"] = toQString(platform_api::taskName(O.Task_));
+          F["attempt"] = static_cast<qint64>(O.Attempt_);
+          F["worker"] = toQString(O.Worker_.str());
+          F["answer"] = answerName(A);
+          if (Reply.Sent_ > 1)
+            F["sent"] = static_cast<qint64>(Reply.Sent_);
+          F["took_ms"] =
+              static_cast<qint64>(toMillis(AnsweredAt - Now).count());
+          return F;
+        };
+        if (A == StartAnswer::Started)
+          Context_.Log_.writeRoutine("start-answered", MakeFields);
+        else
+          Context_.Log_.write("start-answered", MakeFields());
         if (A == StartAnswer::Fenced && lostTo(O.Worker_, O.Fence_))
           return loseDuty("fenced-by-worker");
         Scheduler_.started(O, A, AnsweredAt);
@@ -379,21 +387,25 @@
 
 void PoolHolder::logDecisions() {
   for (const schedule::Decision &D : Scheduler_.takeDecisions()) {
-    QJsonObject F{{"pool", toQString(Pool_.str())},
-                  {"epoch", static_cast<qint64>(self().Epoch_.value())}};
-    if (!D.Task_.Job_.empty()) {
-      F["job"] = toQString(D.Task_.Job_.str());
-      F["task"] = toQString(platform_api::taskName(D.Task_));
-      F["attempt"] = static_cast<qint64>(D.Attempt_);
-    }
-    if (!D.Worker_.empty())
-      F["worker"] = toQString(D.Worker_.str());
-    if (!D.Cause_.empty())
-      F["cause"] = toQString(D.Cause_);
-    const std::string Kind = D.Kind_;
-    const bool Routine = Kind == "run-ended" || Kind == "run-adopted";
-    Context_.Log_.write(D.Kind_, F,
-                        Routine ? LineClass::Routine : LineClass::Decision);
+    const auto MakeFields = [&] {
+      QJsonObject F{{"pool", toQString(Pool_.str())},
+                    {"epoch", static_cast<qint64>(self().Epoch_.value())}};
+      if (!D.Task_.Job_.empty()) {
+        F["job"] = toQString(D.Task_.Job_.str());
+        F["task"] = toQString(platform_api::taskName(D.Task_));
+        F["attempt"] = static_cast<qint64>(D.Attempt_);
+      }
+      if (!D.Worker_.empty())
+        F["worker"] = toQString(D.Worker_.str());
+      if (!D.Cause_.empty())
+        F["cause"] = toQString(D.Cause_);
+      return F;
+    };
+    const std::string_view Kind = D.Kind_;
+    if (Kind == "run-ended" || Kind == "run-adopted")
+      Context_.Log_.writeRoutine(D.Kind_, MakeFields);
+    else
+      Context_.Log_.write(D.Kind_, MakeFields());
     Context_.Metrics_.add("heathercross_decisions_total",
                           "Decisions of schedulers.");
     const auto M =
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -16,7 +16,6 @@
 
 namespace {
 
-using process::LineClass;
 using schedule::Job;
 
 /// Maximum number of unanswered start orders per core. An order costs about
@@ -302,12 +301,16 @@
     logDecisions();
     updateRoster();
     purgeEndedJobs();
-    std::erase_if(Links_, [this](const auto &Entry) {
-      return !Scheduler_.workers().contains(Entry.first) &&
-             Entry.second.RenewalsInFlight_ == 0;
-    });
+    // Every known worker has a link, so there are more links only if a worker
+    // was removed.
+    if (Links_.size() > Scheduler_.workers().size())
+      std::erase_if(Links_, [this](const auto &Entry) {
+        return !Scheduler_.workers().contains(Entry.first) &&
+               Entry.second.RenewalsInFlight_ == 0;
+      });
+    const Instant Now = Context_.Clock_.now();
     for (auto &[Id, L] : Links_)
-      if (renewalDue(Id, L))
+      if (renewalDue(Id, L, Now))
         renewLeases(Id, L);
     if (Scheduler_.highestFence().value() + 1 >=
         platform_api::Fence::MaxGeneration)
@@ -331,13 +334,14 @@
   // All run ends reported so far are durable once the journal's last change is.
   UnstoredEnds N;
   N.Ticket_ = Journal_.last();
-  for (const auto &[Id, W] : Scheduler_.workers()) {
-    const auto L = Links_.find(Id);
-    if (L != Links_.end() && W.LastEnd_ > L->second.EndsStored_)
-      N.Ends_[Id] = {W.Incarnation_.value_or(0), W.LastEnd_};
+  for (const InstanceId &Id : std::exchange(ReportedEnds_, {})) {
+    const auto W = Scheduler_.workers().find(Id);
+    if (W != Scheduler_.workers().end())
+      N.Ends_[Id] = {W->second.Incarnation_.value_or(0), W->second.LastEnd_};
   }
   if (!UnstoredEnds_.empty() && UnstoredEnds_.back().Ticket_ == N.Ticket_)
-    UnstoredEnds_.back() = std::move(N);
+    for (auto &[Id, End] : N.Ends_)
+      UnstoredEnds_.back().Ends_[Id] = End;
   else if (!N.Ends_.empty())
     UnstoredEnds_.push_back(std::move(N));
   afterCommit();
@@ -357,20 +361,33 @@
   const Instant Now = Context_.Clock_.now();
   bool Added = false;
   std::vector<InstanceId> Dropped;
-  for (const auto &[Id, Address] : Roster_) {
-    const auto W = Scheduler_.workers().find(Id);
-    if (W == Scheduler_.workers().end() || !W->second.mayHoldRuns(Now))
+  // Both maps are ordered by id and nearly equal, so they are walked in
+  // parallel.
+  const auto &Workers = Scheduler_.workers();
+  auto Next = Roster_.begin();
+  const auto DropUntil = [&](const InstanceId *Id) {
+    while (Next != Roster_.end() && (!Id || Next->first < *Id)) {
+      Dropped.push_back(Next->first);
+      Next = Roster_.erase(Next);
+    }
+  };
+  for (const auto &[Id, W] : Workers) {
+    DropUntil(&Id);
+    const bool Listed = Next != Roster_.end() && Next->first == Id;
+    const bool Needed = W.mayHoldRuns(Now);
+    if (Listed && !Needed) {
       Dropped.push_back(Id);
-  }
-  for (const InstanceId &Id : Dropped) {
-    Scheduler_.setRostered(Id, false);
-    Roster_.erase(Id);
-  }
-  for (const auto &[Id, W] : Scheduler_.workers())
-    if (W.mayHoldRuns(Now) && !Roster_.contains(Id)) {
-      Roster_[Id] = W.info().Address_;
+      Next = Roster_.erase(Next);
+    } else if (Listed) {
+      ++Next;
+    } else if (Needed) {
+      Roster_.emplace_hint(Next, Id, W.info().Address_);
       Added = true;
     }
+  }
+  DropUntil(nullptr);
+  for (const InstanceId &Id : Dropped)
+    Scheduler_.setRostered(Id, false);
   if (!Added && Dropped.empty())
     return;
   const auto Ticket = Journal_.put(
@@ -379,8 +396,10 @@
   // An added worker gets runs only once the roster is durable. If workers were
   // only removed, the stored roster lists more workers than needed, which is
   // safe, so nothing waits for this change.
-  if (Added)
+  if (Added) {
     RosterTicket_ = Ticket;
+    RosterApplied_ = false;
+  }
 }
 
 void PoolHolder::purgeEndedJobs() {
@@ -411,10 +430,13 @@
     }
     auto Node = Submissions_.extract(It++);
     Submission &S = Node.mapped();
-    QJsonObject F = jobFields(Node.key());
-    F["queue"] = toQString(S.Row_.Queue_.str());
-    F["stored_ms"] = static_cast<qint64>(toMillis(Now - S.ReceivedAt_).count());
-    Context_.Log_.write("job-stored", F, LineClass::Routine);
+    Context_.Log_.writeRoutine("job-stored", [&] {
+      QJsonObject F = jobFields(Node.key());
+      F["queue"] = toQString(S.Row_.Queue_.str());
+      F["stored_ms"] =
+          static_cast<qint64>(toMillis(Now - S.ReceivedAt_).count());
+      return F;
+    });
     Context_.Metrics_.add("heathercross_jobs_accepted_total",
                           "Jobs that were stored and accepted.");
     Job J(Node.key(), S.Row_.Queue_, std::move(S.Spec_), S.ReceivedAt_);
@@ -442,7 +464,7 @@
     }
     return true;
   });
-  if (Durable >= RosterTicket_)
+  if (Durable >= RosterTicket_ && !std::exchange(RosterApplied_, true))
     for (const auto &[Id, Address] : Roster_)
       Scheduler_.setRostered(Id, true);
 }
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -159,7 +160,7 @@
   };
   /// Whether a renewal is due. A raised fence is sent although an earlier
   /// renewal is unanswered.
-  bool renewalDue(const InstanceId &Id, const Link &L) const;
+  bool renewalDue(const InstanceId &Id, const Link &L, Instant Now) const;
   void renewLeases(const InstanceId &Id, Link &L);
   void handleRenewReply(const Renewal &Sent, const platform_api::RenewReply &R);
   /// Renews a worker's leases at once if its fence has been raised.
@@ -201,6 +202,8 @@
   std::map<InstanceId, std::string> EndedInstances_;
   Roster Roster_;
   schedule::PoolJournal::Ticket RosterTicket_ = 0;
+  /// Whether the scheduler knows the durable roster.
+  bool RosterApplied_ = false;
   std::map<JobId, Submission> Submissions_;
   std::vector<Waiter> Waiters_;
   /// An ended job: the change that makes the end durable, and when it was
@@ -217,6 +220,8 @@
     std::map<InstanceId, std::pair<std::int64_t, std::uint64_t>> Ends_;
   };
   std::vector<UnstoredEnds> UnstoredEnds_;
+  /// Workers that reported ended runs since the last scheduling round.
+  std::set<InstanceId> ReportedEnds_;
   std::map<std::string, std::vector<platform_api::StoredRow>> LoadedRows_;
   bool Ready_ = false;
   bool Lost_ = false;
--- a/src/process/event-log.cc
+++ b/src/process/event-log.cc
@@ -44,7 +44,10 @@
 bool EventLog::admit(const char *Event, LineClass Class, std::int64_t NowMs) {
   if (Class == LineClass::Decision)
     return true;
-  Rate &R = Rates_[Event];
+  auto It = Rates_.find(Event);
+  if (It == Rates_.end())
+    It = Rates_.emplace(Event, Rate()).first;
+  Rate &R = It->second;
   const std::int64_t Second = NowMs / MsPerSecond;
   if (R.Second_ != Second) {
     const std::uint32_t Skipped = std::exchange(R.Skipped_, 0);
@@ -75,10 +78,15 @@
     FlushTimer_.start(FlushDelayMs);
 }
 
-void EventLog::write(const char *Event, QJsonObject Fields, LineClass Class) {
+std::optional<std::int64_t> EventLog::admitNow(const char *Event,
+                                               LineClass Class) {
   const std::int64_t NowMs = wallMs();
-  if (admit(Event, Class, NowMs))
-    append(Event, std::move(Fields), NowMs);
+  return admit(Event, Class, NowMs) ? std::optional(NowMs) : std::nullopt;
+}
+
+void EventLog::write(const char *Event, QJsonObject Fields, LineClass Class) {
+  if (const auto NowMs = admitNow(Event, Class))
+    append(Event, std::move(Fields), *NowMs);
 }
 
 void EventLog::flush() {
--- a/src/process/event-log.h
+++ b/src/process/event-log.h
@@ -7,8 +7,11 @@
 #include <QObject>
 #include <QTimer>
 
+#include <concepts>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace heathercross::process {
@@ -33,6 +36,13 @@
 
   void write(const char *Event, QJsonObject Fields,
              LineClass Class = LineClass::Decision);
+  /// Writes a line of class Routine. MakeFields returns its fields; it isn't
+  /// called if the line is dropped.
+  template <std::invocable Callback>
+  void writeRoutine(const char *Event, Callback MakeFields) {
+    if (const auto NowMs = admitNow(Event, LineClass::Routine))
+      append(Event, MakeFields(), *NowMs);
+  }
   /// The number of lines dropped so far.
   std::uint64_t dropped() const { return Dropped_; }
   /// Writes as many buffered lines as the descriptor accepts without blocking.
@@ -48,11 +58,13 @@
 
   /// Applies the rate limit to a line; false when the line is to be dropped.
   bool admit(const char *Event, LineClass Class, std::int64_t NowMs);
+  /// The current time in milliseconds if a line may be written now.
+  std::optional<std::int64_t> admitNow(const char *Event, LineClass Class);
   void append(const char *Event, QJsonObject Fields, std::int64_t NowMs);
 
   int Descriptor_;
   std::string Buffer_;
-  std::map<std::string, Rate> Rates_;
+  std::map<std::string, Rate, std::less<>> Rates_;
   std::uint64_t Dropped_ = 0;
   QTimer FlushTimer_;
 };
--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -26,6 +26,7 @@
                          [](const StepSpec &S) {
                            StepState State;
                            State.Tasks_.resize(S.Count_);
+                           State.Waiting_ = S.Count_;
                            return State;
                          });
   return std::vector<Occurrence>(Spec.occurrences(), O);
@@ -95,6 +96,8 @@
     : Id_(std::move(Id)), Queue_(std::move(Queue)), Spec_(std::move(Spec)),
       Accepted_(Accepted), Occurrences_(initialOccurrences(Spec_)),
       CriticalPath_(criticalPathOf(nullptr)) {
+  for (const StepSpec &S : Spec_.Steps_)
+    Waiting_ += S.Count_ * Spec_.occurrences();
   updateRemaining();
   Work_ = RemainingWork_;
 }
@@ -113,6 +116,18 @@
   return Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Tasks_[Key.Index_];
 }
 
+void Job::setPhase(const TaskKey &Key, TaskPhase Phase) {
+  StepState &S = Occurrences_[Key.Occurrence_].Steps_[Key.Step_];
+  TaskPhase &Current = S.Tasks_[Key.Index_].Phase_;
+  const std::uint32_t Added = Phase == TaskPhase::Waiting ? 1 : 0;
+  const std::uint32_t Removed = Current == TaskPhase::Waiting ? 1 : 0;
+  S.Waiting_ += Added;
+  S.Waiting_ -= Removed;
+  Waiting_ += Added;
+  Waiting_ -= Removed;
+  Current = Phase;
+}
+
 WallTime Job::due(std::uint32_t OccurrenceIndex) const {
   return Spec_.FirstDue_ + Spec_.Interval_ * OccurrenceIndex;
 }
@@ -128,10 +143,9 @@
 }
 
 void Job::finishTask(const TaskKey &Key) {
-  TaskState &T = task(Key);
-  if (T.Phase_ == TaskPhase::Done)
+  if (task(Key).Phase_ == TaskPhase::Done)
     return;
-  T.Phase_ = TaskPhase::Done;
+  setPhase(Key, TaskPhase::Done);
   ++Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Done_;
   updateRemaining();
   if (allDone() && !isFinal(State_))
@@ -199,6 +213,7 @@
   const std::size_t State = StateLetters.find(Reader.next());
   if (State == std::string_view::npos)
     Reader.fail("unknown state");
+  Waiting_ = 0;
   for (Occurrence &O : Occurrences_)
     for (StepState &S : O.Steps_) {
       S.Done_ = 0;
@@ -218,6 +233,8 @@
       }
       if (Reader.next() != StepEnd)
         Reader.fail("step does not end in '.'");
+      S.Waiting_ = static_cast<std::uint32_t>(S.Tasks_.size()) - S.Done_;
+      Waiting_ += S.Waiting_;
     }
   State_ = static_cast<JobState>(State);
   updateRemaining();
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -77,6 +77,8 @@
 struct StepState {
   std::vector<TaskState> Tasks_;
   std::uint32_t Done_ = 0;
+  /// Tasks in the waiting phase.
+  std::uint32_t Waiting_ = 0;
 
   bool done() const { return Done_ == Tasks_.size(); }
 };
@@ -111,6 +113,10 @@
   void setState(JobState S) { State_ = S; }
 
   TaskState &task(const TaskKey &Key);
+  /// Sets the phase of a task and counts the waiting ones.
+  void setPhase(const TaskKey &Key, TaskPhase Phase);
+  /// Whether any task is waiting.
+  bool hasWaiting() const { return Waiting_ > 0; }
   const TaskState &task(const TaskKey &Key) const;
   /// Whether the job has a task with this key.
   bool has(const TaskKey &Key) const;
@@ -156,6 +162,8 @@
   Instant Accepted_;
   JobState State_ = JobState::Queued;
   std::vector<Occurrence> Occurrences_;
+  /// Tasks in the waiting phase, in all occurrences.
+  std::uint32_t Waiting_ = 0;
   Millis CriticalPath_{0};
   double Work_ = 0;
   double RemainingWork_ = 0;
--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -8,9 +8,9 @@
 
 std::uint32_t PoolScheduler::queuedJobs(const QueueId &Queue) const {
   return static_cast<std::uint32_t>(
-      std::ranges::count_if(Open_, [&](const JobId &Id) {
-        const Job &J = Jobs_.at(Id);
-        return J.queue() == Queue && J.state() == JobState::Queued;
+      std::ranges::count_if(Open_, [&](const auto &Entry) {
+        const Job &J = *Entry.second;
+        return J.state() == JobState::Queued && J.queue() == Queue;
       }));
 }
 
@@ -50,8 +50,8 @@
       const double Cores = coresFor(R.Reserved_);
       (R.LongRunning_ ? D.LongRunning_ : D.Running_) += Cores;
     }
-  for (const JobId &Id : Open_)
-    for (const StepSpec &S : Jobs_.at(Id).spec().Steps_)
+  for (const auto &[Id, J] : Open_)
+    for (const StepSpec &S : J->spec().Steps_)
       if (S.LongRunning_)
         D.MinWorkers_ =
             std::max(D.MinWorkers_,
@@ -60,9 +60,8 @@
                          : 1);
   for (const ReadyStep &S : readySteps(Now, Wall)) {
     const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
-    const auto Waiting = std::ranges::count(
-        S.Job_->occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_,
-        TaskPhase::Waiting, &TaskState::Phase_);
+    const auto Waiting =
+        S.Job_->occurrences()[S.Occurrence_].Steps_[S.Step_].Waiting_;
     const double Cores =
         static_cast<double>(Waiting) * coresFor(Spec.reserved());
     (S.Rank_.Urgency_ <= Urgency::InTime ? D.WaitingInTime_ : D.WaitingLate_) +=
@@ -76,8 +75,8 @@
   const Rank Own =
       rankOf(J, settings(J.queue()), Micros(0), meanWork(J.queue()));
   double Work = 0;
-  for (const JobId &Id : Open_) {
-    const Job &Other = Jobs_.at(Id);
+  for (const auto &[Id, Open] : Open_) {
+    const Job &Other = *Open;
     if (Other.spec().longRunning() || Other.spec().Repeats_ > 0)
       continue;
     const Rank R = timedRank(Other, 0, Now, Wall);
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
+#include <optional>
 #include <ranges>
 
 namespace heathercross::schedule {
@@ -60,8 +62,11 @@
   Unanswered_ = 0;
   for (auto &[Id, W] : Workers_) {
     bool Overdue = false;
-    for (const auto &[Key, R] : W.runs())
-      if (R.Phase_ == RunPhase::Ordered) {
+    if (std::exchange(W.Unsettled_, false))
+      for (const auto &[Key, R] : W.runs()) {
+        W.Unsettled_ = W.Unsettled_ || R.unsettled();
+        if (R.Phase_ != RunPhase::Ordered)
+          continue;
         ++Unanswered_;
         Overdue = Overdue || Now - R.OrderedAt_ > OrderTimeout;
       }
@@ -91,7 +96,7 @@
   }
   for (const TaskKey &Key : Stuck) {
     Run &R = *W.find(Key);
-    stopRun(R);
+    stopRun(W, R);
     W.PausedUntil_ = Now + StuckPause;
     if (Job *J = findJob(Key.Job_))
       J->task(Key).Worker_ = W.info().Id_;
@@ -123,11 +128,13 @@
 }
 
 void PoolScheduler::moveLongRunning(Instant Now) {
-  const std::vector<Worker *> Available = availableWorkers(Now);
+  std::optional<std::vector<Worker *>> Available;
   for (auto &[Id, W] : Workers_) {
     const bool Draining = W.info().Draining_;
     if (W.longRunningRuns() == 0 || (!Draining && W.EvacuateUntil_ <= Now))
       continue;
+    if (!Available)
+      Available = availableWorkers(Now);
     for (auto &[Key, R] : W.runs()) {
       if (!R.LongRunning_ || R.StopWanted_ || R.Phase_ != RunPhase::Working)
         continue;
@@ -142,10 +149,10 @@
         continue;
       const ReadyStep Step{{}, J, Key.Occurrence_, Key.Step_};
       TaskState Task = J->task(Key);
-      if (!choose(candidates(*J, Step, Available, Now),
+      if (!choose(candidates(*J, Step, *Available, Now),
                   request(*J, Step, Task, Now)))
         continue;
-      stopRun(R);
+      stopRun(W, R);
       R.StopForMove_ = true;
       logDecision("run-moved", Key, R.Attempt_, Id,
                   std::string(Draining ? "worker-draining" : "worker-vacated") +
@@ -156,7 +163,7 @@
 
 void PoolScheduler::orderStops(Instant Now, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
-    if (!W.fenceConfirmed())
+    if (!W.Unsettled_ || !W.fenceConfirmed())
       continue;
     for (auto &[Key, R] : W.runs()) {
       if (!R.StopWanted_ || R.StopInFlight_ || R.StopAcceptedAt_ ||
@@ -234,19 +241,14 @@
 PoolScheduler::readySteps(Instant Now, WallTime Wall) const {
   std::vector<ReadyStep> Ready;
   const bool RestoredMayStart = restoredJobsMayStart(Now);
-  for (const JobId &Id : Open_) {
-    if (!RestoredMayStart && Restored_.contains(Id))
+  for (const auto &[Id, Open] : Open_) {
+    const Job &J = *Open;
+    if (!J.hasWaiting() || (!RestoredMayStart && Restored_.contains(Id)))
       continue;
-    const Job &J = Jobs_.at(Id);
     for (std::uint32_t O = 0; O < J.occurrences().size(); ++O)
-      for (std::uint32_t S = 0; S < J.spec().Steps_.size(); ++S) {
-        const StepState &State = J.occurrences()[O].Steps_[S];
-        const bool HasWaiting = std::ranges::any_of(
-            State.Tasks_, [](TaskPhase P) { return P == TaskPhase::Waiting; },
-            &TaskState::Phase_);
-        if (HasWaiting && J.ready(O, S, Wall))
+      for (std::uint32_t S = 0; S < J.spec().Steps_.size(); ++S)
+        if (J.occurrences()[O].Steps_[S].Waiting_ > 0 && J.ready(O, S, Wall))
           Ready.push_back({rank(J, O, S, Now, Wall), &J, O, S});
-      }
   }
   std::ranges::stable_sort(Ready, {}, &ReadyStep::Rank_);
   return Ready;
@@ -260,6 +262,24 @@
   return Found;
 }
 
+std::vector<Worker *>
+PoolScheduler::workersWithRoom(const std::vector<ReadyStep> &Steps,
+                               Instant Now) {
+  if (Steps.empty())
+    return {};
+  constexpr auto Max = std::numeric_limits<std::int64_t>::max();
+  Resources Least{Max, Max, Max};
+  for (const ReadyStep &S : Steps) {
+    const Resources Needed = S.Job_->spec().Steps_[S.Step_].reserved();
+    Least.CpuMilli_ = std::min(Least.CpuMilli_, Needed.CpuMilli_);
+    Least.MemoryMb_ = std::min(Least.MemoryMb_, Needed.MemoryMb_);
+    Least.Gpus_ = std::min(Least.Gpus_, Needed.Gpus_);
+  }
+  std::vector<Worker *> Found = availableWorkers(Now);
+  std::erase_if(Found, [&](const Worker *W) { return !Least.fits(W->free()); });
+  return Found;
+}
+
 std::vector<Candidate>
 PoolScheduler::candidates(const Job &J, const ReadyStep &S,
                           const std::vector<Worker *> &Available,
@@ -315,7 +335,7 @@
                                Instant Now, Orders &Out) {
   TaskState &T = J.task(Key);
   T.Attempt_ = T.RunAttempt_ = A;
-  T.Phase_ = TaskPhase::Placed;
+  J.setPhase(Key, TaskPhase::Placed);
   T.Worker_ = W.info().Id_;
   T.OrderedAt_ = Now;
   T.ReleaseCause_ = "";
@@ -348,6 +368,8 @@
 
 void PoolScheduler::repeatStarts(Instant Now, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
+    if (!W.Unsettled_)
+      continue;
     const bool Accepts = acceptsTasks(W, Now);
     const bool Leaving = W.isLeaving(Now);
     std::vector<TaskKey> Released;
@@ -465,10 +487,11 @@
 
 void PoolScheduler::orderStarts(Instant Now, WallTime Wall, Orders &Out) {
   HeldBack_ = false;
-  const std::vector<Worker *> Available = availableWorkers(Now);
+  const std::vector<ReadyStep> Ready = readySteps(Now, Wall);
+  const std::vector<Worker *> Available = workersWithRoom(Ready, Now);
   if (Available.empty())
     return;
-  for (const ReadyStep &S : readySteps(Now, Wall)) {
+  for (const ReadyStep &S : Ready) {
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
     if (HeldBack_)
       return;
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -100,9 +100,10 @@
 
 void PoolScheduler::admit(Job J) {
   const JobId Id = J.id();
-  if (!isFinal(J.state()))
-    Open_.insert(Id);
-  Jobs_.insert_or_assign(Id, std::move(J));
+  Job &Added = Jobs_.insert_or_assign(Id, std::move(J)).first->second;
+  Open_.erase(Id);
+  if (!isFinal(Added.state()))
+    Open_.emplace(Id, &Added);
 }
 
 void PoolScheduler::restore(Job J, Attempt AttemptFloor) {
@@ -137,7 +138,8 @@
   Jobs_.erase(Id);
 }
 
-void PoolScheduler::stopRun(Run &R) {
+void PoolScheduler::stopRun(Worker &W, Run &R) {
+  W.Unsettled_ = true;
   R.StopWanted_ = true;
   R.StopForMove_ = false;
 }
@@ -150,7 +152,7 @@
   for (auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs())
       if (Key.Job_ == J.id())
-        stopRun(*W.find(Key));
+        stopRun(W, *W.find(Key));
 }
 
 void PoolScheduler::leaseGranted(const InstanceId &Id, Instant GrantedAt,
@@ -263,7 +265,7 @@
   TaskState &T = J->task(Key);
   if (T.Phase_ != TaskPhase::Placed || T.RunAttempt_ != A)
     return;
-  T.Phase_ = TaskPhase::Waiting;
+  J->setPhase(Key, TaskPhase::Waiting);
   T.ReleaseCause_ = Cause;
   logDecision("run-ended", Key, A, W.info().Id_, Cause);
 }
@@ -409,7 +411,7 @@
       removeRun(W, E.Task_);
     if (J->spec().Steps_[E.Task_.Step_].LongRunning_) {
       if (T.Phase_ == TaskPhase::Placed && Present)
-        T.Phase_ = TaskPhase::Waiting;
+        J->setPhase(E.Task_, TaskPhase::Waiting);
       return;
     }
     completeTask(*J, E.Task_);
@@ -495,7 +497,7 @@
   if (J && J->has(R.Task_) && !isFinal(J->state())) {
     TaskState &T = J->task(R.Task_);
     if (T.Phase_ == TaskPhase::Waiting && T.UnwantedRuns_ == 0) {
-      T.Phase_ = TaskPhase::Placed;
+      J->setPhase(R.Task_, TaskPhase::Placed);
       T.RunAttempt_ = R.Attempt_;
       T.Worker_ = W.info().Id_;
       NewRun.ThrottleKnown_ = false;
@@ -504,7 +506,7 @@
       return;
     }
   }
-  stopRun(NewRun);
+  stopRun(W, NewRun);
   if (J && J->has(R.Task_)) {
     NewRun.Unwanted_ = true;
     ++J->task(R.Task_).UnwantedRuns_;
@@ -539,6 +541,7 @@
   for (const TaskKey &Key : Unresolved) {
     Run &Refused = *W.find(Key);
     Refused.Phase_ = RunPhase::Void;
+    W.Unsettled_ = true;
     recordUnresolved(W, Key, Refused);
   }
 }
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -107,6 +107,12 @@
 /// epoch that workers check.
 class PoolScheduler {
 public:
+  PoolScheduler() = default;
+  PoolScheduler(PoolScheduler &&) = default;
+  PoolScheduler &operator=(PoolScheduler &&) = default;
+  PoolScheduler(const PoolScheduler &) = delete;
+  PoolScheduler &operator=(const PoolScheduler &) = delete;
+
   void setQueues(const std::map<QueueId, QueueSettings> &Queues);
 
   /// Sets the maximum number of unanswered start orders. Further tasks stay
@@ -266,7 +272,7 @@
   void releaseAllRuns(Worker &W, const char *Cause);
   /// Removes a run and sets its task back to waiting.
   void release(Worker &W, const TaskKey &Key, const char *Cause);
-  void stopRun(Run &R);
+  static void stopRun(Worker &W, Run &R);
 
   void refreshWorkers(Instant Now);
   void orderStops(Instant Now, Orders &Out);
@@ -294,6 +300,9 @@
   static Run plannedRun(const StepSpec &S);
   /// The workers that accept new tasks now, ordered by id.
   std::vector<Worker *> availableWorkers(Instant Now);
+  /// The available workers that have room for a task of at least one step.
+  std::vector<Worker *> workersWithRoom(const std::vector<ReadyStep> &Steps,
+                                        Instant Now);
   /// The available workers that have room for a task of the step.
   std::vector<Candidate> candidates(const Job &J, const ReadyStep &S,
                                     const std::vector<Worker *> &Available,
@@ -317,8 +326,8 @@
 
   std::map<QueueId, QueueSettings> Queues_;
   std::map<JobId, Job> Jobs_;
-  /// Jobs that have not reached a final state.
-  std::set<JobId> Open_;
+  /// Jobs that have not reached a final state; they point into Jobs_.
+  std::map<JobId, Job *> Open_;
   std::set<JobId> Restored_;
   std::set<InstanceId> Awaited_;
   Instant AwaitUntil_;
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -60,6 +60,9 @@
   /// have throttled an adopted run.
   bool ThrottleKnown_ = true;
   Instant ThrottleChangedAt_;
+
+  /// Whether an order for the run is open: to start it, or to stop it.
+  bool unsettled() const { return Phase_ != RunPhase::Working || StopWanted_; }
 };
 
 /// An unanswered order is carried out within this time, if at all.
@@ -94,6 +97,7 @@
     Used_ += R.Reserved_;
     LongRunningRuns_ += R.LongRunning_ ? 1 : 0;
     BestEffortRuns_ += R.BestEffort_ ? 1 : 0;
+    Unsettled_ = Unsettled_ || R.unsettled();
     return Runs_[Key] = R;
   }
   void remove(const TaskKey &Key) {
@@ -180,6 +184,9 @@
   bool AnswerOverdue_ = false;
   /// The worker is being evacuated: no task starts on it until then.
   Instant EvacuateUntil_;
+  /// Whether any run may be unsettled. Most workers have none, so a scheduling
+  /// round needn't look at their runs.
+  bool Unsettled_ = false;
 
 private:
   WorkerInfo Info_;
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -18,6 +18,21 @@
   return job({S});
 }
 
+/// Compares the counts of waiting tasks with the tasks themselves.
+void expectWaitingCounts(const ModelPool &P) {
+  for (const auto &[Id, J] : P.Scheduler_.jobs()) {
+    bool Any = false;
+    for (const Occurrence &O : J.occurrences())
+      for (const StepState &S : O.Steps_) {
+        const auto Waiting = std::ranges::count(S.Tasks_, TaskPhase::Waiting,
+                                                &TaskState::Phase_);
+        RC_ASSERT(S.Waiting_ == static_cast<std::uint32_t>(Waiting));
+        Any = Any || Waiting > 0;
+      }
+    RC_ASSERT(J.hasWaiting() == Any);
+  }
+}
+
 /// Applies random faults one after the other, then ends all of them; every job
 /// must reach a final state.
 void runRandomFaults() {
@@ -75,6 +90,7 @@
       break;
     }
     P.run(Millis(100 + 20 * Argument));
+    expectWaitingCounts(P);
   }
   for (auto &[Id, W] : P.Workers_) {
     W.Partitioned_ = false;
