A planned stop waits until every answer has left

Cause: an entry ended as soon as no call was pending.

Change: the process ends only when no connection of callers or peers has an open request or unsent bytes, within the grace as before. The server's story fails without the check of unsent bytes.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -6,6 +6,8 @@
 #include <QJsonDocument>
 #include <QTimer>
 
+#include <algorithm>
+#include <array>
 #include <unistd.h>
 #include <utility>
 
@@ -180,7 +182,12 @@
   if (Elapsed > BalancerDelay)
     Kernel_.find<Front>("front").close();
   const auto Pending = Kernel_.find<Front>("front").pending();
-  const bool Drained = HandedOver_ && Pending == 0 && Elapsed > BalancerDelay;
+  const bool OpenRequests = std::ranges::any_of(
+      std::array{"front-server", "peer-server"}, [this](const char *Name) {
+        return Kernel_.find<http::Server>(Name).hasOpenRequests();
+      });
+  const bool Drained =
+      HandedOver_ && Pending == 0 && !OpenRequests && Elapsed > BalancerDelay;
   if (!Drained && Elapsed < Settings_.StopGrace_ - KillMargin)
     return;
   Context_->Log_.write(
