A successor waits for a silent worker's last lease only

Cause: a new holder waited 10.5 s for each worker of the roster that didn't answer, also for one that had been silent before the takeover, and a second takeover began the wait anew: lasting tasks of a lost worker stood still for 17 s (LOST).

Change: the holder records in the roster when the runs of an unresponsive worker end, on the store's clock, which all entries can read. Such a worker gets no lease and no order until a roster without that record is stored, so a later holder may rely on it. A successor records what it knows of workers that haven't answered it. Roster rows hold an object for such workers; entries of an older version skip them, so all entries are replaced in one go, as before.

--- a/src/entry/journal-writer.cc
+++ b/src/entry/journal-writer.cc
@@ -58,6 +58,8 @@
 void JournalWriter::committed(const StoreReply &R, Instant SentAt) {
   const Instant Now = Context_.Clock_.now();
   const bool WasFailing = Journal_.failingSince().has_value();
+  if (R.Clock_)
+    StoreClock_.answered(*R.Clock_, SentAt, Now);
   switch (R.Outcome_) {
   case StoreOutcome::Ok:
     Journal_.committed(R.Version_, SentAt);
--- a/src/entry/journal-writer.h
+++ b/src/entry/journal-writer.h
@@ -3,6 +3,7 @@
 
 #include "entry/context.h"
 #include "schedule/pool-journal.h"
+#include "schedule/store-clock.h"
 
 #include <QObject>
 
@@ -28,6 +29,8 @@
 
   schedule::PoolJournal &journal() { return Journal_; }
   const schedule::PoolJournal &journal() const { return Journal_; }
+  /// The store's clock, by the answers of the store to this duty.
+  schedule::StoreClock &storeClock() { return StoreClock_; }
   /// Sends the next batch if it is due.
   void sendNextBatch();
   /// Marks the duty as vacant; the journal must be idle. Calls OnDone even if
@@ -42,6 +45,7 @@
   PoolId Pool_;
   Handlers Handlers_;
   schedule::PoolJournal Journal_;
+  schedule::StoreClock StoreClock_;
 };
 
 } // namespace heathercross::entry
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -3,6 +3,8 @@
 #include "entry/pool-holder.h"
 #include "platform/documents.h"
 
+#include <algorithm>
+#include <map>
 #include <utility>
 
 namespace heathercross::entry {
@@ -39,6 +41,9 @@
                      OnDone = std::move(OnDone)](const StoreReply &R) {
         if (Lost_)
           return;
+        const Instant Now = Context_.Clock_.now();
+        if (R.Clock_)
+          Writer_.storeClock().answered(*R.Clock_, Now - R.Took_, Now);
         if (R.Outcome_ != StoreOutcome::Ok) {
           Context_.Log_.write(
               "load-retry",
@@ -92,35 +97,44 @@
     Scheduler_.restore(std::move(J),
                        schedule::attemptFloor(self().Epoch_, Stored->Epoch_));
   }
-  std::set<InstanceId> Awaited;
+  // The former holder may have granted leases until MaxRenewalAge after it last
+  // renewed the duty, which was before this holder took it.
+  const Instant LastLeaseEnd = Now + MaxRenewalAge + leaseBound();
+  std::map<InstanceId, Instant> Awaited;
   for (const auto &Row : LoadedRows_[RosterTable])
-    for (const auto &[Id, Address] : decodeRoster(Row.Value_)) {
-      Awaited.insert(Id);
-      Roster_[Id] = Address;
+    for (const auto &[Id, Listed] : decodeRoster(Row.Value_)) {
+      const auto EndBy =
+          Listed.RunsEndBy_ ? Writer_.storeClock().reachedBy(*Listed.RunsEndBy_)
+                            : std::nullopt;
+      Awaited[Id] = EndBy.value_or(LastLeaseEnd);
+      Roster_[Id] = Listed;
+      if (Listed.RunsEndBy_)
+        RecordedSilent_.insert(Id);
       if (Links_.contains(Id)) {
-        Scheduler_.setRostered(Id, true);
+        Scheduler_.setRostered(Id, !Listed.RunsEndBy_);
         continue;
       }
       schedule::WorkerInfo Info;
       Info.Id_ = Id;
       Info.Pool_ = Pool_;
-      Info.Address_ = Address;
+      Info.Address_ = Listed.Address_;
       // Adds the worker as not registered: it may have runs but gets no new
       // ones.
       Scheduler_.setWorker(Info);
       Scheduler_.removeWorker(Id);
-      Links_[Id].Address_ = Address;
+      Links_[Id].Address_ = Listed.Address_;
     }
-  // The former holder may have granted leases until MaxRenewalAge after it last
-  // renewed the duty, which was before this holder took it.
-  Scheduler_.awaitWorkers(Awaited, Now + MaxRenewalAge + leaseBound());
+  const auto AwaitedSilent = std::ranges::count_if(
+      Roster_, [](const auto &E) { return E.second.RunsEndBy_.has_value(); });
+  Scheduler_.awaitWorkers(Awaited);
   Context_.Log_.write(
       "duty-loaded",
       {{"pool", toQString(Pool_.str())},
        {"epoch", static_cast<qint64>(self().Epoch_.value())},
        {"jobs", static_cast<qint64>(LoadedRows_[JobTable].size())},
        {"open", static_cast<qint64>(OpenJobs)},
-       {"awaited", static_cast<qint64>(Awaited.size())}});
+       {"awaited", static_cast<qint64>(Awaited.size())},
+       {"awaited_silent", static_cast<qint64>(AwaitedSilent)}});
   LoadedRows_.clear();
   Ready_ = true;
   scheduleRound();
--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -178,8 +178,11 @@
   if (!MayBeRestarted)
     Call.EndsStored_ = L.EndsStored_;
   // An unresponsive worker is polled without a lease: a lease, even if it never
-  // reached the worker, would delay the restart of its tasks elsewhere.
-  if (L.ClockMs_ > 0 && !MayBeRestarted && mayGiveOrders()) {
+  // reached the worker, would delay the restart of its tasks elsewhere. One
+  // whose stored roster entry says when its runs end gets none before that
+  // entry is replaced: a later holder relies on it.
+  if (L.ClockMs_ > 0 && !MayBeRestarted && !RecordedSilent_.contains(Id) &&
+      mayGiveOrders()) {
     Call.LeaseUntilMs_ = workerClock(L) + runLease().count();
     Call.Wait_ = Busy ? RenewWait : Millis(0);
     Scheduler_.leaseGranted(Id, Now, leaseBound());
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -149,6 +149,14 @@
   void putProgress(const JobId &Id, bool Urgent);
   void storeChanges();
   void updateRoster();
+  /// Records in the roster when the runs of an unresponsive worker have ended,
+  /// and removes that once the worker responds. Returns whether the entry was
+  /// changed.
+  bool updateSilence(const InstanceId &Id, RosterEntry &Listed);
+  /// Takes in that the roster is durable.
+  void applyRoster();
+  /// Whether the stored roster lists the worker as one that may get runs.
+  bool isRostered(const InstanceId &Id) const;
   void purgeEndedJobs();
 
   /// A renewal that has been sent.
@@ -204,6 +212,8 @@
   schedule::PoolJournal::Ticket RosterTicket_ = 0;
   /// Whether the scheduler knows the durable roster.
   bool RosterApplied_ = false;
+  /// Workers of which the stored roster may say when their runs end.
+  std::set<InstanceId> RecordedSilent_;
   std::map<JobId, Submission> Submissions_;
   std::vector<Waiter> Waiters_;
   /// An ended job: the change that makes the end durable, and when it was
--- a/src/entry/rows.cc
+++ b/src/entry/rows.cc
@@ -25,6 +25,19 @@
   return QJsonDocument(O).toJson(QJsonDocument::Compact).toStdString();
 }
 
+/// Without a readable time the worker's runs may go on for as long as any.
+std::optional<RosterEntry> parseRosterEntry(const QJsonValue &V) {
+  if (V.isString())
+    return RosterEntry{V.toString().toStdString(), std::nullopt};
+  const QJsonObject O = V.toObject();
+  if (!O["address"].isString())
+    return std::nullopt;
+  RosterEntry E{O["address"].toString().toStdString(), std::nullopt};
+  if (const auto EndBy = optionalCount(O["runs_end_by"]); EndBy && *EndBy > 0)
+    E.RunsEndBy_ = Millis(*EndBy);
+  return E;
+}
+
 } // namespace
 
 std::string encodeHolder(const schedule::HolderRow &H) {
@@ -72,8 +85,15 @@
 
 std::string encodeRoster(const Roster &R) {
   QJsonObject O;
-  for (const auto &[Id, Address] : R)
-    O[toQString(Id.str())] = toQString(Address);
+  for (const auto &[Id, E] : R) {
+    if (!E.RunsEndBy_) {
+      O[toQString(Id.str())] = toQString(E.Address_);
+      continue;
+    }
+    O[toQString(Id.str())] = QJsonObject{
+        {"address", toQString(E.Address_)},
+        {"runs_end_by", static_cast<qint64>(E.RunsEndBy_->count())}};
+  }
   return encodeObject(O);
 }
 
@@ -81,9 +101,8 @@
   Roster R;
   if (const auto O = parseObject(Text))
     for (auto It = O->begin(); It != O->end(); ++It)
-      if (It.value().isString())
-        R[InstanceId(It.key().toStdString())] =
-            It.value().toString().toStdString();
+      if (auto E = parseRosterEntry(It.value()))
+        R[InstanceId(It.key().toStdString())] = std::move(*E);
   return R;
 }
 
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -30,8 +30,19 @@
 std::string encodeJob(const JobRow &J);
 std::optional<JobRow> decodeJob(const std::string &Text);
 
-/// The addresses of the workers that may have runs.
-using Roster = std::map<InstanceId, std::string>;
+/// A worker that may have runs.
+struct RosterEntry {
+  /// "IP:PORT".
+  std::string Address_;
+  /// For an unresponsive worker, the time on the store's clock by which all its
+  /// runs have ended. Such a worker gets no lease and no order until an entry
+  /// without this time is stored.
+  std::optional<Millis> RunsEndBy_;
+  bool operator==(const RosterEntry &) const = default;
+};
+
+/// The workers that may have runs.
+using Roster = std::map<InstanceId, RosterEntry>;
 
 std::string encodeRoster(const Roster &R);
 /// Skips invalid entries.
--- a/src/http/http-client.cc
+++ b/src/http/http-client.cc
@@ -48,12 +48,12 @@
 
 /// A call in progress.
 struct Transfer {
+  Call Call_;
   std::string Host_;
+  /// The encoded request.
   QByteArray Request_;
   Client::Done Done_;
   Reply Reply_;
-  Bytes MaxResponseBody_;
-  bool NewConnection_ = false;
   SteadyClock::time_point StartedAt_;
   SteadyClock::time_point Deadline_;
   /// The connection that carries the call; absent while it waits for one.
@@ -178,15 +178,14 @@
   auto T = std::make_shared<Transfer>();
   T->Done_ = std::move(OnDone);
   T->StartedAt_ = SteadyClock::now();
-  T->Deadline_ = T->StartedAt_ + std::max(Millis(1), C.Timeout_);
-  T->MaxResponseBody_ = C.MaxResponseBody_;
-  T->NewConnection_ = C.NewConnection_;
+  T->Call_ = std::move(C);
+  T->Deadline_ = T->StartedAt_ + std::max(Millis(1), T->Call_.Timeout_);
   ++InFlight_;
-  const auto To = parseTarget(C.Url_);
+  const auto To = parseTarget(T->Call_.Url_);
   if (!To)
     return finishLater(T, Delivery::NeverSent);
   T->Host_ = To->Host_;
-  T->Request_ = encodeRequest(C, *To);
+  T->Request_ = encodeRequest(T->Call_, *To);
   Deadlines_.emplace(T->Deadline_, T);
   startTimer();
   assign(T);
@@ -194,7 +193,7 @@
 
 void Client::Impl::assign(const TransferPtr &T) {
   Host &H = Hosts_[T->Host_];
-  if (!T->NewConnection_ && !H.Idle_.empty()) {
+  if (!T->Call_.NewConnection_ && !H.Idle_.empty()) {
     const ConnectionId Id = H.Idle_.back();
     H.Idle_.pop_back();
     --IdleConnections_;
@@ -230,7 +229,7 @@
   C.Transfer_ = T;
   T->Connection_ = Id;
   C.Written_ = 0;
-  C.Parser_.emplace(T->MaxResponseBody_.Count_);
+  C.Parser_.emplace(T->Call_.MaxResponseBody_.Count_);
   ++T->Reply_.Sent_;
   write(Id);
 }
@@ -345,7 +344,7 @@
   T->Reply_.Status_ = C.Parser_->status();
   T->Reply_.Body_ = std::move(C.Parser_->body());
   T->Reply_.Headers_ = std::move(C.Parser_->headers());
-  const bool Keep = !T->NewConnection_ && C.Parser_->keepsAlive() &&
+  const bool Keep = !T->Call_.NewConnection_ && C.Parser_->keepsAlive() &&
                     C.Written_ == T->Request_.size() &&
                     IdleConnections_ < MaxIdleConnections;
   const std::string HostName = C.Host_;
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -74,7 +74,8 @@
       logDecision(Overdue ? "worker-answers-late" : "worker-answers", {}, 0, Id,
                   "runs=" + std::to_string(W.runs().size()));
     releaseExpired(W, Now);
-    const bool Awaited = Awaited_.contains(Id) && Now < AwaitUntil_;
+    const auto Await = Awaited_.find(Id);
+    const bool Awaited = Await != Awaited_.end() && Now < Await->second;
     if (!W.Registered_ && W.runs().empty() && !Awaited)
       Removed.push_back(Id);
   }
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -25,6 +25,10 @@
 
 constexpr std::size_t MaxPendingDecisions = 4096;
 
+/// A worker must be unresponsive for this long before the end of its runs is
+/// recorded: a worker that comes back gets no lease until that is undone.
+constexpr Millis RecordSilenceAfter{500};
+
 } // namespace
 
 void PoolScheduler::logDecision(const char *Kind, const TaskKey &Key, Attempt A,
@@ -115,13 +119,27 @@
   admit(std::move(J));
 }
 
-void PoolScheduler::awaitWorkers(std::set<InstanceId> Workers, Instant Until) {
+void PoolScheduler::awaitWorkers(std::map<InstanceId, Instant> Workers) {
   Awaited_ = std::move(Workers);
-  AwaitUntil_ = Until;
 }
 
 bool PoolScheduler::restoredJobsMayStart(Instant Now) const {
-  return Awaited_.empty() || knownHeldAt(Now) >= AwaitUntil_;
+  const Instant Held = knownHeldAt(Now);
+  return std::ranges::all_of(
+      Awaited_, [Held](const auto &Entry) { return Held >= Entry.second; });
+}
+
+std::optional<Instant> PoolScheduler::silentRunsEnd(const InstanceId &Id,
+                                                    Instant Now) const {
+  const auto It = Workers_.find(Id);
+  if (It == Workers_.end() || !It->second.UnresponsiveSince_ ||
+      Now - *It->second.UnresponsiveSince_ < RecordSilenceAfter)
+    return std::nullopt;
+  if (It->second.hasReported())
+    return It->second.runsEnd(MaxLease_);
+  // This holder has given it no lease, so what an earlier one left is known.
+  const auto Await = Awaited_.find(Id);
+  return Await == Awaited_.end() ? std::nullopt : std::optional(Await->second);
 }
 
 bool PoolScheduler::cancel(const JobId &Id) {
@@ -303,15 +321,7 @@
     return;
   std::vector<TaskKey> Expired;
   for (const auto &[Key, R] : W.runs()) {
-    // Until the fence is confirmed after a restart, a late renewal may extend
-    // the lease of any run. A worker that is no longer registered counts as
-    // gone.
-    const bool Settled = R.Phase_ == RunPhase::Working && !W.Restarted_;
-    const bool LeaseKnown = (Settled && R.LeaseKnown_) || !W.Registered_;
-    const Instant End =
-        LeaseKnown ? W.LeasesEnd_
-                   : W.MaxLeaseEnd_ + (Settled ? Millis(0) : MaxOrderDelay);
-    if (knownHeldAt(Now) >= End)
+    if (knownHeldAt(Now) >= W.leaseEnd(R))
       Expired.push_back(Key);
   }
   for (const TaskKey &Key : Expired)
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -146,9 +146,14 @@
   /// Adds a job that an earlier holder accepted. New attempts of its tasks are
   /// numbered above AttemptFloor.
   void restore(Job J, Attempt AttemptFloor);
-  /// Delays the tasks of restored jobs until these workers have reported or
-  /// Until has passed, because runs of an earlier holder may still be there.
-  void awaitWorkers(std::set<InstanceId> Workers, Instant Until);
+  /// Delays the tasks of restored jobs until each of these workers has reported
+  /// or its time has passed, because runs of an earlier holder may still be
+  /// there.
+  void awaitWorkers(std::map<InstanceId, Instant> Workers);
+  /// When all runs of a worker that is unresponsive for some time have ended;
+  /// nothing for other workers. A later holder needn't wait longer, provided
+  /// that the worker gets no lease and no order meanwhile.
+  std::optional<Instant> silentRunsEnd(const InstanceId &Id, Instant Now) const;
   /// Cancels a job; false if it is unknown or has ended.
   bool cancel(const JobId &Id);
   void forget(const JobId &Id);
@@ -329,8 +334,9 @@
   /// Jobs that have not reached a final state; they point into Jobs_.
   std::map<JobId, Job *> Open_;
   std::set<JobId> Restored_;
-  std::set<InstanceId> Awaited_;
-  Instant AwaitUntil_;
+  /// Workers of earlier holders that have not reported, and when their runs
+  /// have ended in any case.
+  std::map<InstanceId, Instant> Awaited_;
   std::map<InstanceId, Worker> Workers_;
   std::map<StepKey, Advice> Advice_;
   std::set<JobId> Changed_;
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -143,6 +143,27 @@
     return !Runs_.empty() || Now < LateStartsEnd_;
   }
 
+  /// When a run has ended if no lease is renewed until then. Until the fence is
+  /// confirmed after a restart, a late renewal may extend the lease of any run.
+  /// A worker that is no longer registered counts as gone.
+  Instant leaseEnd(const Run &R) const {
+    const bool Settled = R.Phase_ == RunPhase::Working && !Restarted_;
+    const bool LeaseKnown = (Settled && R.LeaseKnown_) || !Registered_;
+    return LeaseKnown ? LeasesEnd_
+                      : MaxLeaseEnd_ + (Settled ? Millis(0) : MaxOrderDelay);
+  }
+
+  /// When all runs have ended if no lease is renewed and no order given until
+  /// then. MaxLease is the longest lease that the worker grants.
+  Instant runsEnd(Millis MaxLease) const {
+    Instant End = LeasesEnd_;
+    for (const auto &[Key, R] : Runs_)
+      End = std::max(End, leaseEnd(R));
+    if (LateStartsEnd_ > ReportSentAt_)
+      End = std::max(End, LateStartsEnd_ + MaxLease);
+    return End;
+  }
+
   /// Whether the worker may have runs, now or soon. A later holder waits for
   /// such workers; workers that are sure to stay empty are left out.
   bool mayHoldRuns(Instant Now) const {
--- a/test/entry/rows-test.cc
+++ b/test/entry/rows-test.cc
@@ -62,7 +62,9 @@
   CPPUNIT_ASSERT(Read && Read->Body_ == J.Body_ &&
                  Read->Accepted_ == J.Accepted_ && Read->Epoch_ == J.Epoch_);
   CPPUNIT_ASSERT(!decodeJob("[]"));
-  const Roster R{{InstanceId("i-1"), "10.0.0.2:80"}};
+  const Roster R{
+      {InstanceId("i-1"), {"10.0.0.2:80", std::nullopt}},
+      {InstanceId("i-2"), {"10.0.0.3:80", Millis(1'234'567'890'123)}}};
   CPPUNIT_ASSERT(decodeRoster(encodeRoster(R)) == R);
   CPPUNIT_ASSERT(decodeRoster("odd").empty());
 }
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -183,14 +183,16 @@
   /// Another entry takes the duty. It knows only what is stored, and awaits
   /// reports of all workers.
   void changeHolder() {
+    std::map<InstanceId, Instant> Awaited;
+    for (auto &[Id, W] : Workers_)
+      Awaited[Id] =
+          Scheduler_.silentRunsEnd(Id, Now_).value_or(Now_ + Seconds(11));
     Scheduler_ = PoolScheduler();
     ++HolderChanges_;
     // Acknowledgements that were not sent are lost.
     Acked_.clear();
     configure();
-    std::set<InstanceId> Roster;
     for (auto &[Id, W] : Workers_) {
-      Roster.insert(Id);
       Scheduler_.setWorker(W.Info_);
       Scheduler_.setRostered(Id, true);
     }
@@ -201,7 +203,7 @@
       Scheduler_.restore(std::move(J),
                          attemptFloor(epoch(), AcceptedIn_.at(Id)));
     }
-    Scheduler_.awaitWorkers(Roster, Now_ + Seconds(11));
+    Scheduler_.awaitWorkers(std::move(Awaited));
   }
 
   void run(Micros For) {
--- a/test/standin/bench/task-workers.cc
+++ b/test/standin/bench/task-workers.cc
@@ -35,7 +35,7 @@
 public:
   Worker(TaskWorkers &All, std::string Id)
       : All_(All), Id_(std::move(Id)),
-        Server_([this](const HttpRequest &R, standin::Responder To) {
+        Server_([this](const HttpRequest &R, const standin::Responder &To) {
           serve(R, To);
         }) {
     Server_.listen(0);
