Draining workers' tasks wait for a stop of their step

Change: at the limit they wait until no task of their step is being stopped on a worker that isn't draining.

--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -128,6 +128,21 @@
   return Unavailable;
 }
 
+bool PoolScheduler::isBeingMoved(const Job &J, std::uint32_t OccurrenceIndex,
+                                 std::uint32_t Step) const {
+  const auto &Tasks = J.occurrences()[OccurrenceIndex].Steps_[Step].Tasks_;
+  for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
+    const auto It = Workers_.find(Tasks[I].Worker_);
+    if (It == Workers_.end() || It->second.info().Draining_ ||
+        It->second.UnresponsiveSince_)
+      continue;
+    const auto R = It->second.runs().find({J.id(), OccurrenceIndex, Step, I});
+    if (R != It->second.runs().end() && R->second.StopForMove_)
+      return true;
+  }
+  return false;
+}
+
 void PoolScheduler::moveLongRunning(Instant Now) {
   std::optional<std::vector<Worker *>> Available;
   for (auto &[Id, W] : Workers_) {
@@ -146,7 +161,10 @@
       const std::uint32_t Unavailable =
           unavailableTasks(*J, Key.Occurrence_, Key.Step_);
       const std::uint32_t Limit = std::max(1U, S.MaxUnavailable_);
-      if (!Draining && Unavailable >= Limit)
+      // The tasks of a draining worker end with it in any case, but if they end
+      // before a stop elsewhere takes effect, that one exceeds the limit.
+      if (Unavailable >= Limit &&
+          (!Draining || isBeingMoved(*J, Key.Occurrence_, Key.Step_)))
         continue;
       const ReadyStep Step{{}, J, Key.Occurrence_, Key.Step_};
       TaskState Task = J->task(Key);
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -320,6 +320,10 @@
                            Instant Now) const;
   std::uint32_t unavailableTasks(const Job &J, std::uint32_t OccurrenceIndex,
                                  std::uint32_t Step) const;
+  /// Whether a task of the step is being stopped on a worker that isn't
+  /// draining, to be moved. A stop takes a while to take effect.
+  bool isBeingMoved(const Job &J, std::uint32_t OccurrenceIndex,
+                    std::uint32_t Step) const;
   bool restoredJobsMayStart(Instant Now) const;
   /// The last time at which no later holder can have renewed leases; the
   /// current time if dutyHeldAt() wasn't called.
