--- a/src/entry/pool-holder-detail.h
+++ b/src/entry/pool-holder-detail.h
@@ -13,6 +13,8 @@
 /// nothing, since another entry may have taken the duty. Together with the run
 /// lease it bridges a store outage of 10 s.
 inline constexpr Millis MaxRenewalAge{4000};
+/// Time for a renewal to reach the worker.
+inline constexpr Millis LeaseMargin{300};
 /// Pause before a failed call is repeated.
 inline constexpr Millis RetryPause{250};
 
