--- a/review/standin/review-main.cc
+++ b/review/standin/review-main.cc
@@ -2,6 +2,7 @@
 #include "review-scenarios.h"
 
 #include <QCoreApplication>
+#include <QFile>
 
 #include <iostream>
 
@@ -12,6 +13,7 @@
     std::cerr << "review-deployment CASE TROUBLE RECORD\n";
     return 2;
   }
+  QFile::remove(Arguments[3]);
   return static_cast<int>(heathercross::review::play(
       Arguments[1], Arguments[2] != "0", Arguments[3]));
 }
--- a/review/standin/review-record.cc
+++ b/review/standin/review-record.cc
@@ -15,7 +15,7 @@
 }
 
 Record::Record(const QString &File) : File_(File) {
-  File_.open(QIODevice::WriteOnly | QIODevice::Truncate);
+  File_.open(QIODevice::WriteOnly | QIODevice::Append);
 }
 
 void Record::line(const QString &Text) {
--- a/review/standin/review-record.h
+++ b/review/standin/review-record.h
@@ -12,7 +12,7 @@
 /// Milliseconds on the steady clock since the script started.
 std::int64_t nowMs();
 
-/// Writes lines to the record file and to the standard output.
+/// Appends lines to the record file and writes them to the standard output.
 class Record {
 public:
   explicit Record(const QString &File);
--- a/review/standin/review-scenarios.cc
+++ b/review/standin/review-scenarios.cc
@@ -41,8 +41,8 @@
 /// A deployment of one service with its stand-ins.
 struct Site {
   Site(const QString &RecordFile, const QString &Case)
-      : Record_(RecordFile), World_{Store_, Record_, {}, {}}, Machines_(World_),
-        Advice_(Record_) {
+      : Record_(RecordFile), World_{Store_, Record_, {}, {}, {}},
+        Machines_(World_) {
     Record_.line("case " + Case);
     World_.PlanOf_ = [](const QString &) { return TaskPlan(); };
   }
@@ -53,15 +53,12 @@
   }
 
   /// Writes the first configuration and starts the entry processes.
-  bool start(int Attempts, bool Hint = false) {
+  bool start(int Attempts) {
     QJsonObject Route{
         {"name", "r-1"},      {"host", "127.0.0.1"}, {"prefix", Prefix},
         {"kind", "mutating"}, {"timeout_ms", 3000},  {"slo_ms", 600},
         {"prio", 0},          {"service", Service},  {"attempts", Attempts},
         {"slo_factor", 1.6}};
-    if (Hint)
-      Route["hint"] =
-          QJsonObject{{"decide_ms", 10}, {"each_ms", 0.2}, {"valid_ms", 3000}};
     Store_.put("op", "config",
                {{"version", 3},
                 {"routes", QJsonArray{Route}},
@@ -69,9 +66,7 @@
                                                     {"standby", false}}}},
                 {"limits", QJsonObject{{"max_body_bytes", 262144}}}});
     Deployment_ = std::make_unique<Deployment>(
-        Record_,
-        Platform{Store_.address(), Machines_.address(),
-                 Hint ? Advice_.address() : QString()},
+        Record_, Platform{Store_.address(), Machines_.address(), QString()},
         EntryCount);
     if (!Deployment_->start())
       return false;
@@ -139,7 +134,6 @@
   Store Store_;
   World World_;
   Machines Machines_;
-  Advice Advice_;
   std::unique_ptr<Deployment> Deployment_;
   std::size_t Next_ = 0;
   QByteArray LastBody_;
@@ -313,6 +307,58 @@
                        .arg(Workers));
 }
 
+/// A worker leaves an order unanswered; the order is repeated and its task is
+/// done. Then the worker crashes, starts again under its id, and the first
+/// order arrives. Without the trouble the order is answered and no worker
+/// crashes.
+Verdict playFormerLife(bool Trouble, const QString &RecordFile) {
+  constexpr int DownMs = 4500;
+
+  Site S(RecordFile, "former-life");
+  S.World_.PlanOf_ = [](const QString &) { return TaskPlan{500}; };
+  S.addMachines(9);
+  QString Worker;
+  QJsonObject Order;
+  S.World_.IsLate_ = [&](const QString &Id, const QJsonObject &O) {
+    if (!Trouble || !Worker.isEmpty())
+      return false;
+    Worker = Id;
+    Order = O;
+    return true;
+  };
+  if (!S.start(2))
+    return S.notRun("the entries don't start");
+  const QString Job = "00000000000000f1";
+  if (S.submit(Job, {step(1, 1000, 500)}) != 200)
+    return S.notRun("the job isn't accepted");
+  const auto Noted = [&]() -> std::int64_t {
+    for (const RunRecord *R : S.runsOf(Job))
+      if (R->How_ == "done" && R->NotedAt_ >= 0)
+        return R->NotedAt_;
+    return -1;
+  };
+  if (!runFor(10'000, [&] { return Noted() >= 0; }))
+    return S.notRun("the task isn't done");
+  S.ask("GET", Job);
+  if (Trouble) {
+    S.Machines_.crash(Worker);
+    runFor(DownMs);
+    auto &Again = S.Machines_.startAgain(Worker);
+    Again.carryOut(Order);
+  }
+  runFor(4000);
+  const auto Runs = S.runsOf(Job);
+  const auto Late = std::ranges::find_if(
+      Runs, [&](const RunRecord *R) { return R->StartedAt_ > Noted(); });
+  if (Late == Runs.end())
+    return S.verdict(false, "TWICE: the task ran once");
+  return S.verdict(true, QString("TWICE: %1 starts at %2 ms, its end was taken "
+                                 "note of at %3 ms")
+                             .arg((*Late)->Task_)
+                             .arg((*Late)->StartedAt_)
+                             .arg(Noted()));
+}
+
 } // namespace
 
 Verdict play(const QString &Name, bool Trouble, const QString &RecordFile) {
@@ -320,7 +366,8 @@
   const std::map<QString, Case> Cases{{"long-tasks", playLongTasks},
                                       {"many-occurrences", playManyOccurrences},
                                       {"many-attempts", playManyAttempts},
-                                      {"required-label", playRequiredLabel}};
+                                      {"required-label", playRequiredLabel},
+                                      {"former-life", playFormerLife}};
   const auto It = Cases.find(Name);
   return It == Cases.end() ? Verdict::NotRun : It->second(Trouble, RecordFile);
 }
--- a/review/standin/review-workers.cc
+++ b/review/standin/review-workers.cc
@@ -1,4 +1,4 @@
-// Stand-ins of the workers, the machines they run on and the placement service.
+// Stand-ins of the workers and of the machines that they run on.
 #include "review-workers.h"
 
 #include <QDateTime>
@@ -40,14 +40,14 @@
 } // namespace
 
 Worker::Worker(World &W, QString Id, QString Service, QString Machine,
-               QStringList Labels)
+               QStringList Labels, quint16 Port)
     : World_(W), Id_(std::move(Id)), Service_(std::move(Service)),
       Machine_(std::move(Machine)), Labels_(std::move(Labels)),
       BornWall_(QDateTime::currentMSecsSinceEpoch()),
       Server_([this](const HttpRequest &R, const Responder &To) {
         handle(R, To);
       }) {
-  Server_.listen(0);
+  Server_.listen(Port);
   connect(&CheckTimer_, &QTimer::timeout, this, [this] { checkRuns(); });
   CheckTimer_.start(CheckMs);
   connect(&HeartbeatTimer_, &QTimer::timeout, this, [this] { registerNow(); });
@@ -76,6 +76,13 @@
 }
 
 void Worker::end() {
+  if (Gone_)
+    return;
+  crash();
+  World_.Store_.remove("servers", Id_);
+}
+
+void Worker::crash() {
   if (std::exchange(Gone_, true))
     return;
   CheckTimer_.stop();
@@ -86,7 +93,6 @@
     World_.Record_.line("run " + Task + " ends with worker " + Id_);
   }
   Running_.clear();
-  World_.Store_.remove("servers", Id_);
   Server_.close();
 }
 
@@ -101,8 +107,14 @@
   if (Fence < Fence_)
     return To(plain(409, "fence"));
   Fence_ = Fence;
-  if (R.Path_ == "/-/run-start")
-    return start(O, To);
+  if (R.Path_ == "/-/run-start") {
+    if (World_.IsLate_ && World_.IsLate_(Id_, O)) {
+      World_.Record_.line("start " + O["task"].toString() +
+                          " is left unanswered by " + Id_);
+      return;
+    }
+    return To(start(O));
+  }
   if (R.Path_ == "/-/run-stop")
     return stop(O, To);
   if (R.Path_ == "/-/hold")
@@ -124,25 +136,35 @@
   LeaseUntil_ = std::max(LeaseUntil_, Until);
 }
 
-void Worker::start(const QJsonObject &O, const Responder &To) {
+HttpResponse Worker::start(const QJsonObject &O) {
   const QString Task = O["task"].toString();
   const std::int64_t Attempt = O["attempt"].toInteger();
   if (O["until_ms"].toInteger() <= clockMs())
-    return To(plain(409, "late"));
+    return plain(409, "late");
   extendLease(O);
   const auto It = Running_.find(Task);
   if (It != Running_.end() && It->second.Attempt_ == Attempt)
-    return To(plain(200, nullptr));
+    return plain(200, nullptr);
   const auto Last = EndedAttempt_.find(Task);
   if (It != Running_.end() ||
       (Last != EndedAttempt_.end() && Attempt <= Last->second))
-    return To(plain(409, "old"));
+    return plain(409, "old");
   Running_[Task] = {Attempt, nowMs(), World_.PlanOf_(Task),
                     World_.Runs_.size()};
   World_.Runs_.push_back({Task, Attempt, Id_, nowMs(), -1, "", -1});
   World_.Record_.line("start " + Task + " run " + QString::number(Attempt) +
                       " on " + Id_);
-  To(plain(200, nullptr));
+  return plain(200, nullptr);
+}
+
+void Worker::carryOut(const QJsonObject &Order) {
+  World_.Record_.line("the unanswered start " + Order["task"].toString() +
+                      " arrives at " + Id_);
+  const std::int64_t Fence = Order["fence"].toInteger(0);
+  if (Fence < Fence_)
+    return World_.Record_.line("it is refused: fence");
+  Fence_ = Fence;
+  start(Order);
 }
 
 void Worker::stop(const QJsonObject &O, const Responder &To) {
@@ -249,12 +271,25 @@
   bringUp(Name);
 }
 
-std::size_t Machines::runningIn(const QString &Pool) const {
-  std::size_t Sum = 0;
-  for (const auto &[Name, M] : Machines_)
-    if (M.Pool_ == Pool && M.Worker_)
-      Sum += M.Worker_->running();
-  return Sum;
+void Machines::crash(const QString &Id) {
+  for (auto &[Name, M] : Machines_)
+    if (M.Worker_ && M.Worker_->id() == Id) {
+      World_.Record_.line("worker " + Id + " crashes");
+      M.Port_ = M.Worker_->port();
+      M.Worker_->crash();
+    }
+}
+
+Worker &Machines::startAgain(const QString &Id) {
+  const auto It = std::ranges::find_if(Machines_, [&](const auto &E) {
+    return E.second.Worker_ && E.second.Worker_->id() == Id;
+  });
+  Machine &M = It->second;
+  World_.Record_.line("worker " + Id + " starts again");
+  M.Worker_ = std::make_unique<Worker>(World_, Id, M.Pool_, It->first,
+                                       M.Labels_, M.Port_);
+  M.Worker_->registerNow();
+  return *M.Worker_;
 }
 
 void Machines::bringUp(const QString &Name) {
@@ -342,28 +377,4 @@
   return objectResponse({});
 }
 
-Advice::Advice(Record &R)
-    : Server_([this, &R](const HttpRequest &Request, const Responder &To) {
-        const QJsonObject O = QJsonDocument::fromJson(Request.Body_).object();
-        QJsonArray Allowed;
-        const QJsonArray Asked = O["workers"].toArray();
-        for (const QJsonValue V : Asked)
-          if (Allows_ && Allows_(V.toString()))
-            Allowed.append(QJsonArray{V.toString(), "t-" + V.toString()});
-        ++Calls_;
-        R.line(QString("advice for %1: %2 workers asked about, %3 allowed")
-                   .arg(O["phase"].toString())
-                   .arg(Asked.size())
-                   .arg(Allowed.size()));
-        QTimer::singleShot(20, this, [To, Allowed] {
-          To(objectResponse({{"allowed", Allowed}, {"valid_ms", 3000}}));
-        });
-      }) {
-  Server_.listen(0);
-}
-
-QString Advice::address() const {
-  return QString("127.0.0.1:%1").arg(Server_.port());
-}
-
 } // namespace heathercross::review
--- a/review/standin/review-workers.h
+++ b/review/standin/review-workers.h
@@ -1,4 +1,4 @@
-// Stand-ins of the workers, the machines they run on and the placement service.
+// Stand-ins of the workers and of the machines that they run on.
 #pragma once
 
 #include "review-record.h"
@@ -44,6 +44,9 @@
   Store &Store_;
   Record &Record_;
   std::function<TaskPlan(const QString &Task)> PlanOf_;
+  /// Whether a worker leaves an order to start a task unanswered, to be carried
+  /// out later; none if absent.
+  std::function<bool(const QString &Worker, const QJsonObject &Order)> IsLate_;
   std::vector<RunRecord> Runs_;
 };
 
@@ -53,15 +56,20 @@
 public:
   /// Labels are the kind and the rack.
   Worker(World &W, QString Id, QString Service, QString Machine,
-         QStringList Labels);
+         QStringList Labels, quint16 Port = 0);
   ~Worker() override;
 
   const QString &id() const { return Id_; }
   const QString &service() const { return Service_; }
   /// Registers the worker and repeats that as a heartbeat.
   void registerNow();
+  quint16 port() const { return Server_.port(); }
   /// Ends the worker with all its runs, and removes its registration.
   void end();
+  /// Ends the worker with all its runs; its registration stays for now.
+  void crash();
+  /// Carries out an order that was left unanswered.
+  void carryOut(const QJsonObject &Order);
   std::size_t running() const { return Running_.size(); }
 
 private:
@@ -80,7 +88,7 @@
   };
 
   void handle(const standin::HttpRequest &R, const standin::Responder &To);
-  void start(const QJsonObject &O, const standin::Responder &To);
+  standin::HttpResponse start(const QJsonObject &O);
   void stop(const QJsonObject &O, const standin::Responder &To);
   void hold(const QJsonObject &O, const standin::Responder &To);
   void extendLease(const QJsonObject &O);
@@ -122,7 +130,10 @@
   QString address() const;
   /// Adds a machine with a worker.
   void add(const QString &Name, const QString &Pool, const QStringList &Labels);
-  std::size_t runningIn(const QString &Pool) const;
+  /// Crashes the worker with this id.
+  void crash(const QString &Id);
+  /// Starts a crashed worker again under its id and address.
+  Worker &startAgain(const QString &Id);
   /// How long the platform takes to answer an upkeep.
   int UpkeepAnswerMs_ = 4;
   /// Called when an upkeep was asked for, before it is carried out.
@@ -144,6 +155,7 @@
     QString State_ = "up";
     std::int64_t Token_ = 0;
     int Lives_ = 0;
+    quint16 Port_ = 0;
     std::set<qint64> Waves_;
     std::unique_ptr<Worker> Worker_;
   };
@@ -159,17 +171,4 @@
   standin::HttpServer Server_;
 };
 
-/// The placement service: some workers may run the steps of a queue.
-class Advice : public QObject {
-public:
-  explicit Advice(Record &R);
-  QString address() const;
-  /// Whether a worker may run the steps.
-  std::function<bool(const QString &Worker)> Allows_;
-  int Calls_ = 0;
-
-private:
-  standin::HttpServer Server_;
-};
-
 } // namespace heathercross::review
