--- a/review/standin/review-deployment.cc
+++ b/review/standin/review-deployment.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr int DeadlineMs = 3000;
+/// Timers may fire 5% early; a client waits for its whole deadline.
+constexpr int ClientTimeoutMs = 3200;
 constexpr int RetryPauseMs = 300;
 constexpr int StartMs = 5000;
 constexpr int StartTries = 3;
@@ -180,7 +182,8 @@
   standin::call({Loopback, E.Front_}, Method, Path.toUtf8(), Body,
                 {{"Content-Type", "application/json"},
                  {"Heathercross-Deadline-Ms", QByteArray::number(DeadlineMs)}},
-                DeadlineMs, [this, What, Done](const standin::HttpResponse &R) {
+                ClientTimeoutMs,
+                [this, What, Done](const standin::HttpResponse &R) {
                   Record_.line(QString("client gets %1 for %2 %3")
                                    .arg(R.Status_)
                                    .arg(What, QString::fromUtf8(R.Body_)));
