A job's progress row no longer grows with its repeats

Cause: a job's progress was one letter a task, 77,761 bytes here; a row of the store holds 65,536. The store rejected the batch as invalid, and the pool's holder sent it again with every later change of the pool waiting behind it.

Equal tasks in a row and equal occurrences in a row are now written once with their number. What hasn't begun and what is done takes a few bytes, so the text grows with the work under way. Texts of the former form are still read.

The new stories ScheduledProgress and ProgressRepeats fail on the former encoding (2 of 48 in schedule-test) and pass with this one.

--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <limits>
 #include <ranges>
+#include <utility>
 
 namespace heathercross::schedule {
 
@@ -16,6 +17,12 @@
 constexpr char StepEnd = '.';
 constexpr char AttemptEnd = ';';
 constexpr char FirstFailures = '0';
+/// Enclose the number of equal tasks or occurrences in a row that the text
+/// after them stands for.
+constexpr char TaskRepeat = '*';
+constexpr char OccurrenceRepeat = '=';
+/// Fewer equal tasks in a row are written out.
+constexpr std::uint32_t MinRepeatedTasks = 4;
 
 /// One letter per state, in the order of JobState.
 constexpr std::string_view StateLetters = "qacfx";
@@ -45,6 +52,37 @@
     Text += std::to_string(A) + AttemptEnd;
 }
 
+std::string repeatMark(char Mark, std::uint32_t Count) {
+  return Mark + std::to_string(Count) + Mark;
+}
+
+/// The progress of one occurrence, with equal tasks in a row written once.
+std::string encodeOccurrence(const Occurrence &O) {
+  std::string Text;
+  for (const StepState &S : O.Steps_) {
+    std::string Last;
+    std::uint32_t Count = 0;
+    const auto AppendLast = [&] {
+      if (Count >= MinRepeatedTasks)
+        Text += repeatMark(TaskRepeat, std::exchange(Count, 1));
+      for (; Count > 0; --Count)
+        Text += Last;
+    };
+    for (const TaskState &T : S.Tasks_) {
+      std::string Task;
+      appendTaskState(Task, T);
+      if (Task != Last) {
+        AppendLast();
+        Last = std::move(Task);
+      }
+      ++Count;
+    }
+    AppendLast();
+    Text += StepEnd;
+  }
+  return Text;
+}
+
 /// Reads a progress text from left to right.
 class ProgressReader {
 public:
@@ -57,15 +95,18 @@
     return Text_[Position_++];
   }
 
-  Attempt readAttempt() {
-    const std::size_t End = Text_.find(AttemptEnd, Position_);
-    Attempt A = 0;
-    const char *Last = Text_.data() + std::min(End, Text_.size());
-    if (std::from_chars(Text_.data() + Position_, Last, A).ptr != Last ||
-        End == std::string_view::npos)
-      fail("no valid attempt");
-    Position_ = End + 1;
-    return A;
+  Attempt readAttempt() { return readNumber(AttemptEnd, "no valid attempt"); }
+
+  /// How many items in a row the next text stands for, at most Max; 1 if there
+  /// is no mark.
+  std::uint32_t readRepeat(char Mark, std::size_t Max) {
+    if (Position_ >= Text_.size() || Text_[Position_] != Mark)
+      return 1;
+    ++Position_;
+    const std::uint32_t Count = readNumber(Mark, "no valid repeat count");
+    if (Count == 0 || Count > Max)
+      fail("repeat count out of range");
+    return Count;
   }
 
   [[noreturn]] void fail(const char *Problem) const {
@@ -73,11 +114,53 @@
   }
 
 private:
+  std::uint32_t readNumber(char EndMark, const char *Problem) {
+    const std::size_t End = Text_.find(EndMark, Position_);
+    std::uint32_t Number = 0;
+    const char *Last = Text_.data() + std::min(End, Text_.size());
+    if (std::from_chars(Text_.data() + Position_, Last, Number).ptr != Last ||
+        End == std::string_view::npos)
+      fail(Problem);
+    Position_ = End + 1;
+    return Number;
+  }
+
   std::string_view Text_;
   std::string Context_;
   std::size_t Position_ = 0;
 };
 
+TaskState decodeTask(ProgressReader &Reader) {
+  TaskState T;
+  const char Mark = Reader.next();
+  if (Mark == DoneMark) {
+    T.Phase_ = TaskPhase::Done;
+    return T;
+  }
+  T.Failures_ = static_cast<std::uint32_t>(Mark - FirstFailures);
+  if (T.Failures_ > MaxRecordedFailures)
+    Reader.fail("unknown task state");
+  for (std::uint32_t I = 0; I < T.Failures_; ++I)
+    T.FailedAttempts_.push_back(Reader.readAttempt());
+  return T;
+}
+
+void decodeStep(ProgressReader &Reader, StepState &S) {
+  const std::size_t Count = S.Tasks_.size();
+  S.Tasks_.clear();
+  S.Done_ = 0;
+  while (S.Tasks_.size() < Count) {
+    const std::uint32_t Repeats =
+        Reader.readRepeat(TaskRepeat, Count - S.Tasks_.size());
+    const TaskState T = decodeTask(Reader);
+    S.Tasks_.insert(S.Tasks_.end(), Repeats, T);
+    S.Done_ += T.Phase_ == TaskPhase::Done ? Repeats : 0;
+  }
+  if (Reader.next() != StepEnd)
+    Reader.fail("step does not end in '.'");
+  S.Waiting_ = static_cast<std::uint32_t>(Count) - S.Done_;
+}
+
 } // namespace
 
 Attempt attemptFloor(Epoch Holder, Epoch Accepted) {
@@ -199,12 +282,23 @@
 
 std::string Job::encodeProgress() const {
   std::string Text(1, StateLetters[static_cast<std::size_t>(State_)]);
-  for (const Occurrence &O : Occurrences_)
-    for (const StepState &S : O.Steps_) {
-      for (const TaskState &T : S.Tasks_)
-        appendTaskState(Text, T);
-      Text += StepEnd;
+  std::string Last;
+  std::uint32_t Count = 0;
+  const auto AppendLast = [&] {
+    if (Count > 1)
+      Text += repeatMark(OccurrenceRepeat, Count);
+    Text += Last;
+  };
+  for (const Occurrence &O : Occurrences_) {
+    std::string Encoded = encodeOccurrence(O);
+    if (Encoded != Last) {
+      AppendLast();
+      Last = std::move(Encoded);
+      Count = 0;
     }
+    ++Count;
+  }
+  AppendLast();
   return Text;
 }
 
@@ -214,28 +308,16 @@
   if (State == std::string_view::npos)
     Reader.fail("unknown state");
   Waiting_ = 0;
-  for (Occurrence &O : Occurrences_)
-    for (StepState &S : O.Steps_) {
-      S.Done_ = 0;
-      for (TaskState &T : S.Tasks_) {
-        const char Mark = Reader.next();
-        T.Phase_ = Mark == DoneMark ? TaskPhase::Done : TaskPhase::Waiting;
-        if (Mark == DoneMark) {
-          ++S.Done_;
-          continue;
-        }
-        T.Failures_ = static_cast<std::uint32_t>(Mark - FirstFailures);
-        if (T.Failures_ > MaxRecordedFailures)
-          Reader.fail("unknown task state");
-        T.FailedAttempts_.clear();
-        for (std::uint32_t I = 0; I < T.Failures_; ++I)
-          T.FailedAttempts_.push_back(Reader.readAttempt());
-      }
-      if (Reader.next() != StepEnd)
-        Reader.fail("step does not end in '.'");
-      S.Waiting_ = static_cast<std::uint32_t>(S.Tasks_.size()) - S.Done_;
-      Waiting_ += S.Waiting_;
+  for (auto Next = Occurrences_.begin(); Next != Occurrences_.end();) {
+    const auto Left = static_cast<std::size_t>(Occurrences_.end() - Next);
+    const std::uint32_t Repeats = Reader.readRepeat(OccurrenceRepeat, Left);
+    for (StepState &S : Next->Steps_) {
+      decodeStep(Reader, S);
+      Waiting_ += S.Waiting_ * Repeats;
     }
+    std::fill_n(Next + 1, Repeats - 1, *Next);
+    Next += Repeats;
+  }
   State_ = static_cast<JobState>(State);
   updateRemaining();
 }
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -142,8 +142,10 @@
   /// Estimated critical path of the whole job.
   Millis criticalPath() const { return CriticalPath_; }
 
-  /// Converts the progress to a compact text and back. decodeProgress throws
-  /// FormatError if the text is malformed.
+  /// Converts the progress to a compact text and back. Equal tasks and equal
+  /// occurrences in a row are written once, so that the text grows with the
+  /// work that has begun and not with the job. decodeProgress also reads texts
+  /// without repeats; it throws FormatError if the text is malformed.
   std::string encodeProgress() const;
   void decodeProgress(std::string_view Text);
 
--- a/test/schedule/job-test.cc
+++ b/test/schedule/job-test.cc
@@ -50,6 +50,127 @@
   });
 }
 
+namespace {
+
+/// Eight tasks every ten seconds, all day.
+JobSpec dailySchedule() {
+  JobSpec Spec = job({step(8, 1000, Millis(500))});
+  Spec.Repeats_ = 8640;
+  Spec.Interval_ = Seconds(10);
+  return Spec;
+}
+
+void finishOccurrence(Job &J, std::uint32_t Occurrence) {
+  for (std::uint32_t I = 0; I < 8; ++I)
+    J.finishTask({J.id(), Occurrence, 0, I});
+}
+
+} // namespace
+
+// Guards against progress that no row of the store can hold: the holder sent it
+// again and again, and all later changes of its pool waited behind it.
+HEATHERCROSS_STORY(ScheduledProgress,
+                   "the progress of a long schedule fits into a row") {
+  // 65,536 bytes, less than half of them for one job.
+  constexpr std::size_t FairShareOfRow = 30'000;
+  const JobSpec Spec = dailySchedule();
+  Job J(JobId("j"), QueueId("q"), Spec, Instant());
+  const auto Decoded = [&] {
+    Job Other(JobId("j"), QueueId("q"), Spec, Instant());
+    Other.decodeProgress(J.encodeProgress());
+    return Other;
+  };
+  section("after the first occurrence", [&] {
+    finishOccurrence(J, 0);
+    CPPUNIT_ASSERT(J.encodeProgress().size() < FairShareOfRow);
+    CPPUNIT_ASSERT_EQUAL(8U, Decoded().occurrences()[0].Steps_[0].Done_);
+    CPPUNIT_ASSERT_EQUAL(8U, Decoded().occurrences()[8639].Steps_[0].Waiting_);
+  });
+  section("while occurrences overlap and tasks fail", [&] {
+    for (std::uint32_t O = 1; O < 8000; ++O)
+      if (O % 100 != 0)
+        finishOccurrence(J, O);
+    TaskState &Failed = J.task({J.id(), 8000, 0, 3});
+    Failed.Failures_ = 1;
+    Failed.FailedAttempts_ = {262'145};
+    CPPUNIT_ASSERT(J.encodeProgress().size() < FairShareOfRow);
+    const Job Other = Decoded();
+    CPPUNIT_ASSERT_EQUAL(J.encodeProgress(), Other.encodeProgress());
+    CPPUNIT_ASSERT_EQUAL(J.remainingWork(), Other.remainingWork());
+    CPPUNIT_ASSERT(!Other.occurrences()[100].Steps_[0].done());
+    CPPUNIT_ASSERT(Other.occurrences()[101].Steps_[0].done());
+    CPPUNIT_ASSERT_EQUAL(
+        262'145U, Other.task({J.id(), 8000, 0, 3}).FailedAttempts_.at(0));
+  });
+  section("once it is complete", [&] {
+    for (std::uint32_t O = 0; O < Spec.Repeats_; ++O)
+      finishOccurrence(J, O);
+    CPPUNIT_ASSERT(J.encodeProgress().size() < FairShareOfRow);
+    CPPUNIT_ASSERT(Decoded().allDone());
+    CPPUNIT_ASSERT(!Decoded().hasWaiting());
+  });
+}
+
+HEATHERCROSS_STORY(ProgressRepeats, "repeats in a progress text are checked") {
+  JobSpec Spec = job({step(5, 1000, Millis(500))});
+  Spec.Repeats_ = 3;
+  const auto Decode = [&](const std::string &Text) {
+    Job J(JobId("j"), QueueId("q"), Spec, Instant());
+    J.decodeProgress(Text);
+    return J;
+  };
+  section("a text without repeats is read", [&] {
+    const Job J = Decode("addddd.dd0dd.00000.");
+    CPPUNIT_ASSERT_EQUAL(1U, J.occurrences()[1].Steps_[0].Waiting_);
+    CPPUNIT_ASSERT_EQUAL(std::string("a*5*d.dd0dd.*5*0."), J.encodeProgress());
+  });
+  section("a count that is no number or doesn't fit raises FormatError", [&] {
+    for (const char *Malformed :
+         {"a*6*d.=2=*5*0.", "a*0*d.", "a*-1*d.", "a*5d.", "a=4=*5*d.",
+          "a=0=*5*d.", "a=3*5*d.", "a=2=*5*d.", "a=4294967296=*5*d.", "a=3="})
+      CPPUNIT_ASSERT_THROW(Decode(Malformed), FormatError);
+  });
+}
+
+namespace {
+
+/// Finishes and fails random tasks of a job with repeats.
+void runRandomProgress() {
+  JobSpec Spec = job({step(6, 1000, Millis(300)), step(1, 1000, Millis(300))});
+  Spec.Repeats_ = *rc::gen::inRange(0U, 5U);
+  Job J(JobId("j"), QueueId("q"), Spec, Instant());
+  for (std::uint32_t O = 0; O < Spec.occurrences(); ++O)
+    for (std::uint32_t I = 0; I < 6; ++I) {
+      const int Progress =
+          *rc::gen::weightedElement<int>({{4, 0}, {4, 1}, {1, 2}, {1, 3}});
+      TaskState &T = J.task({J.id(), O, 0, I});
+      if (Progress == 1)
+        J.finishTask({J.id(), O, 0, I});
+      for (Attempt A = 1; A < static_cast<Attempt>(Progress); ++A) {
+        ++T.Failures_;
+        T.FailedAttempts_.push_back(A);
+      }
+    }
+  Job Other(JobId("j"), QueueId("q"), Spec, Instant());
+  Other.decodeProgress(J.encodeProgress());
+  RC_ASSERT(Other.encodeProgress() == J.encodeProgress());
+  RC_ASSERT(Other.remainingWork() == J.remainingWork());
+  RC_ASSERT(Other.hasWaiting() == J.hasWaiting());
+  for (std::uint32_t O = 0; O < Spec.occurrences(); ++O)
+    for (std::uint32_t I = 0; I < 6; ++I) {
+      const TaskKey Key{J.id(), O, 0, I};
+      RC_ASSERT(Other.task(Key).Phase_ == J.task(Key).Phase_);
+      RC_ASSERT(Other.task(Key).FailedAttempts_ == J.task(Key).FailedAttempts_);
+    }
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(ProgressProperty, "decoding restores what was encoded") {
+  HEATHERCROSS_PROPERTY("whatever is done or has failed",
+                        [] { runRandomProgress(); });
+}
+
 HEATHERCROSS_STORY(Timetable, "occurrences start when they are due") {
   JobSpec Spec = job({step(1, 1000, Millis(100))});
   Spec.Repeats_ = 3;
