Values that are longer than a row take several rows

Holders join them again when they load. A batch is cut before it exceeds the store's limits of rows and bytes. A job that fits into no transaction is answered as malformed. A progress text that is too long for one counts failed attempts without their numbers.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -4,6 +4,7 @@
 
 #include "entry/peer-calls.h"
 #include "platform/documents.h"
+#include "schedule/long-value.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -98,18 +99,28 @@
           QTimer::singleShot(OrderRetryDelay, this, [this] { load(); });
           return;
         }
-        for (const auto &Row : R.Rows_) {
-          if (Row.Place_.Key_ == RecentOrdersKey) {
-            FormerOrders_ = decodeMachines(Row.Value_);
+        std::map<std::string, std::string> Rows;
+        for (const auto &Row : R.Rows_)
+          Rows[Row.Place_.Key_] = Row.Value_;
+        const schedule::JoinedValues Joined = schedule::joinValues(Rows);
+        for (const std::string &Key : Joined.Incomplete_)
+          Context_.Log_.write(
+              "value-incomplete",
+              {{"table", WaveTable}, {"key", QString::fromStdString(Key)}});
+        for (const auto &[Key, Joint] : Joined.Values_) {
+          Writer_.journal().restoreParts(schedule::RowKind::Wave, Key,
+                                         Joint.Parts_);
+          if (Key == RecentOrdersKey) {
+            FormerOrders_ = decodeMachines(Joint.Value_);
             continue;
           }
-          if (Row.Place_.Key_ == OpenOrdersKey) {
-            FormerOpen_ = decodeMachines(Row.Value_);
+          if (Key == OpenOrdersKey) {
+            FormerOpen_ = decodeMachines(Joint.Value_);
             Orders_.adopt(FormerOpen_);
             continue;
           }
-          StoredWaves_[std::strtoull(Row.Place_.Key_.c_str(), nullptr, 10)] =
-              decodeMachines(Row.Value_);
+          StoredWaves_[std::strtoull(Key.c_str(), nullptr, 10)] =
+              decodeMachines(Joint.Value_);
         }
         Loaded_ = true;
         Context_.Log_.write(
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -2,6 +2,7 @@
 #include "entry/pool-holder-detail.h"
 #include "entry/pool-holder.h"
 #include "platform/documents.h"
+#include "schedule/long-value.h"
 
 #include <algorithm>
 #include <map>
@@ -55,24 +56,40 @@
           });
           return;
         }
-        auto &Rows = LoadedRows_[Table];
-        Rows.insert(Rows.end(), R.Rows_.begin(), R.Rows_.end());
+        for (const auto &Row : R.Rows_)
+          LoadedRows_[Table][Row.Place_.Key_] = Row.Value_;
         if (R.More_ && !R.Rows_.empty())
           return readRows(Table, R.Rows_.back().Place_.Key_ + '\0', OnDone);
         OnDone();
       }));
 }
 
+std::map<std::string, std::string>
+PoolHolder::takeLoaded(const std::string &Table, schedule::RowKind Kind) {
+  schedule::JoinedValues Joined =
+      schedule::joinValues(std::exchange(LoadedRows_[Table], {}));
+  for (const std::string &Key : Joined.Incomplete_)
+    Context_.Log_.write("value-incomplete", {{"pool", toQString(Pool_.str())},
+                                             {"table", toQString(Table)},
+                                             {"key", toQString(Key)}});
+  std::map<std::string, std::string> Values;
+  for (auto &[Key, Joint] : Joined.Values_) {
+    Journal_.restoreParts(Kind, Key, Joint.Parts_);
+    Values[Key] = std::move(Joint.Value_);
+  }
+  return Values;
+}
+
 void PoolHolder::restoreJobs() {
+  using schedule::RowKind;
   const Instant Now = Context_.Clock_.now();
   const schedule::WallTime Wall = Context_.Clock_.wall();
-  std::map<std::string, std::string> Progress;
-  for (const auto &Row : LoadedRows_[ProgressTable])
-    Progress[Row.Place_.Key_] = Row.Value_;
+  const auto Progress = takeLoaded(ProgressTable, RowKind::Progress);
+  const auto Jobs = takeLoaded(JobTable, RowKind::Job);
   std::size_t OpenJobs = 0;
-  for (const auto &Row : LoadedRows_[JobTable]) {
-    const JobId Id(Row.Place_.Key_);
-    const auto Stored = decodeJob(Row.Value_);
+  for (const auto &[Key, Value] : Jobs) {
+    const JobId Id(Key);
+    const auto Stored = decodeJob(Value);
     const auto Spec =
         Stored ? platform_api::parseJob(Stored->Body_) : std::nullopt;
     if (!Spec) {
@@ -80,7 +97,7 @@
       continue;
     }
     Job J(Id, Stored->Queue_, *Spec, Now - (Wall - Stored->Accepted_));
-    const auto Saved = Progress.find(Row.Place_.Key_);
+    const auto Saved = Progress.find(Key);
     try {
       if (Saved != Progress.end())
         J.decodeProgress(Saved->second);
@@ -101,8 +118,8 @@
   // renewed the duty, which was before this holder took it.
   const Instant LastLeaseEnd = Now + MaxRenewalAge + leaseBound();
   std::map<InstanceId, Instant> Awaited;
-  for (const auto &Row : LoadedRows_[RosterTable])
-    for (const auto &[Id, Listed] : decodeRoster(Row.Value_)) {
+  for (const auto &[Key, Value] : takeLoaded(RosterTable, RowKind::Roster))
+    for (const auto &[Id, Listed] : decodeRoster(Value)) {
       const auto EndBy =
           Listed.RunsEndBy_ ? Writer_.storeClock().reachedBy(*Listed.RunsEndBy_)
                             : std::nullopt;
@@ -127,14 +144,13 @@
   const auto AwaitedSilent = std::ranges::count_if(
       Roster_, [](const auto &E) { return E.second.RunsEndBy_.has_value(); });
   Scheduler_.awaitWorkers(Awaited);
-  Context_.Log_.write(
-      "duty-loaded",
-      {{"pool", toQString(Pool_.str())},
-       {"epoch", static_cast<qint64>(self().Epoch_.value())},
-       {"jobs", static_cast<qint64>(LoadedRows_[JobTable].size())},
-       {"open", static_cast<qint64>(OpenJobs)},
-       {"awaited", static_cast<qint64>(Awaited.size())},
-       {"awaited_silent", static_cast<qint64>(AwaitedSilent)}});
+  Context_.Log_.write("duty-loaded",
+                      {{"pool", toQString(Pool_.str())},
+                       {"epoch", static_cast<qint64>(self().Epoch_.value())},
+                       {"jobs", static_cast<qint64>(Jobs.size())},
+                       {"open", static_cast<qint64>(OpenJobs)},
+                       {"awaited", static_cast<qint64>(Awaited.size())},
+                       {"awaited_silent", static_cast<qint64>(AwaitedSilent)}});
   LoadedRows_.clear();
   Ready_ = true;
   scheduleRound();
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -3,6 +3,7 @@
 
 #include "entry/pool-holder-detail.h"
 #include "platform/documents.h"
+#include "schedule/long-value.h"
 
 #include <algorithm>
 #include <cmath>
@@ -189,11 +190,18 @@
     return Reject("too-much-ahead", RetryAfterBurst);
   Submission S;
   S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_};
+  std::string Row = encodeJob(S.Row_);
+  if (Row.size() > schedule::MaxValueBytes) {
+    QJsonObject F = jobFields(Id);
+    F["bytes"] = static_cast<qint64>(Row.size());
+    Context_.Log_.write("job-too-long", F);
+    return OnAnswer(Kind::Malformed);
+  }
   S.Spec_ = std::move(*Spec);
   S.ReceivedAt_ = Now;
   S.Handlers_.push_back(std::move(OnAnswer));
-  S.Ticket_ = Journal_.put(
-      {schedule::RowKind::Job, Id.str(), encodeJob(S.Row_)}, true, Now);
+  S.Ticket_ = Journal_.put({schedule::RowKind::Job, Id.str(), std::move(Row)},
+                           true, Now);
   Submissions_.emplace(Id, std::move(S));
   scheduleRound();
 }
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -140,6 +140,9 @@
   void readRows(const std::string &Table, const std::string &From,
                 std::function<void()> OnDone);
   void restoreJobs();
+  /// Returns the values of a loaded table by key.
+  std::map<std::string, std::string> takeLoaded(const std::string &Table,
+                                                schedule::RowKind Kind);
 
   void scheduleRound();
   void measureLag();
@@ -232,7 +235,8 @@
   std::vector<UnstoredEnds> UnstoredEnds_;
   /// Workers that reported ended runs since the last scheduling round.
   std::set<InstanceId> ReportedEnds_;
-  std::map<std::string, std::vector<platform_api::StoredRow>> LoadedRows_;
+  /// Values of the rows by table and key.
+  std::map<std::string, std::map<std::string, std::string>> LoadedRows_;
   bool Ready_ = false;
   bool Lost_ = false;
   bool HandingOver_ = false;
--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -2,6 +2,7 @@
 #include "schedule/job.h"
 
 #include "heathercross/error.h"
+#include "schedule/long-value.h"
 
 #include <algorithm>
 #include <charconv>
@@ -17,6 +18,8 @@
 constexpr char StepEnd = '.';
 constexpr char AttemptEnd = ';';
 constexpr char FirstFailures = '0';
+/// 'A' stands for one failure without the number of its attempt.
+constexpr char FirstCountedFailures = 'A' - 1;
 /// Enclose the number of equal tasks or occurrences in a row that the text
 /// after them stands for.
 constexpr char TaskRepeat = '*';
@@ -39,15 +42,23 @@
   return std::vector<Occurrence>(Spec.occurrences(), O);
 }
 
+/// Whether a progress text lists the numbers of failed attempts, or only counts
+/// them.
+enum class FailureDetail : std::uint8_t { Listed, Counted };
+
 /// Appends 'd' for a task that is done, otherwise the number of failures and
-/// the failed attempts.
-void appendTaskState(std::string &Text, const TaskState &T) {
+/// the failed attempts, or a letter for the number of failures.
+void appendTaskState(std::string &Text, const TaskState &T, FailureDetail D) {
   if (T.Phase_ == TaskPhase::Done) {
     Text += DoneMark;
     return;
   }
-  const auto Count = static_cast<std::uint32_t>(T.FailedAttempts_.size());
-  Text += static_cast<char>(FirstFailures + Count);
+  const bool Listed = T.FailedAttempts_.size() == T.Failures_;
+  if (T.Failures_ > 0 && (D == FailureDetail::Counted || !Listed)) {
+    Text += static_cast<char>(FirstCountedFailures + T.Failures_);
+    return;
+  }
+  Text += static_cast<char>(FirstFailures + T.Failures_);
   for (const Attempt A : T.FailedAttempts_)
     Text += std::to_string(A) + AttemptEnd;
 }
@@ -57,7 +68,7 @@
 }
 
 /// The progress of one occurrence, with equal tasks in a row written once.
-std::string encodeOccurrence(const Occurrence &O) {
+std::string encodeOccurrence(const Occurrence &O, FailureDetail D) {
   std::string Text;
   for (const StepState &S : O.Steps_) {
     std::string Last;
@@ -70,7 +81,7 @@
     };
     for (const TaskState &T : S.Tasks_) {
       std::string Task;
-      appendTaskState(Task, T);
+      appendTaskState(Task, T, D);
       if (Task != Last) {
         AppendLast();
         Last = std::move(Task);
@@ -83,6 +94,31 @@
   return Text;
 }
 
+/// The progress text of a job.
+std::string encodeOccurrences(JobState State,
+                              const std::vector<Occurrence> &Occurrences,
+                              FailureDetail D) {
+  std::string Text(1, StateLetters[static_cast<std::size_t>(State)]);
+  std::string Last;
+  std::uint32_t Count = 0;
+  const auto AppendLast = [&] {
+    if (Count > 1)
+      Text += repeatMark(OccurrenceRepeat, Count);
+    Text += Last;
+  };
+  for (const Occurrence &O : Occurrences) {
+    std::string Encoded = encodeOccurrence(O, D);
+    if (Encoded != Last) {
+      AppendLast();
+      Last = std::move(Encoded);
+      Count = 0;
+    }
+    ++Count;
+  }
+  AppendLast();
+  return Text;
+}
+
 /// Reads a progress text from left to right.
 class ProgressReader {
 public:
@@ -118,8 +154,9 @@
     const std::size_t End = Text_.find(EndMark, Position_);
     std::uint32_t Number = 0;
     const char *Last = Text_.data() + std::min(End, Text_.size());
-    if (std::from_chars(Text_.data() + Position_, Last, Number).ptr != Last ||
-        End == std::string_view::npos)
+    const auto Read = std::from_chars(Text_.data() + Position_, Last, Number);
+    if (End == std::string_view::npos || Read.ec != std::errc() ||
+        Read.ptr != Last)
       fail(Problem);
     Position_ = End + 1;
     return Number;
@@ -137,9 +174,13 @@
     T.Phase_ = TaskPhase::Done;
     return T;
   }
-  T.Failures_ = static_cast<std::uint32_t>(Mark - FirstFailures);
+  const bool Listed = Mark < FirstCountedFailures;
+  T.Failures_ = static_cast<std::uint32_t>(
+      Mark - (Listed ? FirstFailures : FirstCountedFailures));
   if (T.Failures_ > MaxRecordedFailures)
     Reader.fail("unknown task state");
+  if (!Listed)
+    return T;
   for (std::uint32_t I = 0; I < T.Failures_; ++I)
     T.FailedAttempts_.push_back(Reader.readAttempt());
   return T;
@@ -171,6 +212,13 @@
   return static_cast<Attempt>(std::min(Epochs, LastRange)) * AttemptsPerEpoch;
 }
 
+std::uint64_t JobSpec::taskCount() const {
+  std::uint64_t Tasks = 0;
+  for (const StepSpec &S : Steps_)
+    Tasks += S.Count_;
+  return Tasks * occurrences();
+}
+
 bool JobSpec::longRunning() const {
   return std::ranges::any_of(Steps_, &StepSpec::LongRunning_);
 }
@@ -281,25 +329,13 @@
 }
 
 std::string Job::encodeProgress() const {
-  std::string Text(1, StateLetters[static_cast<std::size_t>(State_)]);
-  std::string Last;
-  std::uint32_t Count = 0;
-  const auto AppendLast = [&] {
-    if (Count > 1)
-      Text += repeatMark(OccurrenceRepeat, Count);
-    Text += Last;
-  };
-  for (const Occurrence &O : Occurrences_) {
-    std::string Encoded = encodeOccurrence(O);
-    if (Encoded != Last) {
-      AppendLast();
-      Last = std::move(Encoded);
-      Count = 0;
-    }
-    ++Count;
-  }
-  AppendLast();
-  return Text;
+  const std::string Text =
+      encodeOccurrences(State_, Occurrences_, FailureDetail::Listed);
+  // Without the attempts, a failure that a worker lists again after its
+  // acknowledgement was lost counts twice.
+  return Text.size() <= MaxValueBytes
+             ? Text
+             : encodeOccurrences(State_, Occurrences_, FailureDetail::Counted);
 }
 
 void Job::decodeProgress(std::string_view Text) {
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -144,8 +144,9 @@
 
   /// Converts the progress to a compact text and back. Equal tasks and equal
   /// occurrences in a row are written once, so that the text grows with the
-  /// work that has begun and not with the job. decodeProgress also reads texts
-  /// without repeats; it throws FormatError if the text is malformed.
+  /// work that has begun and not with the job; it has at most MaxValueBytes.
+  /// decodeProgress also reads texts without repeats; it throws FormatError if
+  /// the text is malformed.
   std::string encodeProgress() const;
   void decodeProgress(std::string_view Text);
 
--- a/src/schedule/pool-journal.cc
+++ b/src/schedule/pool-journal.cc
@@ -1,9 +1,9 @@
 // Group commit for the changes of a pool's holder.
 #include "schedule/pool-journal.h"
 
+#include "schedule/long-value.h"
+
 #include <algorithm>
-#include <map>
-#include <utility>
 
 namespace heathercross::schedule {
 
@@ -24,15 +24,22 @@
 /// The store accepts 100 entries per transaction; the rest is for the holder
 /// row and the precondition.
 constexpr std::size_t MaxBatchWrites = 90;
-/// The store accepts 1 MB per transaction; the rest is for base64 and JSON
-/// overhead.
-constexpr std::size_t MaxBatchBytes = 600'000;
+
+std::size_t sizeOf(const RowWrite &W) {
+  return W.Value_ ? W.Value_->size() : 0;
+}
 
 } // namespace
 
 PoolJournal::PoolJournal(HolderRow Self, RowVersion Guard, Instant Now)
     : Self_(std::move(Self)), Guard_(Guard), RenewedAt_(Now), NotBefore_(Now) {}
 
+void PoolJournal::restoreParts(RowKind Kind, const std::string &Key,
+                               std::size_t Parts) {
+  if (Parts > 1)
+    LongValues_[{Kind, Key}] = Parts;
+}
+
 PoolJournal::Ticket PoolJournal::put(RowWrite W, bool Urgent, Instant Now) {
   Waiting_.push_back({++Last_, std::move(W), Urgent, Now});
   return Last_;
@@ -65,26 +72,54 @@
   B.Guard_ = Guard_;
   ++Self_.Serial_;
   B.Holder_ = Self_;
-  std::map<std::pair<RowKind, std::string>, std::size_t> Positions;
+  std::map<RowId, std::size_t> Positions;
   std::size_t Size = 0;
   CurrentLastTicket_ = Durable_;
-  while (!Waiting_.empty() && B.Writes_.size() < MaxBatchWrites &&
-         Size < MaxBatchBytes) {
-    Change C = std::move(Waiting_.front());
+  while (!Waiting_.empty()) {
+    const RowWrite &W = Waiting_.front().Write_;
+    const bool Fits = B.Writes_.size() + rowCount(W) <= MaxBatchWrites &&
+                      Size + sizeOf(W) <= MaxValueBytes;
+    if (!Fits && !B.Writes_.empty())
+      break;
+    Size += sizeOf(W);
+    addRows(W, B, Positions);
+    CurrentLastTicket_ = Waiting_.front().Ticket_;
     Waiting_.pop_front();
-    CurrentLastTicket_ = C.Ticket_;
-    Size += C.Write_.Value_ ? C.Write_.Value_->size() : 0;
-    const auto [It, New] = Positions.try_emplace(
-        {C.Write_.Kind_, C.Write_.Key_}, B.Writes_.size());
-    if (New)
-      B.Writes_.push_back(std::move(C.Write_));
-    else
-      B.Writes_[It->second] = std::move(C.Write_);
   }
   Current_ = std::move(B);
   return Current_;
 }
 
+std::size_t PoolJournal::rowCount(const RowWrite &W) const {
+  const auto Stored = LongValues_.find({W.Kind_, W.Key_});
+  return std::max(partCount(sizeOf(W)),
+                  Stored == LongValues_.end() ? 1 : Stored->second);
+}
+
+void PoolJournal::addRows(const RowWrite &W, Batch &B,
+                          std::map<RowId, std::size_t> &Positions) {
+  const std::size_t Rows = rowCount(W);
+  std::vector<std::string> Parts;
+  if (W.Value_)
+    Parts = splitValue(*W.Value_);
+  for (std::size_t I = 0; I < Rows; ++I) {
+    RowWrite Row{W.Kind_, partKey(W.Key_, I), std::nullopt};
+    if (I < Parts.size())
+      Row.Value_ = std::move(Parts[I]);
+    const auto [It, New] =
+        Positions.try_emplace({Row.Kind_, Row.Key_}, B.Writes_.size());
+    if (New)
+      B.Writes_.push_back(std::move(Row));
+    else
+      B.Writes_[It->second] = std::move(Row);
+  }
+  // Batches are applied in order, so a later change finds these rows.
+  if (Parts.size() > 1)
+    LongValues_[{W.Kind_, W.Key_}] = Parts.size();
+  else
+    LongValues_.erase({W.Kind_, W.Key_});
+}
+
 void PoolJournal::applied(RowVersion Guard, Instant SentAt) {
   Guard_ = Guard;
   Durable_ = std::max(Durable_, CurrentLastTicket_);
--- a/src/schedule/pool-journal.h
+++ b/src/schedule/pool-journal.h
@@ -7,8 +7,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace heathercross::schedule {
@@ -27,8 +29,9 @@
 
 struct RowWrite {
   RowKind Kind_ = RowKind::Job;
+  /// Contains no slash, except in a batch.
   std::string Key_;
-  /// The new value; without one the row is deleted.
+  /// The new value, at most MaxValueBytes long; without one the row is deleted.
   std::optional<std::string> Value_;
 };
 
@@ -49,6 +52,7 @@
 struct Batch {
   RowVersion Guard_;
   HolderRow Holder_;
+  /// The rows to write. A long value takes several.
   std::vector<RowWrite> Writes_;
 };
 
@@ -63,6 +67,9 @@
   /// of the first batch.
   PoolJournal(HolderRow Self, RowVersion Guard, Instant Now);
 
+  /// Records how many rows a stored value takes, unless it is one.
+  void restoreParts(RowKind Kind, const std::string &Key, std::size_t Parts);
+
   /// Adds a change. An urgent change makes the next batch due at once.
   Ticket put(RowWrite W, bool Urgent, Instant Now);
   /// Removes a change that has not been part of any batch; returns false if it
@@ -109,12 +116,22 @@
     Instant AddedAt_;
   };
 
+  using RowId = std::pair<RowKind, std::string>;
+
+  /// Number of rows that a change writes or deletes.
+  std::size_t rowCount(const RowWrite &W) const;
+  /// Appends the rows of a change, or replaces them if an earlier change of the
+  /// same batch wrote them. Positions are those of the batch's rows.
+  void addRows(const RowWrite &W, Batch &B,
+               std::map<RowId, std::size_t> &Positions);
   void applied(RowVersion Guard, Instant SentAt);
   void failed(Instant Now);
 
   HolderRow Self_;
   RowVersion Guard_;
   std::deque<Change> Waiting_;
+  /// The number of rows of each value that takes several, as of the last batch.
+  std::map<RowId, std::size_t> LongValues_;
   /// The batch in flight or to be sent again, and the last ticket in it.
   std::optional<Batch> Current_;
   Ticket CurrentLastTicket_ = 0;
--- a/test/schedule/job-test.cc
+++ b/test/schedule/job-test.cc
@@ -1,5 +1,6 @@
 // Tests of jobs: steps, progress texts, ranking.
 #include "heathercross/error.h"
+#include "schedule/long-value.h"
 #include "schedule/model-pool.h"
 #include "schedule/ranking.h"
 #include "support/story.h"
@@ -111,6 +112,36 @@
   });
 }
 
+// Guards against a progress text that no transaction can hold.
+HEATHERCROSS_STORY(ManyFailures,
+                   "the progress of a large job that fails is stored") {
+  constexpr std::uint32_t Tasks = 200'000;
+  const JobSpec Spec = job({step(Tasks, 0, Millis(500))});
+  Job J(JobId("j"), QueueId("q"), Spec, Instant());
+  for (std::uint32_t I = 0; I < Tasks; ++I) {
+    TaskState &T = J.task({J.id(), 0, 0, I});
+    T.Failures_ = 1 + I % MaxRecordedFailures;
+    T.FailedAttempts_.assign(T.Failures_, 262'145);
+  }
+  Job Other(JobId("j"), QueueId("q"), Spec, Instant());
+  section("without the numbers of the failed attempts", [&] {
+    const std::string Text = J.encodeProgress();
+    CPPUNIT_ASSERT(Text.size() <= MaxValueBytes);
+    Other.decodeProgress(Text);
+    for (std::uint32_t I = 0; I < Tasks; ++I)
+      CPPUNIT_ASSERT_EQUAL(1 + I % MaxRecordedFailures,
+                           Other.task({J.id(), 0, 0, I}).Failures_);
+  });
+  section("and a further failure adds to them", [&] {
+    TaskState &T = Other.task({J.id(), 0, 0, 0});
+    ++T.Failures_;
+    T.FailedAttempts_.push_back(327'681);
+    Job Third(JobId("j"), QueueId("q"), Spec, Instant());
+    Third.decodeProgress(Other.encodeProgress());
+    CPPUNIT_ASSERT_EQUAL(2U, Third.task({J.id(), 0, 0, 0}).Failures_);
+  });
+}
+
 HEATHERCROSS_STORY(ProgressRepeats, "repeats in a progress text are checked") {
   JobSpec Spec = job({step(5, 1000, Millis(500))});
   Spec.Repeats_ = 3;
--- a/test/schedule/pool-journal-test.cc
+++ b/test/schedule/pool-journal-test.cc
@@ -1,4 +1,5 @@
 // Tests of group commit: batches, uncertain outcomes, lost duties.
+#include "schedule/long-value.h"
 #include "schedule/pool-journal.h"
 #include "support/story.h"
 
@@ -18,6 +19,27 @@
   return {RowKind::Progress, Key, Value};
 }
 
+/// The store's limits of a row's value and of a transaction.
+constexpr std::size_t StoreRowBytes = 65'536;
+constexpr std::size_t StoreTransactionBytes = 1'000'000;
+constexpr std::size_t StoreTransactionRows = 100;
+
+/// Whether the store takes a batch: values are sent as base64, with the names
+/// of their rows.
+bool isWithinLimits(const Batch &B) {
+  constexpr std::size_t BytesPerName = 200;
+  std::size_t Size = 0;
+  for (const RowWrite &W : B.Writes_) {
+    const std::size_t Length = W.Value_ ? W.Value_->size() : 0;
+    if (Length > StoreRowBytes)
+      return false;
+    Size += (Length + 2) / 3 * 4 + BytesPerName;
+  }
+  // The holder row and its condition come on top.
+  return B.Writes_.size() + 2 <= StoreTransactionRows &&
+         Size < StoreTransactionBytes;
+}
+
 /// A model of one partition of the store: the holder row and the written rows.
 struct ModelPartition {
   HolderRow Holder_ = Self;
@@ -30,11 +52,32 @@
     Version_ = Version_.next();
     Holder_ = B.Holder_;
     for (const RowWrite &W : B.Writes_)
-      Rows_[W.Key_] = *W.Value_;
+      if (W.Value_)
+        Rows_[W.Key_] = *W.Value_;
+      else
+        Rows_.erase(W.Key_);
     return true;
   }
+
+  /// The stored value; empty if there is none.
+  std::string value(const std::string &Key) const {
+    const JoinedValues Joined = joinValues(Rows_);
+    const auto It = Joined.Values_.find(Key);
+    return It == Joined.Values_.end() ? std::string() : It->second.Value_;
+  }
 };
 
+/// Writes everything that waits and checks the store's limits.
+void commitAll(PoolJournal &J, ModelPartition &Partition, Instant &Now) {
+  while (J.waiting() > 0) {
+    Now += Seconds(1);
+    const auto B = J.next(Now);
+    CPPUNIT_ASSERT(B && isWithinLimits(*B));
+    CPPUNIT_ASSERT(Partition.apply(*B));
+    J.committed(Partition.Version_, Now);
+  }
+}
+
 } // namespace
 
 HEATHERCROSS_STORY(GroupCommit, "changes go to the store in batches") {
@@ -101,6 +144,145 @@
   });
 }
 
+// Guards against a value that no row of the store can hold, such as the body of
+// a large job: the store rejected each batch, and its pool stored nothing more.
+HEATHERCROSS_STORY(LongValues, "a value longer than a row takes several rows") {
+  Instant Now{Seconds(10)};
+  PoolJournal J(Self, RowVersion(10), Now);
+  ModelPartition Partition;
+  const std::string Long(200'000, 'x');
+  section("they are written together", [&] {
+    J.put(write("a", "short"), false, Now);
+    J.put(write("b", Long), true, Now);
+    J.put(write("c", "short"), false, Now);
+    commitAll(J, Partition, Now);
+    CPPUNIT_ASSERT(Partition.value("b") == Long);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value("c"));
+  });
+  section("another holder that shortens the value deletes the others", [&] {
+    PoolJournal Next(Self, Partition.Version_, Now);
+    Next.restoreParts(RowKind::Progress, "b",
+                      joinValues(Partition.Rows_).Values_.at("b").Parts_);
+    Next.put(write("b", "short"), true, Now);
+    commitAll(Next, Partition, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Partition.Rows_.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value("b"));
+  });
+  section("the newest of several values in a batch counts", [&] {
+    PoolJournal Next(Self, Partition.Version_, Now);
+    Next.put(write("b", Long), true, Now);
+    Next.put(write("b", "last"), true, Now);
+    commitAll(Next, Partition, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Partition.Rows_.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("last"), Partition.value("b"));
+  });
+  section("a deleted value leaves no row", [&] {
+    PoolJournal Next(Self, Partition.Version_, Now);
+    Next.put(write("b", Long), true, Now);
+    commitAll(Next, Partition, Now);
+    Next.put({RowKind::Progress, "b", std::nullopt}, true, Now);
+    commitAll(Next, Partition, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Partition.Rows_.size());
+  });
+  section("many of them take several transactions", [&] {
+    PoolJournal Next(Self, Partition.Version_, Now);
+    for (int I = 0; I < 20; ++I)
+      Next.put(write("k" + std::to_string(I), std::string(MaxValueBytes, 'y')),
+               true, Now);
+    for (int I = 0; I < 200; ++I)
+      Next.put(write("s" + std::to_string(I)), true, Now);
+    commitAll(Next, Partition, Now);
+    CPPUNIT_ASSERT(Partition.value("k19").size() == MaxValueBytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), Partition.value("s199"));
+  });
+}
+
+HEATHERCROSS_STORY(JoinedRows, "a value with a row missing isn't read") {
+  const std::vector<std::string> Parts = splitValue(std::string(150'000, 'x'));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Parts.size());
+  std::map<std::string, std::string> Rows{
+      {"a", Parts[0]}, {"a/1", Parts[1]}, {"b", "v"}};
+  section("the others are", [&] {
+    const JoinedValues Joined = joinValues(Rows);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Joined.Values_.size());
+    CPPUNIT_ASSERT(Joined.Incomplete_ == std::vector<std::string>{"a"});
+  });
+  section("nor is one with a malformed number of rows", [&] {
+    for (const char *First : {"#", "#\n", "#x\n", "#3", "#3x\nv", "#-1\nv"}) {
+      Rows["a"] = First;
+      CPPUNIT_ASSERT(joinValues(Rows).Incomplete_ ==
+                     std::vector<std::string>{"a"});
+    }
+  });
+  section("a longer former value's rows don't count", [&] {
+    Rows["a"] = "now";
+    CPPUNIT_ASSERT_EQUAL(std::string("now"),
+                         joinValues(Rows).Values_.at("a").Value_);
+  });
+}
+
+namespace {
+
+/// A value of one row or of several.
+std::string randomValue() {
+  const std::size_t Length = *rc::gen::element<std::size_t>(
+      1, MaxRowBytes, MaxRowBytes + 1, 2 * MaxRowBytes, 150'000);
+  return std::string(Length, *rc::gen::inRange('a', 'e'));
+}
+
+void runLongValues() {
+  const auto Steps =
+      *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 8));
+  Instant Now{Seconds(10)};
+  PoolJournal J(Self, RowVersion(10), Now);
+  ModelPartition Partition;
+  std::map<std::string, std::string> Expected;
+  for (const int Step : Steps) {
+    const std::string Key(1, static_cast<char>('p' + Step % 3));
+    if (Step == 7) {
+      Expected.erase(Key);
+      J.put({RowKind::Progress, Key, std::nullopt}, true, Now);
+    } else {
+      Expected[Key] = randomValue();
+      J.put(write(Key, Expected[Key]), true, Now);
+    }
+    if (Step % 2 == 0)
+      continue;
+    Now += Seconds(1);
+    const auto B = J.next(Now);
+    RC_ASSERT(B && isWithinLimits(*B));
+    const bool Applied = Step != 5 && Partition.apply(*B);
+    if (Applied && Step != 3)
+      J.committed(Partition.Version_, Now);
+    else
+      J.outcomeUnknown(Now);
+    Now += Seconds(1);
+    if (const auto Again = J.next(Now)) {
+      if (Partition.apply(*Again))
+        J.committed(Partition.Version_, Now);
+      else
+        J.conflict(Partition.Holder_, Partition.Version_, Now);
+    }
+  }
+  commitAll(J, Partition, Now);
+  const JoinedValues Joined = joinValues(Partition.Rows_);
+  RC_ASSERT(Joined.Incomplete_.empty());
+  RC_ASSERT(Joined.Values_.size() == Expected.size());
+  std::size_t Rows = 0;
+  for (const auto &[Key, Value] : Expected) {
+    RC_ASSERT(Joined.Values_.at(Key).Value_ == Value);
+    Rows += partCount(Value.size());
+  }
+  RC_ASSERT(Partition.Rows_.size() == Rows);
+}
+
+} // namespace
+
+HEATHERCROSS_STORY(LongValueProperty, "long values are stored whole") {
+  HEATHERCROSS_PROPERTY("whichever batches are repeated",
+                        [] { runLongValues(); });
+}
+
 namespace {
 
 void runLossyCommits() {
