Jobs with more tasks than an entry can keep are turned away

A job of 10,000 occurrences with 10,000 tasks each was accepted: its bounds counted tasks and occurrences, but not their product, 10^8 tasks at 192 bytes each. The entry that parses it ends for want of memory, and so does each one that the caller tries next.

Shown in tests only; the end of a process wasn't played.

--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -106,6 +106,8 @@
   Millis Interval_{0};
 
   std::uint32_t occurrences() const { return Repeats_ == 0 ? 1 : Repeats_; }
+  /// Number of tasks in all occurrences.
+  std::uint64_t taskCount() const;
   bool longRunning() const;
 };
 
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -254,6 +254,21 @@
     CPPUNIT_ASSERT(!parseJob(Bad));
 }
 
+// Guards against a job that takes more memory than an entry has: each holder
+// that read it would end.
+HEATHERCROSS_STORY(LargeSubmissions, "the tasks of all occurrences count") {
+  section("a day of eight tasks every ten seconds is read", [] {
+    const auto J = parseJob(R"({"phases":[{"count":8}],"repeats":8640})");
+    CPPUNIT_ASSERT(J && J->taskCount() == 69'120);
+  });
+  section("more tasks than an entry can keep are turned away", [] {
+    for (const char *Bad :
+         {R"({"phases":[{"count":10000}],"repeats":10000})",
+          R"({"phases":[{"count":30},{"count":30}],"repeats":4000})"})
+      CPPUNIT_ASSERT(!parseJob(Bad));
+  });
+}
+
 HEATHERCROSS_STORY(WaveRows, "a wave is read and its state is written") {
   const auto W = parseWave(
       "wave/3",
