A call's attempts stay open until they are ruled out

Cause: a call that was sent twice stood twice in the list of calls that wait for an answer. When another entry took the duty, both places were handled: the first noted the unanswered attempt, the second replaced that note by none. With nothing noted, a call that ran out of time was answered as never carried out. From then on the call was also repeated by two chains of timers, so that one could give up while the other's attempt was under way.

Each attempt, at a remote holder or the entry's own, is now open from the moment it is made and stays so until an answer says that it had no effect; only a rejection by the holder of a later epoch than all open attempts excludes them. A call stands in the list once. Late answers that rule out their attempt count as well, so fewer calls end with 504.

ResentAtTakeover fails on the former code (503 instead of 504; 1 of 9 in entry-test) and passes.

--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -64,6 +64,17 @@
 
 QString toQString(const std::string &T) { return QString::fromStdString(T); }
 
+/// Whether an attempt that got this answer changed nothing and never will.
+bool hadNoEffect(const JobAnswer &A) {
+  return !A.Uncertain_ &&
+         (A.Kind_ == AnswerKind::Rejected || A.Kind_ == AnswerKind::NotHolder);
+}
+
+bool hadNoEffect(const PeerReply &R) {
+  return R.Kind_ == PeerReply::Kind::Unreachable ||
+         (R.Kind_ == PeerReply::Kind::Answered && hadNoEffect(R.Answer_));
+}
+
 } // namespace
 
 Front::Front(Context &C, const ClusterState &K, Duties &D)
@@ -118,12 +129,14 @@
   const auto Known = ClusterState_.duties().holder(C->Request_.Pool_);
   PoolHolder *Local = Duties_.holder(C->Request_.Pool_);
   C->Holder_ = Known ? Known->Row_.Holder_.str() : std::string();
-  if (Local)
-    return callLocalHolder(
-        *Local, C->Request_,
-        guarded(this, [this, C, E = Local->self().Epoch_](const JobAnswer &A) {
-          handleAnswer(C, A, E);
-        }));
+  if (Local) {
+    const Epoch E = Local->self().Epoch_;
+    C->Open_.begin(E);
+    return callLocalHolder(*Local, C->Request_,
+                           guarded(this, [this, C, E](const JobAnswer &A) {
+                             handleAnswer(C, A, E);
+                           }));
+  }
   // While the store doesn't answer, no holder is expected to become known.
   if (!Known && !ClusterState_.storeAnswers())
     return giveUp(C);
@@ -150,16 +163,21 @@
   std::vector<CallPtr> ToResend;
   std::erase_if(AwaitingReply_, [&](const std::weak_ptr<Call> &Weak) {
     const CallPtr C = Weak.lock();
-    if (!C || C->Answered_ || !C->AskedEpoch_)
+    if (!C)
+      return true;
+    if (C->Answered_ || !C->AskedEpoch_) {
+      C->Listed_ = false;
       return true;
+    }
     const auto Known = ClusterState_.duties().holder(C->Request_.Pool_);
     if (!Known || Known->Row_.Epoch_ <= *C->AskedEpoch_)
       return false;
     ToResend.push_back(C);
+    C->Listed_ = false;
     return true;
   });
   for (const CallPtr &C : ToResend) {
-    C->UncertainIn_ = std::exchange(C->AskedEpoch_, std::nullopt);
+    C->AskedEpoch_.reset();
     attempt(C);
   }
 }
@@ -205,12 +223,9 @@
     return;
   }
   for (const std::weak_ptr<Call> &Weak : AwaitingReply_)
-    if (const CallPtr C = Weak.lock(); C &&
-                                       C->AskedEpoch_ == Holder.Row_.Epoch_ &&
-                                       C->Request_.Pool_ == Pool) {
-      C->UncertainIn_ = C->AskedEpoch_;
+    if (const CallPtr C = Weak.lock();
+        C && C->AskedEpoch_ == Holder.Row_.Epoch_ && C->Request_.Pool_ == Pool)
       Waiting.push_back(C);
-    }
   for (const CallPtr &C : Waiting)
     giveUp(C);
 }
@@ -238,7 +253,9 @@
   const Epoch E = Holder.Row_.Epoch_;
   C->AskedEpoch_ = E;
   C->Request_.Epoch_ = E;
-  AwaitingReply_.push_back(C);
+  C->Open_.begin(E);
+  if (!std::exchange(C->Listed_, true))
+    AwaitingReply_.push_back(C);
   QTimer::singleShot(PingAfter, this, [this, C, E, Holder] {
     if (!C->Answered_ && C->AskedEpoch_ == E)
       pingHolder(C->Request_.Pool_, Holder);
@@ -249,34 +266,41 @@
   sendJobCall(Context_, Holder.Row_.Address_, C->Request_, Timeout,
               guarded(this, [this, C, E, Address = Holder.Row_.Address_](
                                 const PeerReply &R) {
-                // Ignores the reply if the request has been sent to another
-                // holder since.
-                if (C->AskedEpoch_ != E)
-                  return;
-                C->AskedEpoch_.reset();
                 if (R.Kind_ == PeerReply::Kind::Answered)
                   Contacts_[Address].AnsweredAt_ = Context_.Clock_.now();
-                switch (R.Kind_) {
-                case PeerReply::Kind::Answered:
-                  return handleAnswer(C, R.Answer_, E);
-                case PeerReply::Kind::Unknown:
-                  C->UncertainIn_ = E;
-                  return retryLater(C);
-                case PeerReply::Kind::Unreachable:
-                  Duties_.unreachable(C->Request_.Pool_);
-                  return retryLater(C);
-                }
+                handlePeerReply(C, R, E);
               }));
 }
 
+void Front::handlePeerReply(const CallPtr &C, const PeerReply &R, Epoch E) {
+  // The request may have been sent to another holder since. Then the reply
+  // only counts if it says that this attempt had no effect.
+  if (C->AskedEpoch_ != E) {
+    if (hadNoEffect(R))
+      C->Open_.ruleOut(E);
+    return;
+  }
+  C->AskedEpoch_.reset();
+  switch (R.Kind_) {
+  case PeerReply::Kind::Answered:
+    return handleAnswer(C, R.Answer_, E);
+  case PeerReply::Kind::Unknown:
+    return retryLater(C);
+  case PeerReply::Kind::Unreachable:
+    C->Open_.ruleOut(E);
+    Duties_.unreachable(C->Request_.Pool_);
+    return retryLater(C);
+  }
+}
+
 void Front::handleAnswer(const CallPtr &C, const JobAnswer &A, Epoch E) {
-  if (A.Uncertain_)
-    C->UncertainIn_ = E;
+  if (hadNoEffect(A))
+    C->Open_.ruleOut(E);
   switch (A.Kind_) {
   case AnswerKind::Accepted:
     return answer(C, Ok, {}, "stored");
   case AnswerKind::Rejected:
-    if (C->UncertainIn_ >= E)
+    if (!C->Open_.excludedBy(E))
       return giveUp(C);
     return answer(C, A.Cause_ == "store-away" ? Unavailable : TooManyRequests,
                   {}, A.Cause_, A.RetryAfter_);
@@ -295,7 +319,7 @@
 
 void Front::retryLater(const CallPtr &C) {
   const Instant Now = Context_.Clock_.now();
-  const bool TimedOut = C->Request_.Kind_ == Kind::Submit && !C->UncertainIn_ &&
+  const bool TimedOut = C->Request_.Kind_ == Kind::Submit && !C->Open_.any() &&
                         Now - C->Arrived_ > HolderTimeout;
   if (TimedOut || Now + RetryPause + AnswerMargin > C->Deadline_)
     return giveUp(C);
@@ -303,7 +327,7 @@
 }
 
 void Front::giveUp(const CallPtr &C) {
-  if (C->UncertainIn_)
+  if (C->Open_.any())
     return answer(C, GatewayTimeout, {}, "outcome-unknown");
   answer(C, Unavailable, {}, "no-holder", RetryAfterTakeover);
 }
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -5,6 +5,7 @@
 #include "entry/duties.h"
 #include "entry/peer-calls.h"
 #include "http/http-server.h"
+#include "schedule/open-attempts.h"
 
 #include <QObject>
 
@@ -46,14 +47,14 @@
     Instant Arrived_;
     /// When the caller stops waiting.
     Instant Deadline_;
-    /// The last epoch whose holder may still carry out, or may have carried
-    /// out, an unanswered attempt; none if there is no such attempt. Holders of
-    /// later epochs know what came of it.
-    std::optional<Epoch> UncertainIn_;
+    schedule::OpenAttempts Open_;
     std::uint32_t Attempts_ = 0;
     /// Epoch of the remote holder that has an unanswered request for this call;
     /// none if there is no such request.
     std::optional<Epoch> AskedEpoch_;
+    /// Whether AwaitingReply_ lists the call. It must not stand there twice, or
+    /// it would be sent twice at a time.
+    bool Listed_ = false;
     std::uint64_t ConfigurationVersion_ = 0;
     std::string Holder_;
     bool Answered_ = false;
@@ -72,8 +73,10 @@
   void pingHolder(const PoolId &Pool, const schedule::StoredHolder &Holder);
   void handlePingReply(const PoolId &Pool, const schedule::StoredHolder &Holder,
                        bool Answered);
-  /// Handles the answer of the holder of an epoch.
+  /// Handles the answer of the holder of an epoch to an attempt.
   void handleAnswer(const CallPtr &C, const JobAnswer &A, Epoch E);
+  /// Handles the end of an attempt at a remote holder.
+  void handlePeerReply(const CallPtr &C, const PeerReply &R, Epoch E);
   /// Repeats a request after a pause if the caller's deadline allows it.
   void retryLater(const CallPtr &C);
   /// Answers that the request failed, or that its outcome is unknown.
@@ -85,7 +88,7 @@
   const ClusterState &ClusterState_;
   Duties &Duties_;
   std::size_t Pending_ = 0;
-  /// Requests that wait for another entry's answer.
+  /// Requests that wait for another entry's answer, oldest first.
   std::vector<std::weak_ptr<Call>> AwaitingReply_;
   /// When a holder's address last answered and last failed to answer.
   struct Contact {
--- a/test/entry/front-test.cc
+++ b/test/entry/front-test.cc
@@ -44,6 +44,7 @@
   bool Answers_ = true;
   /// The holder's epoch; it may increase.
   Epoch Epoch_{4};
+  EntryId Holder_{"other/1"};
 
   std::string address() const {
     return "127.0.0.1:" + std::to_string(Server_.port());
@@ -66,8 +67,7 @@
 
   QJsonObject holderRow(const QByteArray &Part) const {
     return row(HolderTable, Part, HolderKey,
-               encodeHolder({EntryId("other/1"), HolderAddress_, Epoch_, 1}),
-               version());
+               encodeHolder({Holder_, HolderAddress_, Epoch_, 1}), version());
   }
 
   void serve(const http::Request &R, http::Responder &To) const {
@@ -244,6 +244,37 @@
   });
 }
 
+// Guards against a false refusal: the call stood twice in the list of those
+// that wait for an answer, and its second copy forgot the unanswered attempt.
+HEATHERCROSS_STORY(ResentAtTakeover, "a submission without an answer isn't "
+                                     "refused after its entry took over") {
+  startQt();
+  std::vector<http::Responder> Unanswered;
+  int Calls = 0;
+  http::Server Holder({}, [&](http::Request &&R, http::Responder &&To) {
+    http::Response Answer;
+    Answer.Body_ = NotHolder;
+    if (R.Path_ == "/call" && ++Calls > 1)
+      return Unanswered.push_back(std::move(To));
+    To.respond(Answer);
+  });
+  Holder.listen(QHostAddress::LocalHost, 0);
+  FrontOfHolder F("127.0.0.1:" + std::to_string(Holder.port()));
+  std::optional<int> Status;
+  section("the former holder gets it twice and leaves the second unanswered",
+          [&] {
+            F.submit(Millis(3000), [&](int S) { Status = S; });
+            waitFor([&] { return Unanswered.size() == 1; });
+            CPPUNIT_ASSERT(!Status);
+          });
+  section("the entry takes over and isn't ready before the deadline", [&] {
+    F.store().Holder_ = EntryId("self/1");
+    F.store().Epoch_ = Epoch(5);
+    waitFor([&] { return Status.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(GatewayTimeout, *Status);
+  });
+}
+
 // Requests that waited for a ping got no answer if the store was back when the
 // ping failed.
 HEATHERCROSS_STORY(PingFails, "a request that waits for a ping is answered "
