A fence that refuses an order's second copy leaves the first open

Other refusals of a second copy already left the outcome open, this one counted as proof that nothing runs, and the task was started elsewhere beside its first run.

The holder now takes such an answer as none: the room stays reserved, and the next report shows whether the task runs. A fence of another holder still ends the duty at once.

OpenCopyOfOrder states what the scheduler does with the open order.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -343,7 +343,7 @@
           Context_.Log_.write("start-answered", MakeFields());
         if (A == StartAnswer::Fenced && lostTo(O.Worker_, O.Fence_))
           return loseDuty("fenced-by-worker");
-        Scheduler_.started(O, A, AnsweredAt);
+        Scheduler_.started(O, Reply.orderAnswer(), AnsweredAt);
         if (Reply.ClockMs_)
           checkClock(O.Worker_, *Reply.ClockMs_);
         renewIfRaised(O.Worker_);
--- a/test/platform/worker-orders-test.cc
+++ b/test/platform/worker-orders-test.cc
@@ -61,13 +61,17 @@
   return *Out;
 }
 
-StartAnswer resentStart(const WorkerAnswer &Answer) {
+StartReply resentStartReply(const WorkerAnswer &Answer) {
   const auto R = answerToResent<StartReply>(
       Answer, [](Workers &W, const WorkerAddress &To, auto OnDone) {
         W.start(To, {}, 100, Epoch(1), Timeout, OnDone);
       });
   CPPUNIT_ASSERT_EQUAL(2U, R.Sent_);
-  return R.Answer_;
+  return R;
+}
+
+StartAnswer resentStart(const WorkerAnswer &Answer) {
+  return resentStartReply(Answer).Answer_;
 }
 
 StopAnswer resentStop(const WorkerAnswer &Answer) {
@@ -104,6 +108,24 @@
       });
 }
 
+// Guards against a task that runs twice: a fence that was raised between the
+// copies of its order refused the second one, and the run of the first was
+// given up.
+HEATHERCROSS_STORY(FencedCopy, "a fence that refuses an order's second copy "
+                               "leaves the first open") {
+  startQt();
+  const WorkerAnswer Fence{409, R"({"reason":"fence"})"};
+  section("an order that was sent twice", [&] {
+    CPPUNIT_ASSERT(resentStartReply(Fence).orderAnswer() ==
+                   StartAnswer::Unknown);
+    CPPUNIT_ASSERT(resentStartReply({}).orderAnswer() == StartAnswer::Started);
+  });
+  section("an order that was sent once", [] {
+    const StartReply Once{StartAnswer::Fenced, 1, {}};
+    CPPUNIT_ASSERT(Once.orderAnswer() == StartAnswer::Fenced);
+  });
+}
+
 HEATHERCROSS_STORY(ResentStop, "a refusal of the second copy of a stop or of a "
                                "throttling leaves the first open") {
   startQt();
--- a/test/schedule-faults/restart-test.cc
+++ b/test/schedule-faults/restart-test.cc
@@ -99,6 +99,29 @@
   });
 }
 
+// Guards against a task that runs twice: the first copy of its order was
+// carried out, and a fence that another order raised refused the second.
+HEATHERCROSS_STORY(OpenCopyOfOrder,
+                   "a run stays with its worker until the worker's next report "
+                   "while a copy of its order is open") {
+  ManualPool P("w1", 4000);
+  const auto First = P.submit("j1", job({step(1, 1000, Seconds(9))}));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, First.size());
+  P.addWorker("w2", 4000);
+  section("nothing starts elsewhere", [&] {
+    P.answer(First[0], StartAnswer::Unknown);
+    P.report("w2", 1, {});
+    CPPUNIT_ASSERT(P.step().Starts_.empty());
+  });
+  section("the run is kept once it is listed", [&] {
+    P.report("w1", 1, {running(First[0])});
+    const Orders O = P.step();
+    CPPUNIT_ASSERT(O.Starts_.empty());
+    CPPUNIT_ASSERT(O.Stops_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, P.used("w1").CpuMilli_);
+  });
+}
+
 // Guards against a run of a cancelled job that goes on: the worker's former
 // life accepted the stop, and none is sent to the next one.
 HEATHERCROSS_STORY(StopOfFormerLife,
