A holder acts on its row from when it was written, not from when it learned

Found while looking for the reported TWICE: a process that was paused, or whose claim's answer was lost, learned late that it had the duty and counted the four seconds for which it may act from then on. Its successor counts them from the row: it takes leases for ended at most 10.5 s after it has read the rows, while the former holder could still extend them.

A claim now counts from when it was sent. A row that is found to name this entry has an unknown age, so the entry reads reports but grants no lease and gives no order before its first batch is stored. Pools and the fleet's duty alike.

That a claim counts from its sending has no test of its own.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -42,12 +42,14 @@
   if (Stopping_ || Claiming_)
     return;
   // A holder row may name this entry because of a claim whose answer was lost.
+  // When it was written isn't known, so the duty is held only once the first
+  // batch is stored: another entry may have taken it since.
   for (const PoolId &P : ClusterState_.duties().pools()) {
     const auto Known = ClusterState_.duties().holder(P);
     const bool Running =
         P == FleetDuty ? Fleet_ != nullptr : Holders_.contains(P);
     if (Known && Known->Row_.Holder_ == Context_.Incarnation_ && !Running)
-      beginDuty(P, Known->Row_, Known->Version_,
+      beginDuty(P, {Known->Row_, Known->Version_, schedule::NeverRenewed},
                 schedule::ClaimCause::Unresponsive);
   }
   if (const auto C =
@@ -64,9 +66,10 @@
   const schedule::HolderRow Self{Context_.Incarnation_,
                                  Context_.Settings_.Peers_.str(), C.Epoch_, 0};
   const platform_api::RowPlace Place{HolderTable, C.Pool_.str(), HolderKey};
+  const Instant SentAt = Context_.Clock_.now();
   Context_.Store_.transact(
       {{{Place, C.Version_}}, {{Place, encodeHolder(Self)}}}, ClaimTimeout,
-      guarded(this, [this, C, Self](const StoreReply &R) {
+      guarded(this, [this, C, Self, SentAt](const StoreReply &R) {
         Claiming_ = false;
         Context_.Log_.write(
             "duty-claimed",
@@ -86,12 +89,12 @@
         if (R.Outcome_ != StoreOutcome::Ok)
           return ClusterState_.duties().claimRefused(Now);
         ClusterState_.duties().holderRead(C.Pool_, {Self, R.Version_}, Now);
-        beginDuty(C.Pool_, Self, R.Version_, C.Cause_);
+        beginDuty(C.Pool_, {Self, R.Version_, SentAt}, C.Cause_);
       }));
 }
 
-void Duties::beginDuty(const PoolId &Pool, const schedule::HolderRow &Self,
-                       RowVersion Guard, schedule::ClaimCause Cause) {
+void Duties::beginDuty(const PoolId &Pool, const schedule::HeldDuty &Duty,
+                       schedule::ClaimCause Cause) {
   if (Stopping_)
     return;
   ClusterState_.followWorkers(true);
@@ -103,11 +106,11 @@
   };
   if (Pool == FleetDuty) {
     Fleet_ = std::make_unique<FleetController>(
-        Context_, ClusterState_, Self, Guard, Cause,
+        Context_, ClusterState_, Duty, Cause,
         [this](const PoolId &P) { return holder(P); }, OnLost);
     return;
   }
-  auto H = std::make_unique<PoolHolder>(Context_, Pool, Self, Guard, OnLost);
+  auto H = std::make_unique<PoolHolder>(Context_, Pool, Duty, OnLost);
   H->setConfiguration(*ClusterState_.configuration());
   H->setWorkers(ClusterState_.workers());
   Holders_[Pool] = std::move(H);
--- a/src/entry/duties.h
+++ b/src/entry/duties.h
@@ -38,8 +38,8 @@
 
 private:
   void claim(const schedule::Claim &C);
-  void beginDuty(const PoolId &Pool, const schedule::HolderRow &Self,
-                 RowVersion Guard, schedule::ClaimCause Cause);
+  void beginDuty(const PoolId &Pool, const schedule::HeldDuty &Duty,
+                 schedule::ClaimCause Cause);
   void handleDutyEnd(const PoolId &Pool);
   std::size_t heldCount() const;
   void handleHandover();
--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -76,13 +76,13 @@
 } // namespace
 
 FleetController::FleetController(Context &C, const ClusterState &K,
-                                 schedule::HolderRow Self, RowVersion Guard,
+                                 schedule::HeldDuty Duty,
                                  schedule::ClaimCause Cause,
                                  FindLocalHolder FindHolder,
                                  std::function<void()> OnLost)
     : Context_(C), ClusterState_(K), FindLocalHolder_(std::move(FindHolder)),
       OnLost_(std::move(OnLost)),
-      Writer_(C, FleetDuty, std::move(Self), Guard,
+      Writer_(C, FleetDuty, std::move(Duty),
               {[] {}, [this] { loseDuty("row-taken"); }}),
       HeldSince_(C.Clock_.now()), Cause_(Cause),
       Orders_(Writer_.journal().self().Epoch_, C.Settings_.OrderFencing_) {
--- a/src/entry/fleet-controller.h
+++ b/src/entry/fleet-controller.h
@@ -25,12 +25,11 @@
   /// Returns the holder of a pool in this process, or null.
   using FindLocalHolder = std::function<PoolHolder *(const PoolId &)>;
 
-  /// Guard is the version of the holder row that this entry wrote, Cause why it
-  /// claimed the duty. OnLost is called once when the duty is lost or given
-  /// back.
-  FleetController(Context &C, const ClusterState &K, schedule::HolderRow Self,
-                  RowVersion Guard, schedule::ClaimCause Cause,
-                  FindLocalHolder FindHolder, std::function<void()> OnLost);
+  /// Cause says why this entry claimed the duty. OnLost is called once when the
+  /// duty is lost or given back.
+  FleetController(Context &C, const ClusterState &K, schedule::HeldDuty Duty,
+                  schedule::ClaimCause Cause, FindLocalHolder FindHolder,
+                  std::function<void()> OnLost);
 
   /// Stores the recent orders, gives the duty back, then calls OnDone.
   void handOver(std::function<void()> OnDone);
--- a/src/entry/journal-writer.cc
+++ b/src/entry/journal-writer.cc
@@ -33,10 +33,10 @@
 
 } // namespace
 
-JournalWriter::JournalWriter(Context &C, PoolId Pool, schedule::HolderRow Self,
-                             RowVersion Guard, Handlers H)
+JournalWriter::JournalWriter(Context &C, PoolId Pool, schedule::HeldDuty Duty,
+                             Handlers H)
     : Context_(C), Pool_(std::move(Pool)), Handlers_(std::move(H)),
-      Journal_(std::move(Self), Guard, C.Clock_.now()) {}
+      Journal_(std::move(Duty)) {}
 
 void JournalWriter::sendNextBatch() {
   const Instant Now = Context_.Clock_.now();
--- a/src/entry/journal-writer.h
+++ b/src/entry/journal-writer.h
@@ -22,10 +22,8 @@
     std::function<void()> OnLost_;
   };
 
-  /// Guard is the version of the holder row that this entry wrote; each batch
-  /// is conditional on the row's version.
-  JournalWriter(Context &C, PoolId Pool, schedule::HolderRow Self,
-                RowVersion Guard, Handlers H);
+  /// Each batch is conditional on the version of the holder row.
+  JournalWriter(Context &C, PoolId Pool, schedule::HeldDuty Duty, Handlers H);
 
   schedule::PoolJournal &journal() { return Journal_; }
   const schedule::PoolJournal &journal() const { return Journal_; }
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -61,10 +61,10 @@
 
 } // namespace
 
-PoolHolder::PoolHolder(Context &C, PoolId Pool, schedule::HolderRow Self,
-                       RowVersion Guard, std::function<void()> OnLost)
+PoolHolder::PoolHolder(Context &C, PoolId Pool, schedule::HeldDuty Duty,
+                       std::function<void()> OnLost)
     : Context_(C), Pool_(std::move(Pool)), OnLost_(std::move(OnLost)),
-      Writer_(C, Pool_, std::move(Self), Guard,
+      Writer_(C, Pool_, std::move(Duty),
               {[this] {
                  afterCommit();
                  scheduleRound();
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -73,10 +73,9 @@
 public:
   using AnswerHandler = std::function<void(const JobAnswer &)>;
 
-  /// Guard is the version of the holder row that this entry wrote. OnLost is
-  /// called once when the duty is lost or given back.
-  PoolHolder(Context &C, PoolId Pool, schedule::HolderRow Self,
-             RowVersion Guard, std::function<void()> OnLost);
+  /// OnLost is called once when the duty is lost or given back.
+  PoolHolder(Context &C, PoolId Pool, schedule::HeldDuty Duty,
+             std::function<void()> OnLost);
 
   void setConfiguration(const schedule::Configuration &C);
   void setWorkers(const std::map<InstanceId, schedule::WorkerInfo> &All);
--- a/src/schedule/pool-journal.cc
+++ b/src/schedule/pool-journal.cc
@@ -31,8 +31,9 @@
 
 } // namespace
 
-PoolJournal::PoolJournal(HolderRow Self, RowVersion Guard, Instant Now)
-    : Self_(std::move(Self)), Guard_(Guard), RenewedAt_(Now), NotBefore_(Now) {}
+PoolJournal::PoolJournal(HeldDuty Duty)
+    : Self_(std::move(Duty.Self_)), Guard_(Duty.Guard_),
+      RenewedAt_(Duty.RenewedAt_), NotBefore_(Duty.RenewedAt_) {}
 
 void PoolJournal::restoreParts(RowKind Kind, const std::string &Key,
                                std::size_t Parts) {
--- a/src/schedule/pool-journal.h
+++ b/src/schedule/pool-journal.h
@@ -48,6 +48,19 @@
   bool operator==(const HolderRow &) const = default;
 };
 
+/// A renewal time that is older than every limit, whatever the clock shows.
+inline constexpr Instant NeverRenewed{-Seconds(3600)};
+
+/// A duty that this entry holds by a holder row that it wrote.
+struct HeldDuty {
+  HolderRow Self_;
+  /// The version of that row.
+  RowVersion Guard_;
+  /// When the write of the row was sent; NeverRenewed if that isn't known. The
+  /// holder acts for a limited time from then on.
+  Instant RenewedAt_ = NeverRenewed;
+};
+
 /// One transaction, conditional on the version of the holder row.
 struct Batch {
   RowVersion Guard_;
@@ -63,9 +76,8 @@
 public:
   using Ticket = std::uint64_t;
 
-  /// Guard is the version of the holder row as Self wrote it, the precondition
-  /// of the first batch.
-  PoolJournal(HolderRow Self, RowVersion Guard, Instant Now);
+  /// The version of the holder row is the precondition of the first batch.
+  explicit PoolJournal(HeldDuty Duty);
 
   /// Records how many rows a stored value takes, unless it is one.
   void restoreParts(RowKind Kind, const std::string &Key, std::size_t Parts);
--- /dev/null
+++ b/test/entry/duties-test.cc
@@ -0,0 +1,178 @@
+// Tests of how long a holder acts on the row that gave it its duty.
+#include "entry/duties.h"
+#include "entry/rows.h"
+#include "platform/documents.h"
+#include "support/event-loop.h"
+#include "support/story.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <fcntl.h>
+#include <optional>
+#include <vector>
+
+using namespace heathercross;
+using namespace heathercross::entry;
+using heathercross::test::runFor;
+using heathercross::test::section;
+using heathercross::test::startQt;
+using heathercross::test::waitFor;
+
+namespace {
+
+const char *const Configuration = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","prefix":"/q/","service":"s1",
+   "attempts":2,"slo_factor":1.6,"slo_ms":600,"timeout_ms":3000}],
+  "services":[{"name":"s1"}],"limits":{}})";
+
+http::Response jsonResponse(const QJsonObject &Body) {
+  http::Response R;
+  R.Body_ = QJsonDocument(Body).toJson(QJsonDocument::Compact);
+  return R;
+}
+
+/// A worker without runs that counts the renewals which grant a lease.
+class FakeWorker {
+public:
+  FakeWorker() { Server_.listen(QHostAddress::LocalHost, 0); }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Server_.port());
+  }
+  int renewals() const { return Renewals_; }
+  int leases() const { return Leases_; }
+
+private:
+  void serve(const http::Request &R, http::Responder &To) {
+    ++Renewals_;
+    const auto Body = QJsonDocument::fromJson(R.Body_).object();
+    Leases_ += Body.contains("until_ms") ? 1 : 0;
+    To.respond(jsonResponse({{"clock_ms", 1000 + Renewals_},
+                             {"born", 1},
+                             {"running", QJsonArray()},
+                             {"finished", QJsonArray()}}));
+  }
+
+  int Renewals_ = 0;
+  int Leases_ = 0;
+  http::Server Server_{
+      {}, [this](http::Request &&R, http::Responder &&To) { serve(R, To); }};
+};
+
+/// A store whose holder rows name this entry. Writes are held back until
+/// answerWrites().
+class FakeStore {
+public:
+  explicit FakeStore(std::string WorkerAddress)
+      : WorkerAddress_(std::move(WorkerAddress)) {
+    Server_.listen(QHostAddress::LocalHost, 0);
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Server_.port());
+  }
+  std::size_t heldWrites() const { return Held_.size(); }
+  void answerWrites() {
+    AnswersWrites_ = true;
+    for (http::Responder &To : std::exchange(Held_, {}))
+      respond(To, {});
+  }
+
+private:
+  static QJsonObject row(const QByteArray &Table, const QByteArray &Part,
+                         const char *Key, const std::string &Value) {
+    return {{"table", QString::fromUtf8(Table)},
+            {"part", QString::fromUtf8(Part)},
+            {"key", Key},
+            {"value",
+             QString::fromLatin1(QByteArray::fromStdString(Value).toBase64())},
+            {"ver", 3}};
+  }
+
+  void respond(http::Responder &To, const QJsonArray &Rows) {
+    To.respond(jsonResponse({{"rows", Rows}, {"ver", Version_++}}));
+  }
+
+  void serve(const http::Request &R, http::Responder &&To) {
+    if (R.Path_ == "/-/rows-tx" && !AnswersWrites_)
+      return Held_.push_back(std::move(To));
+    const QByteArray Table = R.parameter("table");
+    QJsonArray Rows;
+    if (R.Path_ != "/-/rows-get")
+      return respond(To, Rows);
+    if (Table == platform_api::OperatorTable)
+      Rows.append(
+          row(Table, "", platform_api::ConfigurationKey, Configuration));
+    if (Table == platform_api::WorkerTable)
+      Rows.append(row(Table, "", "w1",
+                      R"({"service":"s1","zone":"a","state":"ready","born":1,
+                          "capacity":{"cpu":4000,"mem_mb":8000},"labels":["r1"],
+                          "addr":")" +
+                          WorkerAddress_ + R"("})"));
+    if (Table == HolderTable && R.parameter("part") == "s1")
+      Rows.append(
+          row(Table, "s1", HolderKey,
+              encodeHolder({EntryId("self/1"), "127.0.0.1:1", Epoch(5), 1})));
+    respond(To, Rows);
+  }
+
+  std::string WorkerAddress_;
+  bool AnswersWrites_ = false;
+  qint64 Version_ = 4;
+  std::vector<http::Responder> Held_;
+  http::Server Server_{{}, [this](http::Request &&R, http::Responder &&To) {
+                         serve(R, std::move(To));
+                       }};
+};
+
+/// An entry that begins the duties which holder rows say it has.
+class EntryWithDuty {
+public:
+  EntryWithDuty() { State_.start(); }
+
+  FakeWorker &worker() { return Worker_; }
+  FakeStore &store() { return Store_; }
+  bool holdsPool() const { return Duties_.holder(PoolId("s1")) != nullptr; }
+
+private:
+  FakeWorker Worker_;
+  FakeStore Store_{Worker_.address()};
+  EntrySettings Settings_;
+  process::Clock Clock_;
+  process::EventLog Log_{open("/dev/null", O_WRONLY | O_CLOEXEC)};
+  process::Metrics Metrics_;
+  http::Client Http_;
+  platform_api::Store Client_{Http_, {Store_.address(), {}, false}};
+  platform_api::Workers Workers_{Http_};
+  platform_api::Machines Machines_{Http_, "127.0.0.1:1"};
+  platform_api::Advice Advice_{Http_};
+  Context Context_{Settings_, EntryId("self/1"), Clock_,    Log_,    Metrics_,
+                   Client_,   Workers_,          Machines_, Advice_, Http_};
+  ClusterState State_{Context_,
+                      {[this] { Duties_.onConfiguration(); },
+                       [this] { Duties_.onWorkers(); },
+                       [this] { Duties_.onDuties(); }}};
+  Duties Duties_{Context_, State_};
+};
+
+} // namespace
+
+// Guards against leases and orders by an entry that learns late, after a lost
+// answer or a pause, that it was given a duty which another entry has since.
+HEATHERCROSS_STORY(UnconfirmedDuty, "a duty that an entry finds in a row is "
+                                    "held once the entry has written it") {
+  startQt();
+  EntryWithDuty E;
+  section("it reads its workers' reports and grants no lease", [&] {
+    waitFor([&] { return E.holdsPool() && E.worker().renewals() >= 2; });
+    runFor(1500);
+    CPPUNIT_ASSERT(E.store().heldWrites() >= 1);
+    CPPUNIT_ASSERT_EQUAL(0, E.worker().leases());
+  });
+  section("it does when the store has taken its first batch", [&] {
+    E.store().answerWrites();
+    waitFor([&] { return E.worker().leases() > 0; });
+  });
+}
--- a/test/schedule/pool-journal-test.cc
+++ b/test/schedule/pool-journal-test.cc
@@ -82,7 +82,7 @@
 
 HEATHERCROSS_STORY(GroupCommit, "changes go to the store in batches") {
   Instant Now{Seconds(10)};
-  PoolJournal J(Self, RowVersion(10), Now);
+  PoolJournal J({Self, RowVersion(10), Now});
   section("an urgent change takes the others along", [&] {
     J.put(write("a"), false, Now);
     CPPUNIT_ASSERT(!J.next(Now));
@@ -109,10 +109,19 @@
   });
 }
 
+HEATHERCROSS_STORY(UnknownRenewal, "a duty of unknown age is renewed at once") {
+  const Instant Now{Seconds(1)};
+  PoolJournal J({Self, RowVersion(10), NeverRenewed});
+  CPPUNIT_ASSERT(Now - J.renewedAt() > Seconds(60));
+  CPPUNIT_ASSERT(J.next(Now).has_value());
+  J.committed(RowVersion(11), Now);
+  CPPUNIT_ASSERT(J.renewedAt() == Now);
+}
+
 HEATHERCROSS_STORY(UncertainCommit,
                    "a batch without an answer is followed up") {
   Instant Now{Seconds(10)};
-  PoolJournal J(Self, RowVersion(10), Now);
+  PoolJournal J({Self, RowVersion(10), Now});
   ModelPartition Partition;
   const auto T = J.put(write("a"), true, Now);
   const auto First = J.next(Now);
@@ -148,7 +157,7 @@
 // a large job: the store rejected each batch, and its pool stored nothing more.
 HEATHERCROSS_STORY(LongValues, "a value longer than a row takes several rows") {
   Instant Now{Seconds(10)};
-  PoolJournal J(Self, RowVersion(10), Now);
+  PoolJournal J({Self, RowVersion(10), Now});
   ModelPartition Partition;
   const std::string Long(200'000, 'x');
   section("they are written together", [&] {
@@ -160,7 +169,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value("c"));
   });
   section("another holder that shortens the value deletes the others", [&] {
-    PoolJournal Next(Self, Partition.Version_, Now);
+    PoolJournal Next({Self, Partition.Version_, Now});
     Next.restoreParts(RowKind::Progress, "b",
                       joinValues(Partition.Rows_).Values_.at("b").Parts_);
     Next.put(write("b", "short"), true, Now);
@@ -169,7 +178,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value("b"));
   });
   section("the newest of several values in a batch counts", [&] {
-    PoolJournal Next(Self, Partition.Version_, Now);
+    PoolJournal Next({Self, Partition.Version_, Now});
     Next.put(write("b", Long), true, Now);
     Next.put(write("b", "last"), true, Now);
     commitAll(Next, Partition, Now);
@@ -177,7 +186,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("last"), Partition.value("b"));
   });
   section("a deleted value leaves no row", [&] {
-    PoolJournal Next(Self, Partition.Version_, Now);
+    PoolJournal Next({Self, Partition.Version_, Now});
     Next.put(write("b", Long), true, Now);
     commitAll(Next, Partition, Now);
     Next.put({RowKind::Progress, "b", std::nullopt}, true, Now);
@@ -185,7 +194,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Partition.Rows_.size());
   });
   section("many of them take several transactions", [&] {
-    PoolJournal Next(Self, Partition.Version_, Now);
+    PoolJournal Next({Self, Partition.Version_, Now});
     for (int I = 0; I < 20; ++I)
       Next.put(write("k" + std::to_string(I), std::string(MaxValueBytes, 'y')),
                true, Now);
@@ -234,7 +243,7 @@
   const auto Steps =
       *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 8));
   Instant Now{Seconds(10)};
-  PoolJournal J(Self, RowVersion(10), Now);
+  PoolJournal J({Self, RowVersion(10), Now});
   ModelPartition Partition;
   std::map<std::string, std::string> Expected;
   for (const int Step : Steps) {
@@ -289,7 +298,7 @@
   const auto Outcomes =
       *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 6));
   Instant Now{Seconds(10)};
-  PoolJournal J(Self, RowVersion(10), Now);
+  PoolJournal J({Self, RowVersion(10), Now});
   ModelPartition Partition;
   std::map<PoolJournal::Ticket, std::string> KeysByTicket;
   std::vector<Batch> Delayed;
