--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -107,20 +107,20 @@
           Context_.Log_.write(
               "value-incomplete",
               {{"table", WaveTable}, {"key", QString::fromStdString(Key)}});
-        for (const auto &[Key, Joint] : Joined.Values_) {
+        for (const auto &[Key, Stored] : Joined.Values_) {
           Writer_.journal().restoreParts(schedule::RowKind::Wave, Key,
-                                         Joint.Parts_);
+                                         Stored.Parts_);
           if (Key == RecentOrdersKey) {
-            FormerOrders_ = decodeMachines(Joint.Value_);
+            FormerOrders_ = decodeMachines(Stored.Value_);
             continue;
           }
           if (Key == OpenOrdersKey) {
-            FormerOpen_ = decodeMachines(Joint.Value_);
+            FormerOpen_ = decodeMachines(Stored.Value_);
             Orders_.adopt(FormerOpen_);
             continue;
           }
           StoredWaves_[std::strtoull(Key.c_str(), nullptr, 10)] =
-              decodeMachines(Joint.Value_);
+              decodeMachines(Stored.Value_);
         }
         Loaded_ = true;
         Context_.Log_.write(
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -73,9 +73,9 @@
                                              {"table", toQString(Table)},
                                              {"key", toQString(Key)}});
   std::map<std::string, std::string> Values;
-  for (auto &[Key, Joint] : Joined.Values_) {
-    Journal_.restoreParts(Kind, Key, Joint.Parts_);
-    Values[Key] = std::move(Joint.Value_);
+  for (auto &[Key, Stored] : Joined.Values_) {
+    Journal_.restoreParts(Kind, Key, Stored.Parts_);
+    Values[Key] = std::move(Stored.Value_);
   }
   return Values;
 }
--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -95,9 +95,9 @@
 }
 
 /// The progress text of a job.
-std::string encodeOccurrences(JobState State,
-                              const std::vector<Occurrence> &Occurrences,
-                              FailureDetail D) {
+std::string progressText(JobState State,
+                         const std::vector<Occurrence> &Occurrences,
+                         FailureDetail D) {
   std::string Text(1, StateLetters[static_cast<std::size_t>(State)]);
   std::string Last;
   std::uint32_t Count = 0;
@@ -330,12 +330,12 @@
 
 std::string Job::encodeProgress() const {
   const std::string Text =
-      encodeOccurrences(State_, Occurrences_, FailureDetail::Listed);
+      progressText(State_, Occurrences_, FailureDetail::Listed);
   // Without the attempts, a failure that a worker lists again after its
   // acknowledgement was lost counts twice.
   return Text.size() <= MaxValueBytes
              ? Text
-             : encodeOccurrences(State_, Occurrences_, FailureDetail::Counted);
+             : progressText(State_, Occurrences_, FailureDetail::Counted);
 }
 
 void Job::decodeProgress(std::string_view Text) {
