--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -12,16 +12,8 @@
 
 namespace heathercross::review {
 
-namespace {
-
-/// config_ms, contact_ms and finish_s of the site files.
-constexpr int ConfigMs = 2000;
-constexpr int ContactMs = 3000;
-constexpr int FinishMs = 14'000;
-constexpr int StepTimeoutMs = 10'000;
-
 QByteArray stepJob(const QByteArray &Fields) {
-  return R"({"spec":"x","phases":[{"cpu":1000,"mem_mb":100,)" + Fields + "}]}";
+  return R"({"spec":"x","phases":[{"mem_mb":100,)" + Fields + "}]}";
 }
 
 QByteArray stateAt(Deployment &D, std::size_t Entry, const QString &Route,
@@ -31,51 +23,133 @@
                           : QByteArray();
 }
 
-} // namespace
-
-// Two queues of one service. The route of one is removed while its job runs,
-// the duty's holder is restarted, and then a run of the job's task fails once
-// out of the four times that its queue allows.
-Verdict playRouteRemoved(Deployment &D, bool Disrupted) {
-  constexpr int Attempts = 4;
-  constexpr qint64 FirstRunMs = 12'000;
-  constexpr qint64 LaterRunMs = 500;
-  const QString Job = "00000000000000c6";
-  const QString Task = Job + ".0.0.0";
-  int Starts = 0;
-  const auto Plan = [&](const QString &) {
-    return ++Starts == 1 ? RunPlan{FirstRunMs, "failed"}
-                         : RunPlan{LaterRunMs, "done"};
-  };
-  for (const char *Id : {"w1", "w2", "w3"})
-    D.addWorker(Id, "ledger", Plan);
-  const Deployment::RouteSpec Old{"old", "ledger", Attempts};
-  const Deployment::RouteSpec Kept{"kept", "ledger", Attempts};
-  D.configure(1, {Old, Kept}, {"ledger"});
+// The holder of the duties of several services is partitioned from the store.
+// A client hands one job in for each service at another entry, which takes the
+// duties over, and cancels each at the former holder, which it still reaches.
+Verdict playCutHolder(Deployment &D, bool Disrupted) {
+  constexpr int CutMs = 5500;
+  constexpr int CancelMs = 3000;
+  constexpr int StopMs = 400;
+  constexpr int TryPauseMs = 20;
+  constexpr int BeforeJobMs = 2400;
+  /// The client asks quickly and often.
+  constexpr int DeadlineMs = 400;
+  constexpr int Services = 8;
+  std::vector<Deployment::RouteSpec> Routes;
+  std::vector<QString> Pools;
+  for (int I = 0; I < Services; ++I) {
+    const QString Number = QString::number(I);
+    Routes.push_back({"q" + Number, "service" + Number});
+    Pools.push_back("service" + Number);
+    D.addWorker("w" + Number, Pools.back(),
+                [](const QString &) { return RunPlan{}; });
+  }
+  D.configure(1, Routes, Pools);
   D.startEntry();
+  D.runFor(ContactMs);
   D.startEntry();
-  D.require("the job is accepted", StepTimeoutMs, [&] {
-    return D.submit("old", Job, stepJob(R"("count":1,"est_ms":12000)"));
-  });
-  D.require("its task runs", StepTimeoutMs, [&] { return D.runs(Task); });
-  D.configure(2, {Kept}, {"ledger"});
-  D.runFor(ConfigMs);
+  D.runFor(ContactMs);
+  constexpr std::size_t Former = 0;
+  constexpr std::size_t Next = 1;
+  const qint64 CutAt = D.now();
   if (Disrupted)
-    D.restartEntry(D.holder("ledger"));
-  D.require("the first run ends", static_cast<int>(FirstRunMs) + StepTimeoutMs,
-            [&] { return D.count("failed", Task) == 1; });
-  D.runFor(FinishMs);
-  D.configure(3, {Old, Kept}, {"ledger"});
-  D.runFor(ConfigMs + ContactMs);
-  const QByteArray State = stateAt(D, 0, "old", Job);
-  const int Failed = D.count("failed", Task);
-  D.record("verdict: " + std::to_string(Failed) + " of " +
-           std::to_string(Attempts) + " runs have failed, " +
-           std::to_string(D.count("start", Task)) + " were started, state " +
-           State.toStdString());
-  if (State == "failed" && Failed < Attempts)
-    return Verdict::Broken;
-  return State == "complete" ? Verdict::Held : Verdict::CannotTell;
+    D.cutFromStore(Former, true);
+  D.runFor(BeforeJobMs);
+  const QByteArray Body =
+      stepJob(R"("cpu":1000,"count":1,"service_mode":true)");
+  const auto JobOf = [](int I) {
+    return QString("00000000000000d") + QString::number(I);
+  };
+  std::map<int, int> Cancelled;
+  std::set<int> Submitted;
+  while (Submitted.size() < Services && D.now() - CutAt < CutMs) {
+    for (int I = 0; I < Services; ++I) {
+      if (Submitted.contains(I) ||
+          D.call(Next, "POST", Routes[static_cast<std::size_t>(I)].Name_,
+                 JobOf(I), Body, DeadlineMs)
+                  .Status_ != 200)
+        continue;
+      Submitted.insert(I);
+      Cancelled[I] =
+          D.call(Former, "DELETE", Routes[static_cast<std::size_t>(I)].Name_,
+                 JobOf(I), {}, DeadlineMs)
+              .Status_;
+    }
+    D.runFor(TryPauseMs);
+  }
+  D.runFor(static_cast<int>(std::max<qint64>(0, CutAt + CutMs - D.now())));
+  if (Disrupted)
+    D.cutFromStore(Former, false);
+  D.runFor(ContactMs + CancelMs + StopMs + FinishMs);
+  int Acknowledged = 0;
+  int RunOn = 0;
+  for (const auto &[I, Status] : Cancelled) {
+    if (Status != 200 && Status != 410)
+      continue;
+    ++Acknowledged;
+    const bool Runs = D.runs(JobOf(I) + ".0.0.0");
+    RunOn += Runs ? 1 : 0;
+    stateAt(D, Next, Routes[static_cast<std::size_t>(I)].Name_, JobOf(I));
+  }
+  D.record("verdict: " + std::to_string(Acknowledged) +
+           " cancels were acknowledged, the tasks of " + std::to_string(RunOn) +
+           " of these jobs run on");
+  if (Acknowledged == 0)
+    return Verdict::CannotTell;
+  return RunOn > 0 ? Verdict::Broken : Verdict::Held;
+}
+
+// A machine is moved, then the holder of the fleet's duty and its successor are
+// stopped as in a rolling restart, and the operator asks for that machine's
+// upkeep.
+Verdict playRollingRestart(Deployment &D, bool Disrupted) {
+  constexpr int LeaseMs = 3000;
+  constexpr int GapMs = 1050;
+  constexpr int WatchMs = 8000;
+  const auto Plan = [](const QString &) { return RunPlan{500, "done"}; };
+  for (const char *Id : {"w1", "w2", "w3", "w4", "w5"})
+    D.addWorker(Id, "ledger", Plan);
+  D.addWorker("w6", "quoting", Plan);
+  D.configure(1, {{"old", "ledger"}, {"kept", "quoting"}},
+              {"ledger", "quoting"});
+  for (int I = 0; I < 4; ++I)
+    D.startEntry();
+  D.runFor(2 * ContactMs);
+  const auto Accepted = [&](std::size_t From) {
+    const auto &All = D.orders();
+    return std::find_if(All.begin() + static_cast<std::ptrdiff_t>(From),
+                        All.end(),
+                        [](const auto &O) { return O.Status_ == 200; });
+  };
+  const std::size_t Seen = D.orders().size();
+  D.configure(2, {{"old", "ledger"}, {"kept", "quoting"}, {"new", "archive"}},
+              {"ledger", "quoting", "archive"});
+  D.require("a machine is moved", StepTimeoutMs,
+            [&] { return Accepted(Seen) != D.orders().end(); });
+  const MachineOrder First = *Accepted(Seen);
+  D.requestWave(1, {First.Machine_}, 1, 10);
+  if (Disrupted) {
+    D.stopEntry(D.entryOf(First.Holder_));
+    D.runFor(GapMs);
+    const std::size_t Former = D.entryOf(First.Holder_);
+    D.require("the duty has another holder", StepTimeoutMs,
+              [&] { return D.holder("*fleet*") != Former; });
+    D.stopEntry(D.holder("*fleet*"));
+  }
+  D.runFor(WatchMs);
+  const auto &All = D.orders();
+  const auto Second = std::ranges::find_if(All, [&](const auto &O) {
+    return O.Machine_ == First.Machine_ && O.AtMs_ > First.AtMs_ &&
+           O.Holder_ != First.Holder_;
+  });
+  if (Second == All.end()) {
+    D.record("verdict: no other holder gave an order for the machine");
+    return Verdict::Held;
+  }
+  D.record("verdict: another holder gave an order for the machine " +
+           std::to_string(Second->AtMs_ - First.AtMs_) + " ms later");
+  return Second->AtMs_ - First.AtMs_ < LeaseMs ? Verdict::Broken
+                                               : Verdict::Held;
 }
 
 // The last route of a service is removed while a job with two tasks that last
@@ -94,8 +168,9 @@
   D.startEntry();
   D.startEntry();
   D.require("the job is accepted", StepTimeoutMs, [&] {
-    return D.submit("old", Job,
-                    stepJob(R"("count":2,"service_mode":true,"lossy":1)"));
+    return D.submit(
+        "old", Job,
+        stepJob(R"("cpu":1000,"count":2,"service_mode":true,"lossy":1)"));
   });
   const auto AllRun = [&] {
     return std::ranges::all_of(Tasks, [&](const auto &T) { return D.runs(T); });
@@ -132,43 +207,50 @@
   return Broken ? Verdict::Broken : Verdict::Held;
 }
 
-// A job whose task fails whenever it runs, on a queue that allows more failed
-// runs than one digit holds.
-Verdict playManyAttempts(Deployment &D, bool Disrupted) {
-  constexpr int Attempts = 12;
-  constexpr int FewFailures = 2;
-  constexpr qint64 RunMs = 100;
-  constexpr int WatchMs = 60'000;
-  const QString Job = "00000000000000c8";
+// Two queues of one service. The route of one is removed while its job runs,
+// the duty's holder is restarted, and then a run of the job's task fails once
+// out of the four times that its queue allows.
+Verdict playRouteRemoved(Deployment &D, bool Disrupted) {
+  constexpr int Attempts = 4;
+  constexpr qint64 FirstRunMs = 12'000;
+  constexpr qint64 LaterRunMs = 500;
+  const QString Job = "00000000000000c6";
   const QString Task = Job + ".0.0.0";
   int Starts = 0;
   const auto Plan = [&](const QString &) {
-    return Disrupted || ++Starts <= FewFailures ? RunPlan{RunMs, "failed"}
-                                                : RunPlan{RunMs, "done"};
+    return ++Starts == 1 ? RunPlan{FirstRunMs, "failed"}
+                         : RunPlan{LaterRunMs, "done"};
   };
   for (const char *Id : {"w1", "w2", "w3"})
     D.addWorker(Id, "ledger", Plan);
-  D.configure(1, {{"old", "ledger", Attempts}}, {"ledger"});
+  const Deployment::RouteSpec Old{"old", "ledger", Attempts};
+  const Deployment::RouteSpec Kept{"kept", "ledger", Attempts};
+  D.configure(1, {Old, Kept}, {"ledger"});
+  D.startEntry();
   D.startEntry();
   D.require("the job is accepted", StepTimeoutMs, [&] {
-    return D.submit("old", Job, stepJob(R"("count":1,"est_ms":100)"));
+    return D.submit("old", Job,
+                    stepJob(R"("cpu":1000,"count":1,"est_ms":12000)"));
   });
-  const auto Ended = [&] {
-    const QByteArray State = stateAt(D, 0, "old", Job);
-    return State == "failed" || State == "complete";
-  };
-  bool HasEnded = false;
-  for (qint64 Since = D.now();
-       !HasEnded && D.now() - Since < WatchMs && D.count("start", Task) < 20;) {
-    D.runFor(1000);
-    HasEnded = Ended();
-  }
-  const int Started = D.count("start", Task);
-  D.record("verdict: " + std::to_string(Started) + " starts, " +
-           std::to_string(D.count("failed", Task)) + " failed runs");
-  return Started > Attempts ? Verdict::Broken
-         : HasEnded         ? Verdict::Held
-                            : Verdict::CannotTell;
+  D.require("its task runs", StepTimeoutMs, [&] { return D.runs(Task); });
+  D.configure(2, {Kept}, {"ledger"});
+  D.runFor(ConfigMs);
+  if (Disrupted)
+    D.restartEntry(D.holder("ledger"));
+  D.require("the first run ends", static_cast<int>(FirstRunMs) + StepTimeoutMs,
+            [&] { return D.count("failed", Task) == 1; });
+  D.runFor(FinishMs);
+  D.configure(3, {Old, Kept}, {"ledger"});
+  D.runFor(ConfigMs + ContactMs);
+  const QByteArray State = stateAt(D, 0, "old", Job);
+  const int Failed = D.count("failed", Task);
+  D.record("verdict: " + std::to_string(Failed) + " of " +
+           std::to_string(Attempts) + " runs have failed, " +
+           std::to_string(D.count("start", Task)) + " were started, state " +
+           State.toStdString());
+  if (State == "failed" && Failed < Attempts)
+    return Verdict::Broken;
+  return State == "complete" ? Verdict::Held : Verdict::CannotTell;
 }
 
 // Jobs with long schedules, handed in one after the other. A process over its
@@ -227,213 +309,4 @@
                     : (A.Status_ == 200 ? Verdict::Held : Verdict::CannotTell);
 }
 
-// A pool of eight empty workers, two of which have the label that a job's task
-// requires.
-Verdict playLabel(Deployment &D, bool Disrupted) {
-  constexpr int WorkerCount = 8;
-  constexpr int GoldCount = 2;
-  constexpr qint64 RunMs = 500;
-  constexpr int SettleMs = 6000;
-  constexpr int WatchMs = 40'000;
-  const QString Job = "00000000000000c6";
-  const QString Task = Job + ".0.0.0";
-  for (int I = 0; I < WorkerCount; ++I) {
-    Worker &W =
-        D.addWorker("w" + QString::number(I), "ledger", [](const QString &) {
-          return RunPlan{RunMs, "done"};
-        });
-    if (!Disrupted || I < GoldCount)
-      W.startAgain("gold");
-  }
-  D.registerWorkers();
-  D.configure(1, {{"old", "ledger"}}, {"ledger"});
-  D.startEntry();
-  D.startEntry();
-  D.runFor(SettleMs);
-  D.require("the job is accepted", StepTimeoutMs, [&] {
-    return D.submit("old", Job,
-                    stepJob(R"("count":1,"requires":"gold","est_ms":500)"));
-  });
-  const bool Done =
-      D.waitFor(WatchMs, [&] { return D.count("done", Task) > 0; });
-  D.runFor(ContactMs);
-  const QByteArray State = stateAt(D, 0, "old", Job);
-  D.record("verdict: " + std::to_string(D.count("start", Task)) +
-           " starts, state " + State.toStdString());
-  if (Done)
-    return Verdict::Held;
-  return State == "queued" || State == "active" ? Verdict::Broken
-                                                : Verdict::CannotTell;
-}
-
-// A worker crashes and starts again as another kind, without the label that a
-// task requires, while the start of that task is on its way to it.
-Verdict playOtherKind(Deployment &D, bool Disrupted) {
-  constexpr qint64 RunMs = 500;
-  const QString Job = "00000000000000cb";
-  const QString Task = Job + ".0.0.0";
-  const auto Plan = [](const QString &) { return RunPlan{RunMs, "done"}; };
-  Worker &W = D.addWorker("w2", "ledger", Plan);
-  W.startAgain("gold");
-  D.addWorker("w1", "ledger", Plan);
-  D.configure(1, {{"old", "ledger"}}, {"ledger"});
-  D.startEntry();
-  D.startEntry();
-  D.require("a first job runs", StepTimeoutMs, [&] {
-    return D.submit("old", "00000000000000cc",
-                    stepJob(R"("count":1,"requires":"gold","est_ms":500)")) &&
-           D.waitFor(ContactMs, [&] {
-             return D.count("done", "00000000000000cc.0.0.0") > 0;
-           });
-  });
-  D.runFor(ContactMs);
-  if (Disrupted)
-    W.fallSilent();
-  D.require("the job is accepted", StepTimeoutMs, [&] {
-    return D.submit("old", Job,
-                    stepJob(R"("count":1,"requires":"gold","est_ms":500)"));
-  });
-  D.runFor(1000);
-  if (Disrupted) {
-    W.startAgain("silver");
-    D.record("worker w2: has started again, without the label gold");
-    D.registerWorkers();
-  }
-  D.runFor(FinishMs);
-  const int Starts = D.count("start", Task);
-  D.record("verdict: " + std::to_string(Starts) + " starts, w2 is " +
-           W.kind().toStdString());
-  if (!Disrupted)
-    return Starts == 1 ? Verdict::Held : Verdict::CannotTell;
-  return Starts > 0 ? Verdict::Broken : Verdict::Held;
-}
-
-// A machine is moved, then the holder of the fleet's duty and its successor are
-// stopped as in a rolling restart, and the operator asks for that machine's
-// upkeep.
-Verdict playRollingRestart(Deployment &D, bool Disrupted) {
-  constexpr int LeaseMs = 3000;
-  constexpr int GapMs = 1050;
-  constexpr int WatchMs = 8000;
-  const auto Plan = [](const QString &) { return RunPlan{500, "done"}; };
-  for (const char *Id : {"w1", "w2", "w3", "w4", "w5"})
-    D.addWorker(Id, "ledger", Plan);
-  D.addWorker("w6", "quoting", Plan);
-  D.configure(1, {{"old", "ledger"}, {"kept", "quoting"}},
-              {"ledger", "quoting"});
-  for (int I = 0; I < 4; ++I)
-    D.startEntry();
-  D.runFor(2 * ContactMs);
-  const auto Accepted = [&](std::size_t From) {
-    const auto &All = D.orders();
-    return std::find_if(All.begin() + static_cast<std::ptrdiff_t>(From),
-                        All.end(),
-                        [](const auto &O) { return O.Status_ == 200; });
-  };
-  const std::size_t Seen = D.orders().size();
-  D.configure(2, {{"old", "ledger"}, {"kept", "quoting"}, {"new", "archive"}},
-              {"ledger", "quoting", "archive"});
-  D.require("a machine is moved", StepTimeoutMs,
-            [&] { return Accepted(Seen) != D.orders().end(); });
-  const MachineOrder First = *Accepted(Seen);
-  D.requestWave(1, {First.Machine_}, 1, 10);
-  if (Disrupted) {
-    D.stopEntry(D.entryOf(First.Holder_));
-    D.runFor(GapMs);
-    const std::size_t Former = D.entryOf(First.Holder_);
-    D.require("the duty has another holder", StepTimeoutMs,
-              [&] { return D.holder("*fleet*") != Former; });
-    D.stopEntry(D.holder("*fleet*"));
-  }
-  D.runFor(WatchMs);
-  const auto &All = D.orders();
-  const auto Second = std::ranges::find_if(All, [&](const auto &O) {
-    return O.Machine_ == First.Machine_ && O.AtMs_ > First.AtMs_ &&
-           O.Holder_ != First.Holder_;
-  });
-  if (Second == All.end()) {
-    D.record("verdict: no other holder gave an order for the machine");
-    return Verdict::Held;
-  }
-  D.record("verdict: another holder gave an order for the machine " +
-           std::to_string(Second->AtMs_ - First.AtMs_) + " ms later");
-  return Second->AtMs_ - First.AtMs_ < LeaseMs ? Verdict::Broken
-                                               : Verdict::Held;
-}
-
-// The holder of the duties of several services is partitioned from the store.
-// A client hands one job in for each service at another entry, which takes the
-// duties over, and cancels each at the former holder, which it still reaches.
-Verdict playCutHolder(Deployment &D, bool Disrupted) {
-  constexpr int CutMs = 5500;
-  constexpr int CancelMs = 3000;
-  constexpr int StopMs = 400;
-  constexpr int TryPauseMs = 20;
-  constexpr int BeforeJobMs = 2400;
-  constexpr int CancelDeadlineMs = 300;
-  constexpr int Services = 6;
-  std::vector<Deployment::RouteSpec> Routes;
-  std::vector<QString> Pools;
-  for (int I = 0; I < Services; ++I) {
-    const QString Number = QString::number(I);
-    Routes.push_back({"q" + Number, "service" + Number});
-    Pools.push_back("service" + Number);
-    for (const char *Part : {"a", "b"})
-      D.addWorker("w" + Number + Part, Pools.back(),
-                  [](const QString &) { return RunPlan{}; });
-  }
-  D.configure(1, Routes, Pools);
-  D.startEntry();
-  D.runFor(ContactMs);
-  D.startEntry();
-  D.runFor(ContactMs);
-  constexpr std::size_t Former = 0;
-  constexpr std::size_t Next = 1;
-  const qint64 CutAt = D.now();
-  if (Disrupted)
-    D.cutFromStore(Former, true);
-  D.runFor(BeforeJobMs);
-  const QByteArray Body = stepJob(R"("count":1,"service_mode":true)");
-  const auto JobOf = [](int I) {
-    return QString("00000000000000d") + QString::number(I);
-  };
-  std::map<int, int> Cancelled;
-  std::set<int> Submitted;
-  while (Submitted.size() < Services && D.now() - CutAt < CutMs) {
-    for (int I = 0; I < Services; ++I) {
-      if (Submitted.contains(I) ||
-          D.call(Next, "POST", Routes[static_cast<std::size_t>(I)].Name_,
-                 JobOf(I), Body)
-                  .Status_ != 200)
-        continue;
-      Submitted.insert(I);
-      Cancelled[I] =
-          D.call(Former, "DELETE", Routes[static_cast<std::size_t>(I)].Name_,
-                 JobOf(I), {}, CancelDeadlineMs)
-              .Status_;
-    }
-    D.runFor(TryPauseMs);
-  }
-  D.runFor(static_cast<int>(std::max<qint64>(0, CutAt + CutMs - D.now())));
-  if (Disrupted)
-    D.cutFromStore(Former, false);
-  D.runFor(ContactMs + CancelMs + StopMs + FinishMs);
-  int Acknowledged = 0;
-  int RunOn = 0;
-  for (const auto &[I, Status] : Cancelled) {
-    if (Status != 200 && Status != 410)
-      continue;
-    ++Acknowledged;
-    const bool Runs = D.runs(JobOf(I) + ".0.0.0");
-    RunOn += Runs ? 1 : 0;
-    stateAt(D, Next, Routes[static_cast<std::size_t>(I)].Name_, JobOf(I));
-  }
-  D.record("verdict: " + std::to_string(Acknowledged) +
-           " cancels were acknowledged, the tasks of " + std::to_string(RunOn) +
-           " of these jobs run on");
-  if (Acknowledged == 0)
-    return Verdict::CannotTell;
-  return RunOn > 0 ? Verdict::Broken : Verdict::Held;
-}
-
 } // namespace heathercross::review
--- a/review/standin-2/deployment.cc
+++ b/review/standin-2/deployment.cc
@@ -66,8 +66,8 @@
           {"id", M->Worker_ ? M->Worker_->id() : QString()}});
     return All;
   };
-  Store_.OnMachineOrder_ = [this](const http::Request &R) {
-    return orderMachine(R);
+  Store_.OnMachineOrder_ = [this](http::Request &&R, http::Responder &&To) {
+    handleMachineOrder(std::move(R), std::move(To));
   };
   connect(&Heartbeat_, &QTimer::timeout, this, [this] { registerWorkers(); });
   Heartbeat_.start(HeartbeatMs);
@@ -118,6 +118,39 @@
     }
 }
 
+void Deployment::handleMachineOrder(http::Request &&R, http::Responder &&To) {
+  if (UpkeepDelayMs_ > 0 && R.Path_ == "/-/machine-upkeep") {
+    DelayedMachine_ = objectOf(R.Body_)["machine"].toString();
+    record("machine order: upkeep of " + DelayedMachine_.toStdString() +
+           " gets no answer");
+    Unanswered_.push_back(std::move(To));
+    QTimer::singleShot(std::exchange(UpkeepDelayMs_, 0), this,
+                       [this, Late = std::move(R)] {
+                         record("the unanswered order is carried out now");
+                         orderMachine(Late);
+                       });
+    return;
+  }
+  To.respond(orderMachine(R));
+}
+
+std::size_t Deployment::machinesDown() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Machines_, [](const auto &M) { return M->State_ == "upkeep"; }));
+}
+
+void Deployment::powerOff(std::size_t I) {
+  record(Entries_.at(I).Name_.toStdString() + ": loses power");
+  Entries_.at(I).Process_->kill();
+}
+
+Worker *Deployment::workerOf(const QString &Machine) {
+  for (const auto &M : Machines_)
+    if (M->Id_ == Machine)
+      return M->Worker_.get();
+  return nullptr;
+}
+
 http::Response Deployment::orderMachine(const http::Request &R) {
   returnMachines();
   const QJsonObject Body = objectOf(R.Body_);
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -104,6 +104,14 @@
   const std::vector<MachineOrder> &orders() const { return Orders_; }
   /// Sends SIGTERM to an entry and doesn't start it again.
   void stopEntry(std::size_t I);
+  /// The next upkeep order gets no answer and is carried out after this time.
+  void delayNextUpkeep(int Ms) { UpkeepDelayMs_ = Ms; }
+  /// The machine of the delayed upkeep order; empty before it has come.
+  QString delayedMachine() const { return DelayedMachine_; }
+  std::size_t machinesDown() const;
+  /// Kills an entry and leaves it without power.
+  void powerOff(std::size_t I);
+  Worker *workerOf(const QString &Machine);
   /// Partitions an entry from the platform's store, or ends that.
   void cutFromStore(std::size_t I, bool Cut);
   /// The entry with this name, as it gives it in its orders.
@@ -165,6 +173,7 @@
     int Lives_ = 1;
   };
   http::Response orderMachine(const http::Request &R);
+  void handleMachineOrder(http::Request &&R, http::Responder &&To);
   void bringUp(Machine &M, const QString &Worker);
   void returnMachines();
 
@@ -173,6 +182,9 @@
   /// Waves and machines whose upkeep has begun.
   std::set<std::pair<qint64, QString>> Upkept_;
   QTimer Returns_;
+  int UpkeepDelayMs_ = 0;
+  QString DelayedMachine_;
+  std::vector<http::Responder> Unanswered_;
   std::vector<Entry> Entries_;
   std::vector<WorkerEvent> Events_;
   QTimer Heartbeat_;
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -18,11 +18,12 @@
   const std::map<QString, std::function<Verdict(Deployment &, bool)>> Cases{
       {"route-removed", playRouteRemoved},
       {"last-route-removed", playLastRouteRemoved},
-      {"label", playLabel},
       {"rolling-restart", playRollingRestart},
       {"cut-holder", playCutHolder},
+      {"takeover", playTakeover},
+      {"gang", playGang},
+      {"late-upkeep", playLateUpkeep},
       {"other-kind", playOtherKind},
-      {"many-attempts", playManyAttempts},
       {"long-schedules", playLongSchedules},
   };
   constexpr int WordCount = 5;
--- a/review/standin-2/store.cc
+++ b/review/standin-2/store.cc
@@ -63,7 +63,7 @@
   } else if (R.Path_ == "/-/machines") {
     To.respond(jsonResponse(200, {{"machines", ListMachines_()}}));
   } else if (R.Path_ == "/-/machine-move" || R.Path_ == "/-/machine-upkeep") {
-    To.respond(OnMachineOrder_(R));
+    OnMachineOrder_(std::move(R), std::move(To));
   } else {
     To.respond(jsonResponse(404, {}));
   }
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -33,7 +33,7 @@
   /// Returns the rows of the list of machines.
   std::function<QJsonArray()> ListMachines_;
   /// Answers an order for a machine.
-  std::function<http::Response(const http::Request &)> OnMachineOrder_;
+  std::function<void(http::Request &&, http::Responder &&)> OnMachineOrder_;
 
 private:
   /// Table, part and key.
--- a/review/standin-2/worker.cc
+++ b/review/standin-2/worker.cc
@@ -49,6 +49,14 @@
                   {"labels", QJsonArray{Kind_, "r1-1"}}});
 }
 
+void Worker::carryOutLate() {
+  if (!LateStart_ || (*LateStart_)["fence"].toInteger() < Fence_)
+    return;
+  Fence_ = (*LateStart_)["fence"].toInteger();
+  start(*LateStart_);
+  LateStart_.reset();
+}
+
 void Worker::startAgain(const QString &Kind) {
   Silent_ = false;
   Unanswered_.clear();
@@ -84,6 +92,15 @@
     return;
   }
   Fence_ = Fence;
+  if (R.Path_ == "/-/run-start" && !Delayed_.isEmpty() &&
+      Body["task"] == Delayed_) {
+    Delayed_.clear();
+    LateStart_ = Body;
+    Observe_(Id_, "unanswered start", Body["task"].toString(),
+             Body["attempt"].toInteger());
+    Unanswered_.push_back(std::move(To));
+    return;
+  }
   if (R.Path_ == "/-/run-start")
     To.respond(start(Body));
   else if (R.Path_ == "/-/run-stop")
--- a/review/standin-2/worker.h
+++ b/review/standin-2/worker.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,6 +42,13 @@
   const QString &pool() const { return Pool_; }
   /// The row with which the worker registers itself.
   QByteArray registration();
+  /// The next start of the task gets no answer, and isn't carried out before
+  /// carryOutLate().
+  void delayStart(const QString &Task) { Delayed_ = Task; }
+  bool holdsLateStart() const { return LateStart_.has_value(); }
+  /// Carries the delayed start out now, unless a higher fence has been seen.
+  void carryOutLate();
+
   /// From now on the worker answers nothing.
   void fallSilent() { Silent_ = true; }
   /// The worker has crashed and starts again under its id and address, as
@@ -85,6 +93,8 @@
   QString Pool_;
   QString Kind_ = "a";
   bool Silent_ = false;
+  QString Delayed_;
+  std::optional<QJsonObject> LateStart_;
   /// Answers that a silent worker owes; their connections stay open.
   std::vector<http::Responder> Unanswered_;
   Planner Plan_;
