--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -7,6 +7,7 @@
 #include <QFile>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 
@@ -23,18 +24,19 @@
                           : QByteArray();
 }
 
-// The holder of the duties of several services is partitioned from the store.
-// A client hands one job in for each service at another entry, which takes the
-// duties over, and cancels each at the former holder, which it still reaches.
+// An entry that holds the duties of several services is partitioned from the
+// store. A client hands one job in for each of these services at the other
+// entry, which takes the duties over, and cancels each at the former holder,
+// which is still ready.
 Verdict playCutHolder(Deployment &D, bool Disrupted) {
   constexpr int CutMs = 5500;
   constexpr int CancelMs = 3000;
   constexpr int StopMs = 400;
   constexpr int TryPauseMs = 20;
-  constexpr int BeforeJobMs = 2400;
+  constexpr int BeforeJobsMs = 2400;
   /// The client asks quickly and often.
   constexpr int DeadlineMs = 400;
-  constexpr int Services = 8;
+  constexpr int Services = 10;
   std::vector<Deployment::RouteSpec> Routes;
   std::vector<QString> Pools;
   for (int I = 0; I < Services; ++I) {
@@ -46,35 +48,38 @@
   }
   D.configure(1, Routes, Pools);
   D.startEntry();
-  D.runFor(ContactMs);
   D.startEntry();
-  D.runFor(ContactMs);
-  constexpr std::size_t Former = 0;
-  constexpr std::size_t Next = 1;
+  D.runFor(2 * ContactMs);
+  std::array<std::set<int>, 2> Held;
+  for (int I = 0; I < Services; ++I)
+    Held.at(D.holder(Pools[static_cast<std::size_t>(I)])).insert(I);
+  const std::size_t Former = Held[0].size() >= Held[1].size() ? 0 : 1;
+  const std::size_t Next = 1 - Former;
+  std::set<int> Left = Held.at(Former);
+  D.record("entry-" + std::to_string(Former) + " holds the duties of " +
+           std::to_string(Left.size()) + " services");
   const qint64 CutAt = D.now();
   if (Disrupted)
     D.cutFromStore(Former, true);
-  D.runFor(BeforeJobMs);
+  D.runFor(BeforeJobsMs);
   const QByteArray Body =
       stepJob(R"("cpu":1000,"count":1,"service_mode":true)");
   const auto JobOf = [](int I) {
     return QString("00000000000000d") + QString::number(I);
   };
   std::map<int, int> Cancelled;
-  std::set<int> Submitted;
-  while (Submitted.size() < Services && D.now() - CutAt < CutMs) {
-    for (int I = 0; I < Services; ++I) {
-      if (Submitted.contains(I) ||
-          D.call(Next, "POST", Routes[static_cast<std::size_t>(I)].Name_,
-                 JobOf(I), Body, DeadlineMs)
-                  .Status_ != 200)
-        continue;
-      Submitted.insert(I);
-      Cancelled[I] =
-          D.call(Former, "DELETE", Routes[static_cast<std::size_t>(I)].Name_,
-                 JobOf(I), {}, DeadlineMs)
-              .Status_;
-    }
+  while (!Left.empty() && D.now() - CutAt < CutMs) {
+    std::erase_if(Left, [&](int I) {
+      const QString &Route = Routes[static_cast<std::size_t>(I)].Name_;
+      if (D.call(Next, "POST", Route, JobOf(I), Body, DeadlineMs).Status_ !=
+          200)
+        return false;
+      // The platform sends clients to entries that are ready.
+      if (D.isReady(Former))
+        Cancelled[I] =
+            D.call(Former, "DELETE", Route, JobOf(I), {}, DeadlineMs).Status_;
+      return true;
+    });
     D.runFor(TryPauseMs);
   }
   D.runFor(static_cast<int>(std::max<qint64>(0, CutAt + CutMs - D.now())));
@@ -87,8 +92,7 @@
     if (Status != 200 && Status != 410)
       continue;
     ++Acknowledged;
-    const bool Runs = D.runs(JobOf(I) + ".0.0.0");
-    RunOn += Runs ? 1 : 0;
+    RunOn += D.runs(JobOf(I) + ".0.0.0") ? 1 : 0;
     stateAt(D, Next, Routes[static_cast<std::size_t>(I)].Name_, JobOf(I));
   }
   D.record("verdict: " + std::to_string(Acknowledged) +
--- a/review/standin-2/deployment.cc
+++ b/review/standin-2/deployment.cc
@@ -308,6 +308,15 @@
   record(E.Name_.toStdString() + ": started");
 }
 
+bool Deployment::isReady(std::size_t I) {
+  http::Call C;
+  C.Url_ = "http://" + Entries_.at(I).Ready_.toStdString() + "/-/readyz";
+  const bool Ready = send(std::move(C)).Status_ == 200;
+  record("platform: readyz at " + Entries_.at(I).Name_.toStdString() +
+         (Ready ? " -> 200" : " -> not 200"));
+  return Ready;
+}
+
 void Deployment::awaitReady(Entry &E) {
   require("an entry becomes ready", StartTimeoutMs, [&] {
     http::Call C;
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -112,6 +112,8 @@
   /// Kills an entry and leaves it without power.
   void powerOff(std::size_t I);
   Worker *workerOf(const QString &Machine);
+  /// Asks for an entry's readiness as the platform does.
+  bool isReady(std::size_t I);
   /// Partitions an entry from the platform's store, or ends that.
   void cutFromStore(std::size_t I, bool Cut);
   /// The entry with this name, as it gives it in its orders.
