A job takes memory only for tasks that have begun and aren't done

Callers saw calls for accepted jobs without an answer: 40 jobs with long schedules (8,640 occurrences of 20 tasks each) ended each entry process again and again at its memory limit of 260 MB.

Cause: Job held a TaskState of about 200 bytes for every task of every occurrence from the moment it was accepted, 1.4 GB for these jobs. A successor that loaded them grew in the same way, so no restart helped.

Change: occurrences that haven't begun share one state, and so do those that are done; a step keeps the states of its tasks that have begun and aren't done, and a bit for each task that is done. The stored progress text stays as it was. A scheduling round looks at the occurrences that are due and not done, and not at all of them. The remaining work is summed in whole tasks, so that it doesn't depend on how occurrences are grouped. A failed run of a task that is done counts no more; after a restart it counted neither.

--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <limits>
 #include <ranges>
 #include <utility>
@@ -30,18 +31,6 @@
 /// One letter per state, in the order of JobState.
 constexpr std::string_view StateLetters = "qacfx";
 
-std::vector<Occurrence> initialOccurrences(const JobSpec &Spec) {
-  Occurrence O;
-  std::ranges::transform(Spec.Steps_, std::back_inserter(O.Steps_),
-                         [](const StepSpec &S) {
-                           StepState State;
-                           State.Tasks_.resize(S.Count_);
-                           State.Waiting_ = S.Count_;
-                           return State;
-                         });
-  return std::vector<Occurrence>(Spec.occurrences(), O);
-}
-
 /// Whether a progress text lists the numbers of failed attempts, or only counts
 /// them.
 enum class FailureDetail : std::uint8_t { Listed, Counted };
@@ -79,9 +68,9 @@
       for (; Count > 0; --Count)
         Text += Last;
     };
-    for (const TaskState &T : S.Tasks_) {
+    for (std::uint32_t I = 0; I < S.count(); ++I) {
       std::string Task;
-      appendTaskState(Task, T, D);
+      appendTaskState(Task, S.task(I), D);
       if (Task != Last) {
         AppendLast();
         Last = std::move(Task);
@@ -95,8 +84,7 @@
 }
 
 /// The progress text of a job.
-std::string progressText(JobState State,
-                         const std::vector<Occurrence> &Occurrences,
+std::string progressText(JobState State, const Occurrences &All,
                          FailureDetail D) {
   std::string Text(1, StateLetters[static_cast<std::size_t>(State)]);
   std::string Last;
@@ -106,15 +94,15 @@
       Text += repeatMark(OccurrenceRepeat, Count);
     Text += Last;
   };
-  for (const Occurrence &O : Occurrences) {
+  All.forEachRange([&](const Occurrence &O, std::uint32_t Repeats) {
     std::string Encoded = encodeOccurrence(O, D);
     if (Encoded != Last) {
       AppendLast();
       Last = std::move(Encoded);
       Count = 0;
     }
-    ++Count;
-  }
+    Count += Repeats;
+  });
   AppendLast();
   return Text;
 }
@@ -186,20 +174,20 @@
   return T;
 }
 
-void decodeStep(ProgressReader &Reader, StepState &S) {
-  const std::size_t Count = S.Tasks_.size();
-  S.Tasks_.clear();
-  S.Done_ = 0;
-  while (S.Tasks_.size() < Count) {
-    const std::uint32_t Repeats =
-        Reader.readRepeat(TaskRepeat, Count - S.Tasks_.size());
+StepState decodeStep(ProgressReader &Reader, std::uint32_t Count) {
+  StepState S(Count);
+  for (std::uint32_t Index = 0; Index < Count;) {
+    const std::uint32_t Repeats = Reader.readRepeat(TaskRepeat, Count - Index);
     const TaskState T = decodeTask(Reader);
-    S.Tasks_.insert(S.Tasks_.end(), Repeats, T);
-    S.Done_ += T.Phase_ == TaskPhase::Done ? Repeats : 0;
+    for (const std::uint32_t End = Index + Repeats; Index < End; ++Index)
+      if (T.Phase_ == TaskPhase::Done)
+        S.finish(Index);
+      else if (T.Failures_ > 0)
+        *S.openTask(Index) = T;
   }
   if (Reader.next() != StepEnd)
     Reader.fail("step does not end in '.'");
-  S.Waiting_ = static_cast<std::uint32_t>(Count) - S.Done_;
+  return S;
 }
 
 } // namespace
@@ -225,47 +213,49 @@
 
 Job::Job(JobId Id, QueueId Queue, JobSpec Spec, Instant Accepted)
     : Id_(std::move(Id)), Queue_(std::move(Queue)), Spec_(std::move(Spec)),
-      Accepted_(Accepted), Occurrences_(initialOccurrences(Spec_)),
-      CriticalPath_(criticalPathOf(nullptr)) {
-  for (const StepSpec &S : Spec_.Steps_)
-    Waiting_ += S.Count_ * Spec_.occurrences();
+      Accepted_(Accepted), Occurrences_(Spec_.Steps_, Spec_.occurrences()),
+      Waiting_(static_cast<std::uint32_t>(Spec_.taskCount())) {
   updateRemaining();
   Work_ = RemainingWork_;
+  CriticalPath_ = RemainingCriticalPath_;
 }
 
 bool Job::has(const TaskKey &Key) const {
-  return Key.Occurrence_ < Occurrences_.size() &&
+  return Key.Occurrence_ < Occurrences_.count() &&
          Key.Step_ < Spec_.Steps_.size() &&
          Key.Index_ < Spec_.Steps_[Key.Step_].Count_;
 }
 
-TaskState &Job::task(const TaskKey &Key) {
-  return Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Tasks_[Key.Index_];
+const TaskState &Job::task(const TaskKey &Key) const {
+  return step(Key.Occurrence_, Key.Step_).task(Key.Index_);
 }
 
-const TaskState &Job::task(const TaskKey &Key) const {
-  return Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Tasks_[Key.Index_];
+TaskState *Job::openTask(const TaskKey &Key) {
+  Occurrence *O = Occurrences_.open(Key.Occurrence_);
+  return O ? O->Steps_[Key.Step_].openTask(Key.Index_) : nullptr;
 }
 
 void Job::setPhase(const TaskKey &Key, TaskPhase Phase) {
-  StepState &S = Occurrences_[Key.Occurrence_].Steps_[Key.Step_];
-  TaskPhase &Current = S.Tasks_[Key.Index_].Phase_;
-  const std::uint32_t Added = Phase == TaskPhase::Waiting ? 1 : 0;
-  const std::uint32_t Removed = Current == TaskPhase::Waiting ? 1 : 0;
-  S.Waiting_ += Added;
-  S.Waiting_ -= Removed;
-  Waiting_ += Added;
-  Waiting_ -= Removed;
-  Current = Phase;
+  Occurrence *O = Occurrences_.open(Key.Occurrence_);
+  if (!O)
+    return;
+  StepState &S = O->Steps_[Key.Step_];
+  Waiting_ -= S.waitingCount();
+  S.setPhase(Key.Index_, Phase);
+  Waiting_ += S.waitingCount();
 }
 
 WallTime Job::due(std::uint32_t OccurrenceIndex) const {
   return Spec_.FirstDue_ + Spec_.Interval_ * OccurrenceIndex;
 }
 
+bool Job::isDue(std::uint32_t OccurrenceIndex, WallTime Now) const {
+  return Spec_.Repeats_ == 0 || Now >= due(OccurrenceIndex);
+}
+
 bool Job::ready(std::uint32_t OccurrenceIndex, std::uint32_t Step,
                 WallTime Now) const {
-  if (Spec_.Repeats_ > 0 && Now < due(OccurrenceIndex))
+  if (!isDue(OccurrenceIndex, Now))
     return false;
   const Occurrence &O = Occurrences_[OccurrenceIndex];
   return std::ranges::all_of(
@@ -276,58 +266,51 @@
 void Job::finishTask(const TaskKey &Key) {
   if (task(Key).Phase_ == TaskPhase::Done)
     return;
-  setPhase(Key, TaskPhase::Done);
-  ++Occurrences_[Key.Occurrence_].Steps_[Key.Step_].Done_;
+  StepState &S = Occurrences_.open(Key.Occurrence_)->Steps_[Key.Step_];
+  Waiting_ -= S.waitingCount();
+  S.finish(Key.Index_);
+  Waiting_ += S.waitingCount();
+  Occurrences_.closeIfDone(Key.Occurrence_);
   updateRemaining();
   if (allDone() && !isFinal(State_))
     State_ = JobState::Complete;
 }
 
-bool Job::allDone() const {
-  return std::ranges::all_of(Occurrences_, [](const Occurrence &O) {
-    return std::ranges::all_of(O.Steps_, &StepState::done);
-  });
-}
+bool Job::allDone() const { return Occurrences_.done(); }
 
 void Job::updateRemaining() {
-  RemainingWork_ = computeRemainingWork();
-  RemainingCriticalPath_ = computeRemainingCriticalPath();
-}
-
-double Job::computeRemainingWork() const {
   constexpr double MilliPerUnit = 1000.0;
-  double Work = 0;
-  for (const Occurrence &O : Occurrences_)
-    for (std::size_t I = 0; I < O.Steps_.size(); ++I) {
-      const StepSpec &S = Spec_.Steps_[I];
-      const auto Remaining = S.Count_ - O.Steps_[I].Done_;
-      Work += Remaining *
-              (static_cast<double>(S.Needs_.CpuMilli_) / MilliPerUnit) *
-              (static_cast<double>(S.Estimate_.count()) / MilliPerUnit);
-    }
-  return Work;
+  // Counted in whole tasks, so that the sum doesn't depend on the order.
+  std::vector<std::uint64_t> Remaining(Spec_.Steps_.size());
+  RemainingCriticalPath_ = Millis(0);
+  Occurrences_.forEachRange([&](const Occurrence &O, std::uint32_t Repeats) {
+    for (std::size_t I = 0; I < Remaining.size(); ++I)
+      Remaining[I] += std::uint64_t{Repeats} *
+                      (O.Steps_[I].count() - O.Steps_[I].doneCount());
+    RemainingCriticalPath_ =
+        std::max(RemainingCriticalPath_, criticalPathOf(O));
+  });
+  RemainingWork_ = 0;
+  for (std::size_t I = 0; I < Remaining.size(); ++I) {
+    const StepSpec &S = Spec_.Steps_[I];
+    RemainingWork_ += static_cast<double>(Remaining[I]) *
+                      (static_cast<double>(S.Needs_.CpuMilli_) / MilliPerUnit) *
+                      (static_cast<double>(S.Estimate_.count()) / MilliPerUnit);
+  }
 }
 
-Millis Job::criticalPathOf(const Occurrence *Progress) const {
+Millis Job::criticalPathOf(const Occurrence &O) const {
   std::vector<Millis> Finish(Spec_.Steps_.size(), Millis(0));
   for (std::size_t I = 0; I < Finish.size(); ++I) {
     const StepSpec &S = Spec_.Steps_[I];
     Millis Start(0);
     for (const std::uint32_t Earlier : S.DependsOn_)
       Start = std::max(Start, Finish[Earlier]);
-    const bool Done = Progress && Progress->Steps_[I].done();
-    Finish[I] = Start + (Done ? Millis(0) : S.Estimate_);
+    Finish[I] = Start + (O.Steps_[I].done() ? Millis(0) : S.Estimate_);
   }
   return Finish.empty() ? Millis(0) : std::ranges::max(Finish);
 }
 
-Millis Job::computeRemainingCriticalPath() const {
-  Millis Longest(0);
-  for (const Occurrence &O : Occurrences_)
-    Longest = std::max(Longest, criticalPathOf(&O));
-  return Longest;
-}
-
 std::string Job::encodeProgress() const {
   const std::string Text =
       progressText(State_, Occurrences_, FailureDetail::Listed);
@@ -343,16 +326,19 @@
   const std::size_t State = StateLetters.find(Reader.next());
   if (State == std::string_view::npos)
     Reader.fail("unknown state");
+  // Only occurrences that haven't begun can be set.
+  Occurrences_ = Occurrences(Spec_.Steps_, Spec_.occurrences());
   Waiting_ = 0;
-  for (auto Next = Occurrences_.begin(); Next != Occurrences_.end();) {
-    const auto Left = static_cast<std::size_t>(Occurrences_.end() - Next);
-    const std::uint32_t Repeats = Reader.readRepeat(OccurrenceRepeat, Left);
-    for (StepState &S : Next->Steps_) {
-      decodeStep(Reader, S);
-      Waiting_ += S.Waiting_ * Repeats;
-    }
-    std::fill_n(Next + 1, Repeats - 1, *Next);
-    Next += Repeats;
+  for (std::uint32_t Index = 0; Index < Occurrences_.count();) {
+    const std::uint32_t Repeats =
+        Reader.readRepeat(OccurrenceRepeat, Occurrences_.count() - Index);
+    Occurrence O;
+    std::ranges::transform(
+        Spec_.Steps_, std::back_inserter(O.Steps_),
+        [&](const StepSpec &S) { return decodeStep(Reader, S.Count_); });
+    Waiting_ += O.waitingCount() * Repeats;
+    Occurrences_.set(Index, Repeats, O);
+    Index += Repeats;
   }
   State_ = static_cast<JobState>(State);
   updateRemaining();
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -1,33 +1,17 @@
 // An accepted job and the progress of its tasks.
 #pragma once
 
-#include "schedule/model.h"
+#include "schedule/task-progress.h"
 
-#include <algorithm>
-#include <limits>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace heathercross::schedule {
 
-enum class TaskPhase : std::uint8_t { Waiting, Placed, Done };
-
 /// Maximum number of failed attempts recorded per task: the progress text
 /// stores their number as one digit. Further failures are not counted.
 inline constexpr std::uint32_t MaxRecordedFailures = 9;
 
-/// A start order without a clear answer. The worker that got it may still carry
-/// it out, after a restart even though it refused it before; meanwhile the task
-/// starts nowhere else.
-struct UnresolvedOrder {
-  InstanceId Worker_;
-  Attempt Attempt_ = 0;
-  /// When the order can no longer be carried out.
-  Instant Until_;
-};
-
 /// How many attempts of a task have numbers that belong to one epoch. A holder
 /// that orders more goes on with the numbers of the next epoch, which a later
 /// holder may give again.
@@ -40,54 +24,6 @@
 /// the numbers of the last one.
 Attempt attemptFloor(Epoch Holder, Epoch Accepted);
 
-struct TaskState {
-  TaskPhase Phase_ = TaskPhase::Waiting;
-  /// The highest attempt that this holder ordered or found in a report.
-  Attempt Attempt_ = 0;
-  /// The attempt of the current run.
-  Attempt RunAttempt_ = 0;
-  /// The highest attempt that a worker is known to have carried out or refused
-  /// as outdated.
-  Attempt SeenAttempt_ = 0;
-  /// New attempts are numbered above this one, because earlier holders may have
-  /// used numbers up to it.
-  Attempt AttemptFloor_ = 0;
-  std::uint32_t Failures_ = 0;
-  /// The attempts that are counted in Failures_.
-  std::vector<Attempt> FailedAttempts_;
-  /// The worker of the current run, or of the last failed one.
-  InstanceId Worker_;
-  std::string Checkpoint_;
-  /// Number of runs of the task that are being stopped. None starts meanwhile.
-  std::uint32_t UnwantedRuns_ = 0;
-  /// The last order that was given up without a clear answer.
-  std::optional<UnresolvedOrder> Unresolved_;
-  /// When this holder last ordered a start, and why it gave that run up.
-  Instant OrderedAt_;
-  const char *ReleaseCause_ = "";
-
-  /// The number of the next attempt. The highest number is given again, as the
-  /// numbers must not start anew.
-  Attempt nextAttempt() const {
-    const Attempt Last = std::max(Attempt_, AttemptFloor_);
-    return Last == std::numeric_limits<Attempt>::max() ? Last : Last + 1;
-  }
-};
-
-struct StepState {
-  std::vector<TaskState> Tasks_;
-  std::uint32_t Done_ = 0;
-  /// Tasks in the waiting phase.
-  std::uint32_t Waiting_ = 0;
-
-  bool done() const { return Done_ == Tasks_.size(); }
-};
-
-/// The state of one execution of a job's steps.
-struct Occurrence {
-  std::vector<StepState> Steps_;
-};
-
 enum class JobState : std::uint8_t {
   Queued,
   Active,
@@ -112,17 +48,30 @@
   JobState state() const { return State_; }
   void setState(JobState S) { State_ = S; }
 
-  TaskState &task(const TaskKey &Key);
-  /// Sets the phase of a task and counts the waiting ones.
+  /// Whether the job has a task with this key.
+  bool has(const TaskKey &Key) const;
+  const TaskState &task(const TaskKey &Key) const;
+  /// Returns the state of a task for changes other than of its phase; null if
+  /// the task is done.
+  TaskState *openTask(const TaskKey &Key);
+  /// Sets the phase of a task to waiting or placed, unless it is done.
   void setPhase(const TaskKey &Key, TaskPhase Phase);
   /// Whether any task is waiting.
   bool hasWaiting() const { return Waiting_ > 0; }
-  const TaskState &task(const TaskKey &Key) const;
-  /// Whether the job has a task with this key.
-  bool has(const TaskKey &Key) const;
-  std::vector<Occurrence> &occurrences() { return Occurrences_; }
-  const std::vector<Occurrence> &occurrences() const { return Occurrences_; }
+  const Occurrences &occurrences() const { return Occurrences_; }
+  /// The state of a step, until the next change of the job.
+  const StepState &step(std::uint32_t OccurrenceIndex,
+                        std::uint32_t Step) const {
+    return Occurrences_[OccurrenceIndex].Steps_[Step];
+  }
+
+  /// New attempts are numbered above this one, because earlier holders may have
+  /// used numbers up to it.
+  Attempt attemptFloor() const { return AttemptFloor_; }
+  void setAttemptFloor(Attempt Floor) { AttemptFloor_ = Floor; }
 
+  /// Whether an occurrence may start; the later ones are due later.
+  bool isDue(std::uint32_t OccurrenceIndex, WallTime Now) const;
   /// Whether a step may start now: its occurrence is due and the steps it
   /// depends on are done.
   bool ready(std::uint32_t OccurrenceIndex, std::uint32_t Step,
@@ -151,11 +100,8 @@
   void decodeProgress(std::string_view Text);
 
 private:
-  /// The critical path of the steps that are not done in Progress, or of all
-  /// steps if it is null.
-  Millis criticalPathOf(const Occurrence *Progress) const;
-  double computeRemainingWork() const;
-  Millis computeRemainingCriticalPath() const;
+  /// The critical path of the steps that are not done in an occurrence.
+  Millis criticalPathOf(const Occurrence &O) const;
   /// Recomputes the remaining work and critical path.
   void updateRemaining();
 
@@ -164,9 +110,10 @@
   JobSpec Spec_;
   Instant Accepted_;
   JobState State_ = JobState::Queued;
-  std::vector<Occurrence> Occurrences_;
+  Occurrences Occurrences_;
   /// Tasks in the waiting phase, in all occurrences.
   std::uint32_t Waiting_ = 0;
+  Attempt AttemptFloor_ = 0;
   Millis CriticalPath_{0};
   double Work_ = 0;
   double RemainingWork_ = 0;
--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -60,8 +60,7 @@
                          : 1);
   for (const ReadyStep &S : readySteps(Now, Wall)) {
     const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
-    const auto Waiting =
-        S.Job_->occurrences()[S.Occurrence_].Steps_[S.Step_].Waiting_;
+    const auto Waiting = S.Job_->step(S.Occurrence_, S.Step_).waitingCount();
     const double Cores =
         static_cast<double>(Waiting) * coresFor(Spec.reserved());
     (S.Rank_.Urgency_ <= Urgency::InTime ? D.WaitingInTime_ : D.WaitingLate_) +=
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -99,8 +99,8 @@
     Run &R = *W.find(Key);
     stopRun(W, R);
     W.PausedUntil_ = Now + StuckPause;
-    if (Job *J = findJob(Key.Job_))
-      J->task(Key).Worker_ = W.info().Id_;
+    if (TaskState *T = findJob(Key.Job_)->openTask(Key))
+      T->Worker_ = W.info().Id_;
     logDecision("run-stuck", Key, R.Attempt_, W.info().Id_,
                 "percent=" + std::to_string(R.Percent_));
   }
@@ -109,12 +109,13 @@
 std::uint32_t PoolScheduler::unavailableTasks(const Job &J,
                                               std::uint32_t OccurrenceIndex,
                                               std::uint32_t Step) const {
-  const auto &Tasks = J.occurrences()[OccurrenceIndex].Steps_[Step].Tasks_;
+  const StepState &State = J.step(OccurrenceIndex, Step);
   std::uint32_t Unavailable = 0;
-  for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
+  for (std::uint32_t I = 0; I < State.count(); ++I) {
     const TaskKey Key{J.id(), OccurrenceIndex, Step, I};
-    const auto It = Workers_.find(Tasks[I].Worker_);
-    if (Tasks[I].Phase_ != TaskPhase::Placed || It == Workers_.end()) {
+    const TaskState &T = State.task(I);
+    const auto It = Workers_.find(T.Worker_);
+    if (T.Phase_ != TaskPhase::Placed || It == Workers_.end()) {
       ++Unavailable;
       continue;
     }
@@ -130,9 +131,9 @@
 
 bool PoolScheduler::isBeingMoved(const Job &J, std::uint32_t OccurrenceIndex,
                                  std::uint32_t Step) const {
-  const auto &Tasks = J.occurrences()[OccurrenceIndex].Steps_[Step].Tasks_;
-  for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
-    const auto It = Workers_.find(Tasks[I].Worker_);
+  const StepState &State = J.step(OccurrenceIndex, Step);
+  for (std::uint32_t I = 0; I < State.count(); ++I) {
+    const auto It = Workers_.find(State.task(I).Worker_);
     if (It == Workers_.end() || It->second.info().Draining_ ||
         It->second.UnresponsiveSince_)
       continue;
@@ -167,9 +168,8 @@
           (!Draining || isBeingMoved(*J, Key.Occurrence_, Key.Step_)))
         continue;
       const ReadyStep Step{{}, J, Key.Occurrence_, Key.Step_};
-      TaskState Task = J->task(Key);
       if (!choose(candidates(*J, Step, *Available, Now),
-                  request(*J, Step, Task, Now)))
+                  request(*J, Step, J->task(Key), Now)))
         continue;
       stopRun(W, R);
       R.StopForMove_ = true;
@@ -264,10 +264,15 @@
     const Job &J = *Open;
     if (!J.hasWaiting() || (!RestoredMayStart && Restored_.contains(Id)))
       continue;
-    for (std::uint32_t O = 0; O < J.occurrences().size(); ++O)
-      for (std::uint32_t S = 0; S < J.spec().Steps_.size(); ++S)
-        if (J.occurrences()[O].Steps_[S].Waiting_ > 0 && J.ready(O, S, Wall))
+    for (std::uint32_t O = J.occurrences().firstOpen();
+         O < J.occurrences().count() && J.isDue(O, Wall); ++O) {
+      const Occurrence &State = J.occurrences()[O];
+      if (State.done())
+        continue;
+      for (std::uint32_t S = 0; S < State.Steps_.size(); ++S)
+        if (State.Steps_[S].waitingCount() > 0 && J.ready(O, S, Wall))
           Ready.push_back({rank(J, O, S, Now, Wall), &J, O, S});
+    }
   }
   std::ranges::stable_sort(Ready, {}, &ReadyStep::Rank_);
   return Ready;
@@ -352,7 +357,7 @@
 
 void PoolScheduler::orderStart(Job &J, const TaskKey &Key, Worker &W, Attempt A,
                                Instant Now, Orders &Out) {
-  TaskState &T = J.task(Key);
+  TaskState &T = *J.openTask(Key);
   T.Attempt_ = T.RunAttempt_ = A;
   J.setPhase(Key, TaskPhase::Placed);
   T.Worker_ = W.info().Id_;
@@ -418,14 +423,15 @@
   if (Places.empty())
     return;
   Job &J = *findJob(S.Job_->id());
-  auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
-  for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
-    if (Tasks[I].Phase_ != TaskPhase::Waiting || Tasks[I].UnwantedRuns_ > 0)
+  const std::uint32_t Count = J.spec().Steps_[S.Step_].Count_;
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    const TaskState &T = J.step(S.Occurrence_, S.Step_).task(I);
+    if (T.Phase_ != TaskPhase::Waiting || T.UnwantedRuns_ > 0)
       continue;
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
     if (HeldBack_)
       return;
-    const PlacementRequest Request = request(J, S, Tasks[I], Now);
+    const PlacementRequest Request = request(J, S, T, Now);
     Worker *W = choose(Places, Request);
     if (!W && !Request.Required_.empty())
       continue;
@@ -434,10 +440,10 @@
     // Workers start an attempt once, so that the same attempt can't run twice
     // if an unresolved order for it is carried out, too.
     const bool Again = !Request.Required_.empty() &&
-                       Tasks[I].Unresolved_->Attempt_ == Tasks[I].Attempt_ &&
-                       Tasks[I].SeenAttempt_ < Tasks[I].Attempt_;
+                       T.Unresolved_->Attempt_ == T.Attempt_ &&
+                       T.SeenAttempt_ < T.Attempt_;
     orderStart(J, {J.id(), S.Occurrence_, S.Step_, I}, *W,
-               Again ? Tasks[I].Attempt_ : Tasks[I].nextAttempt(), Now, Out);
+               Again ? T.Attempt_ : T.nextAttempt(J.attemptFloor()), Now, Out);
     const auto Place = std::ranges::find(Places, W, &Candidate::Worker_);
     ++Place->SameStep_;
   }
@@ -448,9 +454,15 @@
                               Instant Now, Orders &Out) {
   Job &J = *findJob(S.Job_->id());
   const StepSpec &Spec = J.spec().Steps_[S.Step_];
-  auto &Tasks = J.occurrences()[S.Occurrence_].Steps_[S.Step_].Tasks_;
-  const auto IsWaiting = [](const TaskState &T) {
-    return T.Phase_ == TaskPhase::Waiting && T.UnwantedRuns_ == 0;
+  const auto KeyOf = [&](std::uint32_t Index) {
+    return TaskKey{J.id(), S.Occurrence_, S.Step_, Index};
+  };
+  const StepState &State = J.step(S.Occurrence_, S.Step_);
+  std::vector<const TaskState *> Tasks;
+  for (std::uint32_t I = 0; I < State.count(); ++I)
+    Tasks.push_back(&State.task(I));
+  const auto IsWaiting = [](const TaskState *T) {
+    return T->Phase_ == TaskPhase::Waiting && T->UnwantedRuns_ == 0;
   };
   if (!std::ranges::all_of(Tasks, IsWaiting))
     return;
@@ -464,14 +476,14 @@
       C.Worker_ = &Copies.emplace(Id, *C.Worker_).first->second;
     }
     for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
-      PlacementRequest R = request(J, S, Tasks[I], Now);
+      PlacementRequest R = request(J, S, *Tasks[I], Now);
       R.RackRequired_ = !Rack.empty();
       if (!Rack.empty())
         R.Rack_ = Rack;
       Worker *W = choose(Places, R);
       if (!W)
         return std::vector<InstanceId>();
-      W->add({J.id(), S.Occurrence_, S.Step_, I}, plannedRun(Spec));
+      W->add(KeyOf(I), plannedRun(Spec));
       ++std::ranges::find(Places, W, &Candidate::Worker_)->SameStep_;
       Chosen.push_back(W->info().Id_);
     }
@@ -490,17 +502,16 @@
   if (Chosen.size() != Spec.Count_)
     return;
   Attempt A = 0;
-  for (const TaskState &T : Tasks)
-    A = std::max(A, T.nextAttempt());
+  for (const TaskState *T : Tasks)
+    A = std::max(A, T->nextAttempt(J.attemptFloor()));
   // A checkpoint of any member is valid for the whole gang.
   const auto Saved = std::ranges::find_if(
-      Tasks, [](const TaskState &T) { return !T.Checkpoint_.empty(); });
+      Tasks, [](const TaskState *T) { return !T->Checkpoint_.empty(); });
   const std::string Checkpoint =
-      Saved == Tasks.end() ? std::string() : Saved->Checkpoint_;
+      Saved == Tasks.end() ? std::string() : (*Saved)->Checkpoint_;
   for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
-    Tasks[I].Checkpoint_ = Checkpoint;
-    orderStart(J, {J.id(), S.Occurrence_, S.Step_, I}, *findWorker(Chosen[I]),
-               A, Now, Out);
+    J.openTask(KeyOf(I))->Checkpoint_ = Checkpoint;
+    orderStart(J, KeyOf(I), *findWorker(Chosen[I]), A, Now, Out);
   }
 }
 
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -111,10 +111,7 @@
 }
 
 void PoolScheduler::restore(Job J, Attempt AttemptFloor) {
-  for (Occurrence &O : J.occurrences())
-    for (StepState &S : O.Steps_)
-      for (TaskState &T : S.Tasks_)
-        T.AttemptFloor_ = std::max(T.AttemptFloor_, AttemptFloor);
+  J.setAttemptFloor(AttemptFloor);
   Restored_.insert(J.id());
   admit(std::move(J));
 }
@@ -280,11 +277,11 @@
   Job *J = findJob(Key.Job_);
   if (!J || !J->has(Key))
     return;
-  TaskState &T = J->task(Key);
+  const TaskState &T = J->task(Key);
   if (T.Phase_ != TaskPhase::Placed || T.RunAttempt_ != A)
     return;
   J->setPhase(Key, TaskPhase::Waiting);
-  T.ReleaseCause_ = Cause;
+  J->openTask(Key)->ReleaseCause_ = Cause;
   logDecision("run-ended", Key, A, W.info().Id_, Cause);
 }
 
@@ -300,7 +297,8 @@
   const Run *R = W.find(Key);
   Job *J = findJob(Key.Job_);
   if (R && R->Unwanted_ && J && J->has(Key))
-    --J->task(Key).UnwantedRuns_;
+    if (TaskState *T = J->openTask(Key))
+      --T->UnwantedRuns_;
   W.remove(Key);
 }
 
@@ -309,11 +307,9 @@
   const Instant Until = R.OrderedAt_ + MaxOrderDelay;
   W.LateStartsEnd_ = std::max(W.LateStartsEnd_, Until);
   Job *J = findJob(Key.Job_);
-  if (!J || !J->has(Key))
-    return;
-  auto &Unresolved = J->task(Key).Unresolved_;
-  if (!Unresolved || Unresolved->Until_ < Until)
-    Unresolved = {W.info().Id_, R.Attempt_, Until};
+  TaskState *T = J && J->has(Key) ? J->openTask(Key) : nullptr;
+  if (T && (!T->Unresolved_ || T->Unresolved_->Until_ < Until))
+    T->Unresolved_ = {W.info().Id_, R.Attempt_, Until};
 }
 
 void PoolScheduler::releaseExpired(Worker &W, Instant Now) {
@@ -356,8 +352,9 @@
 
 void PoolScheduler::handleFailure(Worker &W, Job &J, const TaskKey &Key,
                                   Attempt A, Instant Now) {
-  TaskState &T = J.task(Key);
-  T.Worker_ = W.info().Id_;
+  TaskState *T = J.openTask(Key);
+  if (T)
+    T->Worker_ = W.info().Id_;
   if (W.LastFailedJob_ != J.id())
     ++W.ConsecutiveFailures_;
   W.LastFailedJob_ = J.id();
@@ -365,30 +362,29 @@
     W.PausedUntil_ = Now + SuspectPause;
     // After the pause, a single further failure suspects the worker again.
     W.ConsecutiveFailures_ = SuspectFailures - 1;
-    logDecision("worker-suspected", Key, T.Attempt_, W.info().Id_,
-                "fails-in-a-row");
+    logDecision("worker-suspected", Key, A, W.info().Id_, "fails-in-a-row");
   }
   const StepSpec &S = J.spec().Steps_[Key.Step_];
-  if (S.LongRunning_ || isFinal(J.state()))
+  if (!T || S.LongRunning_ || isFinal(J.state()))
     return;
   // A worker lists a failure again if an earlier holder stored it but its
   // acknowledgement was lost.
-  if (std::ranges::find(T.FailedAttempts_, A) != T.FailedAttempts_.end() ||
-      T.Failures_ >= MaxRecordedFailures)
+  if (std::ranges::find(T->FailedAttempts_, A) != T->FailedAttempts_.end() ||
+      T->Failures_ >= MaxRecordedFailures)
     return;
-  T.FailedAttempts_.push_back(A);
-  ++T.Failures_;
+  T->FailedAttempts_.push_back(A);
+  ++T->Failures_;
   Changed_.insert(J.id());
-  std::uint32_t Failures = T.Failures_;
+  std::uint32_t Failures = T->Failures_;
   if (S.Gang_) {
+    const StepState &Gang = J.step(Key.Occurrence_, Key.Step_);
     Failures = 0;
-    for (const TaskState &Member :
-         J.occurrences()[Key.Occurrence_].Steps_[Key.Step_].Tasks_)
-      Failures += Member.Failures_;
+    for (std::uint32_t I = 0; I < Gang.count(); ++I)
+      Failures += Gang.task(I).Failures_;
   }
   if (Failures < settings(J.queue()).MaxFailures_)
     return;
-  logDecision("job-failed", Key, T.Attempt_, W.info().Id_,
+  logDecision("job-failed", Key, T->Attempt_, W.info().Id_,
               "failures=" + std::to_string(Failures));
   endJob(J, JobState::Failed);
 }
@@ -396,9 +392,18 @@
 void PoolScheduler::markSeen(Job &J, const TaskKey &Key, Attempt A) {
   if (J.state() == JobState::Queued)
     J.setState(JobState::Active);
-  TaskState &T = J.task(Key);
-  T.Attempt_ = std::max(T.Attempt_, A);
-  T.SeenAttempt_ = std::max(T.SeenAttempt_, A);
+  TaskState *T = J.openTask(Key);
+  if (!T)
+    return;
+  T->Attempt_ = std::max(T->Attempt_, A);
+  T->SeenAttempt_ = std::max(T->SeenAttempt_, A);
+}
+
+void PoolScheduler::saveCheckpoint(Job &J, const TaskKey &Key,
+                                   const std::string &Checkpoint) {
+  TaskState *T = Checkpoint.empty() ? nullptr : J.openTask(Key);
+  if (T)
+    T->Checkpoint_ = Checkpoint;
 }
 
 void PoolScheduler::handleEnd(Worker &W, const EndReport &E, Instant Now) {
@@ -410,17 +415,15 @@
       removeRun(W, E.Task_);
     return;
   }
-  TaskState &T = J->task(E.Task_);
   markSeen(*J, E.Task_, E.Attempt_);
-  if (!E.Checkpoint_.empty())
-    T.Checkpoint_ = E.Checkpoint_;
+  saveCheckpoint(*J, E.Task_, E.Checkpoint_);
   switch (E.End_) {
   case RunEnd::Done:
     W.ConsecutiveFailures_ = 0;
     if (Present)
       removeRun(W, E.Task_);
     if (J->spec().Steps_[E.Task_.Step_].LongRunning_) {
-      if (T.Phase_ == TaskPhase::Placed && Present)
+      if (J->task(E.Task_).Phase_ == TaskPhase::Placed && Present)
         J->setPhase(E.Task_, TaskPhase::Waiting);
       return;
     }
@@ -475,8 +478,7 @@
     Known->Load_ = R.Load_;
     if (Job *J = findJob(R.Task_.Job_); J && J->has(R.Task_)) {
       markSeen(*J, R.Task_, R.Attempt_);
-      if (!R.Checkpoint_.empty())
-        J->task(R.Task_).Checkpoint_ = R.Checkpoint_;
+      saveCheckpoint(*J, R.Task_, R.Checkpoint_);
     }
     return;
   }
@@ -505,11 +507,11 @@
     release(W, R.Task_, "other-attempt-listed");
   }
   if (J && J->has(R.Task_) && !isFinal(J->state())) {
-    TaskState &T = J->task(R.Task_);
-    if (T.Phase_ == TaskPhase::Waiting && T.UnwantedRuns_ == 0) {
+    TaskState *T = J->openTask(R.Task_);
+    if (T && T->Phase_ == TaskPhase::Waiting && T->UnwantedRuns_ == 0) {
       J->setPhase(R.Task_, TaskPhase::Placed);
-      T.RunAttempt_ = R.Attempt_;
-      T.Worker_ = W.info().Id_;
+      T->RunAttempt_ = R.Attempt_;
+      T->Worker_ = W.info().Id_;
       NewRun.ThrottleKnown_ = false;
       W.add(R.Task_, NewRun);
       logDecision("run-adopted", R.Task_, R.Attempt_, W.info().Id_, "");
@@ -517,9 +519,9 @@
     }
   }
   stopRun(W, NewRun);
-  if (J && J->has(R.Task_)) {
+  if (TaskState *T = J && J->has(R.Task_) ? J->openTask(R.Task_) : nullptr) {
     NewRun.Unwanted_ = true;
-    ++J->task(R.Task_).UnwantedRuns_;
+    ++T->UnwantedRuns_;
   }
   W.add(R.Task_, NewRun);
   logDecision("run-unwanted", R.Task_, R.Attempt_, W.info().Id_,
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -241,6 +241,9 @@
   /// Records that a worker has carried out an attempt, or refused it as
   /// outdated.
   static void markSeen(Job &J, const TaskKey &Key, Attempt A);
+  /// Keeps the checkpoint of a task that isn't done; an empty one is ignored.
+  static void saveCheckpoint(Job &J, const TaskKey &Key,
+                             const std::string &Checkpoint);
   void handleEnd(Worker &W, const EndReport &E, Instant Now);
   void handleFailure(Worker &W, Job &J, const TaskKey &Key, Attempt A,
                      Instant Now);
--- /dev/null
+++ b/test/schedule/long-schedule-test.cc
@@ -0,0 +1,108 @@
+// Tests of jobs whose schedules reach far ahead.
+#include "schedule/model-pool.h"
+#include "support/memory.h"
+#include "support/story.h"
+
+using namespace heathercross;
+using namespace heathercross::schedule;
+using namespace heathercross::schedule::test;
+using heathercross::test::residentBytes;
+using heathercross::test::section;
+
+namespace {
+
+/// Twenty tasks every five minutes for 30 days.
+JobSpec thirtyDays() {
+  JobSpec Spec = job({step(20, 100, Millis(200))});
+  Spec.Repeats_ = 8640;
+  Spec.FirstDue_ = WallTime(Seconds(160));
+  Spec.Interval_ = Seconds(300);
+  return Spec;
+}
+
+JobId idOf(int I) { return JobId("j" + std::to_string(I)); }
+
+} // namespace
+
+// Guards against a holder that keeps the state of each task of each occurrence
+// from the moment a job is accepted: it grew beyond its machine's memory, was
+// killed, and grew again when it had loaded the same jobs.
+HEATHERCROSS_STORY(LongSchedules,
+                   "jobs with long schedules take little memory") {
+  // An entry instance may use 32 MB for control (docs/CONTRIBUTING.md).
+  constexpr std::size_t MaxGrowth = std::size_t{32} << 20U;
+  constexpr int Jobs = 40;
+  const JobSpec Spec = thirtyDays();
+  const std::size_t Before = residentBytes();
+  const auto Growth = [&] {
+    const std::size_t Now = residentBytes();
+    return Now > Before ? Now - Before : 0;
+  };
+  PoolScheduler Holder;
+  for (int I = 0; I < Jobs; ++I)
+    Holder.admit(Job(idOf(I), QueueId("q"), Spec, Instant()));
+  section("for the holder that accepts them",
+          [&] { CPPUNIT_ASSERT(Growth() < MaxGrowth); });
+  section("for the next holder, which loads them with their progress", [&] {
+    Job Begun(idOf(0), QueueId("q"), Spec, Instant());
+    for (std::uint32_t I = 0; I < 30; ++I)
+      Begun.finishTask({Begun.id(), I / 20, 0, I % 20});
+    const std::string Progress = Begun.encodeProgress();
+    PoolScheduler Next;
+    for (int I = 0; I < Jobs; ++I) {
+      Job J(idOf(I), QueueId("q"), Spec, Instant());
+      J.decodeProgress(Progress);
+      Next.restore(std::move(J), attemptFloor(Epoch(2), Epoch(1)));
+    }
+    CPPUNIT_ASSERT(Growth() < MaxGrowth);
+    CPPUNIT_ASSERT_EQUAL(10U, Next.find(idOf(7))->step(1, 0).doneCount());
+  });
+  section("and after most occurrences have run", [&] {
+    Job J(idOf(0), QueueId("q"), Spec, Instant());
+    for (std::uint32_t O = 0; O + 1 < Spec.Repeats_; ++O)
+      for (std::uint32_t I = 0; I < 20; ++I) {
+        J.setPhase({J.id(), O, 0, I}, TaskPhase::Placed);
+        J.finishTask({J.id(), O, 0, I});
+      }
+    CPPUNIT_ASSERT(Growth() < MaxGrowth);
+    CPPUNIT_ASSERT(!J.allDone());
+    CPPUNIT_ASSERT_EQUAL(std::string("q=8639=*20*d.*20*0."),
+                         J.encodeProgress());
+  });
+}
+
+HEATHERCROSS_STORY(LongScheduleRuns,
+                   "a long schedule runs as its occurrences become due") {
+  ModelPool P;
+  P.addWorker("1");
+  JobSpec Spec = job({step(3, 1000, Millis(900))});
+  Spec.Repeats_ = 6;
+  Spec.FirstDue_ = P.wall() + Seconds(1);
+  Spec.Interval_ = Millis(500);
+  P.submit("j1", Spec);
+  const auto DoneOccurrences = [&] {
+    std::uint32_t Done = 0;
+    for (std::uint32_t O = 0; O < Spec.Repeats_; ++O)
+      Done += P.Scheduler_.find(JobId("j1"))->occurrences()[O].done() ? 1 : 0;
+    return Done;
+  };
+  section("nothing runs before the first occurrence is due", [&] {
+    P.run(Millis(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, P.running("j1"));
+  });
+  section("occurrences that overlap run side by side", [&] {
+    P.run(Millis(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, P.running("j1"));
+    CPPUNIT_ASSERT_EQUAL(0U, DoneOccurrences());
+  });
+  section("the next holder goes on where the former one was", [&] {
+    P.run(Millis(400));
+    CPPUNIT_ASSERT_EQUAL(1U, DoneOccurrences());
+    P.changeHolder();
+    CPPUNIT_ASSERT(P.runUntil(
+        Seconds(30), [&] { return P.state("j1") == JobState::Complete; }));
+    CPPUNIT_ASSERT_EQUAL(6U, DoneOccurrences());
+    CPPUNIT_ASSERT(PoolFaults() == P.Faults_);
+    CPPUNIT_ASSERT_EQUAL(18U, P.Starts_);
+  });
+}
