Tests share the deployment of real processes and the model workers

The deployment of entry processes moves from the test file to a header, with several routes and planned restarts. The model workers of the starts bench move to the shared stand-ins; they report how far a run is and can let runs fail.

--- /dev/null
+++ b/test/proof-deployment/deployment.h
@@ -0,0 +1,245 @@
+// A deployment of entry instances with real processes, for end-to-end tests.
+#pragma once
+
+#include "http/http-client.h"
+#include "platform/store.h"
+#include "support/event-loop.h"
+
+#include <QElapsedTimer>
+#include <QProcess>
+#include <QTcpServer>
+#include <QTemporaryDir>
+
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace heathercross::test {
+
+inline constexpr int StartTimeoutMs = 10'000;
+
+inline quint16 freePort() {
+  QTcpServer Probe;
+  Probe.listen(QHostAddress::LocalHost, 0);
+  return Probe.serverPort();
+}
+
+inline std::string programPath(const char *Name) {
+  const char *Folder = std::getenv("HEATHERCROSS_BIN");
+  return std::string(Folder ? Folder : ".") + "/" + Name;
+}
+
+inline std::string loopbackAddress(quint16 Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+/// A stand-in for the platform's store and several entry instances, each in its
+/// own zone.
+class Deployment {
+public:
+  struct Entry {
+    quint16 FrontPort_ = freePort();
+    quint16 ReadyPort_ = freePort();
+    quint16 PeersPort_ = freePort();
+    std::unique_ptr<QProcess> Process_;
+  };
+
+  /// Starts the instances with one route, /quotes/, to the pool "quoting".
+  explicit Deployment(int Count) : Entries_(static_cast<std::size_t>(Count)) {
+    StoreProcess_ = startProcess(
+        "standin-platform", {"--port", QString::number(StorePort_)}, "store");
+    configure(3, {"quotes"});
+    for (std::size_t I = 0; I < Entries_.size(); ++I)
+      startEntry(I);
+  }
+
+  ~Deployment() {
+    for (Entry &E : Entries_)
+      terminate(*E.Process_);
+    terminate(*StoreProcess_);
+  }
+
+  void sendSignal(std::size_t I, int Signal) {
+    ::kill(static_cast<pid_t>(Entries_[I].Process_->processId()), Signal);
+  }
+
+  struct Answer {
+    int Status_ = 0;
+    qint64 ElapsedMs_ = 0;
+    QByteArray Body_;
+  };
+
+  /// Sends a client's call to an entry instance. Status 0 means that no reply
+  /// arrived.
+  Answer call(std::size_t I, const char *Method, const std::string &Job,
+              const QByteArray &Body = {},
+              const std::string &Route = "quotes") {
+    http::Call C;
+    C.Method_ = Method;
+    C.Url_ = "http://" + loopbackAddress(Entries_[I].FrontPort_) + "/" + Route +
+             "/" + Job;
+    C.Headers_ = {"Host: trade.example", "Content-Type: application/json",
+                  "Heathercross-Deadline-Ms: 3000"};
+    C.Body_ = Body;
+    C.Timeout_ = Millis(4000);
+    return send(std::move(C));
+  }
+
+  Answer submit(std::size_t I, const std::string &Job) {
+    return call(
+        I, "POST", Job,
+        R"({"spec":"x","phases":[{"count":1,"cpu":1000,"mem_mb":10,"est_ms":500}]})");
+  }
+
+  /// Stops an entry instance as planned, and starts it again.
+  void restart(std::size_t I) {
+    sendSignal(I, SIGTERM);
+    waitFor(
+        [&] { return Entries_[I].Process_->state() == QProcess::NotRunning; });
+    startEntry(I);
+  }
+
+  /// Writes a configuration with these routes to the pool "quoting".
+  void configure(int Version, const std::vector<std::string> &Routes,
+                 int Attempts = 2) {
+    std::ostringstream Text;
+    Text << R"({"version":)" << Version << R"(,"routes":[)";
+    const char *Separator = "";
+    for (const std::string &R : Routes) {
+      Text << Separator << R"({"name":"r-)" << R
+           << R"(","host":"trade.example","prefix":"/)" << R
+           << R"(/","service":"quoting","slo_ms":600,"prio":0,"attempts":)"
+           << Attempts << R"(,"slo_factor":1.6,"timeout_ms":3000})";
+      Separator = ",";
+    }
+    Text << R"(],"services":[{"name":"quoting","standby":false}],)"
+            R"("limits":{"max_body_bytes":65536}})";
+    waitFor([&] { return writeRow({"op", "", "config"}, Text.str()); });
+  }
+
+  bool ready(std::size_t I) {
+    http::Call C;
+    C.Url_ = "http://" + loopbackAddress(Entries_[I].ReadyPort_) + "/-/readyz";
+    return send(std::move(C)).Status_ == 200;
+  }
+
+  void injectStoreFault(const QByteArray &Fault) {
+    http::Call C;
+    C.Method_ = "POST";
+    C.Url_ = "http://" + loopbackAddress(StorePort_) + "/fault";
+    C.Body_ = Fault;
+    CPPUNIT_ASSERT_EQUAL(200, send(std::move(C)).Status_);
+  }
+
+  /// Writes a row of the workers' table.
+  void writeWorker(const std::string &Id, const std::string &Value) {
+    waitFor([&] { return writeRow({"servers", "", Id}, Value); });
+  }
+
+  /// Waits until an entry instance holds the pool's duty and returns its index.
+  std::size_t holder() {
+    std::optional<std::size_t> Found;
+    waitFor([&] {
+      for (std::size_t I = 0; I < Entries_.size(); ++I)
+        if (log(I).find(R"("pool":"quoting")") != std::string::npos &&
+            log(I).find(R"("event":"duty-loaded","jobs")") != std::string::npos)
+          Found = I;
+      return Found.has_value();
+    });
+    return *Found;
+  }
+
+  std::string log(std::size_t I) const {
+    std::ifstream In(pathInFolder("entry-" + std::to_string(I) + ".out"));
+    return {std::istreambuf_iterator<char>(In), {}};
+  }
+
+  /// Whether an entry instance has logged an event about a worker.
+  bool logged(std::size_t I, const std::string &Event,
+              const std::string &Worker) const {
+    std::istringstream Lines(log(I));
+    std::string Line;
+    while (std::getline(Lines, Line))
+      if (Line.find(R"("event":")" + Event + '"') != std::string::npos &&
+          Line.find(R"("worker":")" + Worker + '"') != std::string::npos)
+        return true;
+    return false;
+  }
+
+private:
+  std::string pathInFolder(const std::string &Name) const {
+    return Folder_.filePath(QString::fromStdString(Name)).toStdString();
+  }
+
+  std::unique_ptr<QProcess> startProcess(const char *Program,
+                                         const QStringList &Arguments,
+                                         const std::string &Name) {
+    auto P = std::make_unique<QProcess>();
+    P->setStandardOutputFile(
+        QString::fromStdString(pathInFolder(Name + ".out")));
+    P->setStandardErrorFile(
+        QString::fromStdString(pathInFolder(Name + ".err")));
+    P->start(QString::fromStdString(programPath(Program)), Arguments);
+    CPPUNIT_ASSERT(P->waitForStarted(StartTimeoutMs));
+    return P;
+  }
+
+  static void terminate(QProcess &P) {
+    ::kill(static_cast<pid_t>(P.processId()), SIGCONT);
+    P.kill();
+    P.waitForFinished(StartTimeoutMs);
+  }
+
+  Answer send(http::Call C) {
+    QElapsedTimer Timer;
+    Timer.start();
+    std::optional<http::Reply> Reply;
+    Http_.send(std::move(C), [&](const http::Reply &R) { Reply = R; });
+    waitFor([&] { return Reply.has_value(); });
+    return {Reply->Status_, Timer.elapsed(), Reply->Body_};
+  }
+
+  bool writeRow(const platform_api::RowPlace &Place, const std::string &Value) {
+    platform_api::Store S(Http_, {loopbackAddress(StorePort_), {}, true});
+    std::optional<platform_api::StoreReply> Reply;
+    S.transact({{}, {{Place, Value}}}, Millis(500),
+               [&](const platform_api::StoreReply &R) { Reply = R; });
+    waitFor([&] { return Reply.has_value(); });
+    return Reply->Outcome_ == platform_api::StoreOutcome::Ok;
+  }
+
+  void startEntry(std::size_t I) {
+    Entry &E = Entries_[I];
+    const std::string Name = "entry-" + std::to_string(I);
+    std::ofstream(pathInFolder(Name + ".ini"))
+        << "[entry]\nname = " << Name << "\nzone = z" << I
+        << "\ncpu_share = 0.25\n[listen]\nfront = "
+        << loopbackAddress(E.FrontPort_)
+        << "\nready = " << loopbackAddress(E.ReadyPort_)
+        << "\npeers = " << loopbackAddress(E.PeersPort_)
+        << "\n[store]\naddress = " << loopbackAddress(StorePort_)
+        << "\n[machines]\naddress = " << loopbackAddress(StorePort_)
+        << "\norders_per_s = 64.0\n[advice]\naddress =\n[bounds]\n"
+           "run_lease_max_ms = 10000\norder_lease_ms = 3000\n"
+           "order_fencing = true\n"
+           "status_kept_s = 120\nstop_grace_s = 6\nmove_s = 1.5\n"
+           "upkeep_s = 2\n";
+    E.Process_ = startProcess(
+        "heathercrossd",
+        {"--deployment", QString::fromStdString(pathInFolder(Name + ".ini"))},
+        Name);
+    waitFor([&] { return ready(I); });
+  }
+
+  http::Client Http_;
+  QTemporaryDir Folder_;
+  quint16 StorePort_ = freePort();
+  std::unique_ptr<QProcess> StoreProcess_;
+  std::vector<Entry> Entries_;
+};
+
+} // namespace heathercross::test
--- a/test/standin/bench/starts.cc
+++ b/test/standin/bench/starts.cc
@@ -4,8 +4,8 @@
 #include "http/http-client.h"
 #include "platform/store.h"
 #include "process-usage.h"
+#include "standin/common/task-workers.h"
 #include "table.h"
-#include "task-workers.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
@@ -28,6 +28,9 @@
 
 namespace {
 
+using standin::TaskWorkers;
+using standin::WorkerCalls;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 constexpr int StartTimeoutMs = 10'000;
--- a/test/standin/bench/task-workers.cc
+++ b/test/standin/common/task-workers.cc
@@ -1,5 +1,5 @@
 // Model workers that speak the platform's protocol for runs and leases.
-#include "task-workers.h"
+#include "standin/common/task-workers.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -8,13 +8,11 @@
 #include <algorithm>
 #include <optional>
 
-namespace heathercross::bench {
+namespace heathercross::standin {
 
 namespace {
 
 using SteadyTime = std::chrono::steady_clock::time_point;
-using standin::HttpRequest;
-using standin::HttpResponse;
 
 constexpr std::int64_t CapacityCpuMilli = 32'000;
 constexpr std::int64_t CapacityMemoryMb = 131'072;
@@ -35,7 +33,7 @@
 public:
   Worker(TaskWorkers &All, std::string Id)
       : All_(All), Id_(std::move(Id)),
-        Server_([this](const HttpRequest &R, const standin::Responder &To) {
+        Server_([this](const HttpRequest &R, const Responder &To) {
           serve(R, To);
         }) {
     Server_.listen(0);
@@ -49,13 +47,19 @@
     std::int64_t Number_ = 0;
     QString Task_;
     std::int64_t Attempt_ = 0;
+    const char *How_ = "";
+  };
+  struct RunningTask {
+    std::int64_t Attempt_ = 0;
+    SteadyTime Started_;
+    std::chrono::milliseconds Duration_{0};
   };
   struct WaitingRenewal {
     std::uint64_t Number_ = 0;
-    standin::Responder To_;
+    Responder To_;
   };
 
-  void serve(const HttpRequest &R, const standin::Responder &To) {
+  void serve(const HttpRequest &R, const Responder &To) {
     const QJsonObject O = QJsonDocument::fromJson(R.Body_).object();
     if (R.Path_ == "/-/run-start")
       return start(O, To);
@@ -65,26 +69,32 @@
     To(jsonObjectResponse({{"clock_ms", clockMs()}}));
   }
 
-  void start(const QJsonObject &O, const standin::Responder &To) {
+  void start(const QJsonObject &O, const Responder &To) {
     ++All_.Calls_.Starts_;
     const QString Task = O["task"].toString();
     const std::string Job = Task.section('.', 0, 0).toStdString();
     All_.FirstStarts_.try_emplace(Job, std::chrono::steady_clock::now());
     const std::int64_t Attempt = O["attempt"].toInteger();
-    Running_[Task] = Attempt;
-    QTimer::singleShot(O["spec"].toString().toInt(), Qt::PreciseTimer, this,
-                       [this, Task, Attempt] { end(Task, Attempt); });
+    const std::chrono::milliseconds Duration(O["spec"].toString().toInt());
+    Running_[Task] = {Attempt, std::chrono::steady_clock::now(), Duration};
+    const char *How = "done";
+    if (All_.RunsToFail_ > 0) {
+      --All_.RunsToFail_;
+      How = "failed";
+    }
+    QTimer::singleShot(Duration, Qt::PreciseTimer, this,
+                       [this, Task, Attempt, How] { end(Task, Attempt, How); });
     To(jsonObjectResponse({{"clock_ms", clockMs()}}));
   }
 
-  void end(const QString &Task, std::int64_t Attempt) {
+  void end(const QString &Task, std::int64_t Attempt, const char *How) {
     Running_.erase(Task);
-    Ends_.push_back({++LastEnd_, Task, Attempt});
+    Ends_.push_back({++LastEnd_, Task, Attempt, How});
     for (const WaitingRenewal &W : std::exchange(Waiting_, {}))
       W.To_(report());
   }
 
-  void renew(const QJsonObject &O, const standin::Responder &To) {
+  void renew(const QJsonObject &O, const Responder &To) {
     ++All_.Calls_.Renewals_;
     const std::int64_t Acknowledged = O["ack_seq"].toInteger();
     std::erase_if(Ends_, [Acknowledged](const End &E) {
@@ -107,19 +117,25 @@
 
   HttpResponse report() const {
     QJsonArray Running;
-    for (const auto &[Task, Attempt] : Running_)
-      Running.append(
-          QJsonArray{Task, static_cast<qint64>(Attempt), "", 50, 3100});
+    for (const auto &[Task, Run] : Running_)
+      Running.append(QJsonArray{Task, static_cast<qint64>(Run.Attempt_), "",
+                                percent(Run), 3100});
     QJsonArray Finished;
     for (const End &E : Ends_)
       Finished.append(QJsonArray{static_cast<qint64>(E.Number_), E.Task_,
-                                 static_cast<qint64>(E.Attempt_), "done", ""});
+                                 static_cast<qint64>(E.Attempt_), E.How_, ""});
     return jsonObjectResponse({{"clock_ms", clockMs()},
                                {"born", 1},
                                {"running", Running},
                                {"finished", Finished}});
   }
 
+  static int percent(const RunningTask &R) {
+    const auto Elapsed = std::chrono::steady_clock::now() - R.Started_;
+    return static_cast<int>(
+        100 * Elapsed / std::max(R.Duration_, std::chrono::milliseconds(1)));
+  }
+
   qint64 clockMs() const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::steady_clock::now() - Born_)
@@ -130,12 +146,12 @@
   TaskWorkers &All_;
   std::string Id_;
   SteadyTime Born_ = std::chrono::steady_clock::now();
-  std::map<QString, std::int64_t> Running_;
+  std::map<QString, RunningTask> Running_;
   std::deque<End> Ends_;
   std::int64_t LastEnd_ = 0;
   std::vector<WaitingRenewal> Waiting_;
   std::uint64_t LastRenewal_ = 0;
-  standin::HttpServer Server_;
+  HttpServer Server_;
 };
 
 TaskWorkers::TaskWorkers(int Count) {
@@ -180,4 +196,4 @@
                                   : std::optional<SteadyTime>(It->second);
 }
 
-} // namespace heathercross::bench
+} // namespace heathercross::standin
--- a/test/standin/bench/task-workers.h
+++ b/test/standin/common/task-workers.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace heathercross::bench {
+namespace heathercross::standin {
 
 /// Counts of the calls that model workers have answered.
 struct WorkerCalls {
@@ -23,8 +23,8 @@
   std::uint64_t Others_ = 0;
 };
 
-/// Workers of one pool, each on a loopback port of its own. The payload of a
-/// task is its run time in milliseconds; leases are not enforced.
+/// Workers of the pool "quoting", each on a loopback port of its own. The
+/// payload of a task is its run time in milliseconds; leases are not enforced.
 class TaskWorkers {
 public:
   explicit TaskWorkers(int Count);
@@ -39,6 +39,8 @@
   /// The rows with which the workers register themselves.
   std::vector<Registration> registrations() const;
   const WorkerCalls &calls() const { return Calls_; }
+  /// Lets the next runs that are started end as failed.
+  void failRuns(int Count) { RunsToFail_ = Count; }
   /// When the first task of a job was started; absent before.
   std::optional<std::chrono::steady_clock::time_point>
   firstStart(const std::string &Job) const;
@@ -46,8 +48,9 @@
 private:
   class Worker;
   WorkerCalls Calls_;
+  int RunsToFail_ = 0;
   std::map<std::string, std::chrono::steady_clock::time_point> FirstStarts_;
   std::vector<std::unique_ptr<Worker>> Workers_;
 };
 
-} // namespace heathercross::bench
+} // namespace heathercross::standin
