Settings of a queue outlive its removal from the configuration

Cause: a holder kept the settings of a removed queue in memory only. Its successor restored the job, knew no settings of its queue and applied the default ones: one attempt, priority 0 and no need of advice. The same held when a queue was given to another pool.

Change: a holder stores the settings of the queues that have jobs, in a row beside its roster. The row is written before a queue's first job, by the order of batches, and again when the settings change; it loses a queue when its last job is forgotten. A successor reads it and prefers the configuration where that names the queue. It costs no further read at a takeover. An older version finds no worker in the row.

--- a/src/entry/context.h
+++ b/src/entry/context.h
@@ -48,6 +48,7 @@
 inline constexpr const char *ProgressTable = "progress";
 inline constexpr const char *RosterTable = "rosters";
 inline constexpr const char *RosterKey = "roster";
+inline constexpr const char *QueuesKey = "queues";
 inline constexpr const char *WaveTable = "waves";
 
 /// Partition and duty of the fleet controller. It can't clash with a pool, as
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -118,29 +118,30 @@
   // renewed the duty, which was before this holder took it.
   const Instant LastLeaseEnd = Now + MaxRenewalAge + leaseBound();
   std::map<InstanceId, Instant> Awaited;
-  for (const auto &[Key, Value] : takeLoaded(RosterTable, RowKind::Roster))
-    for (const auto &[Id, Listed] : decodeRoster(Value)) {
-      const auto EndBy =
-          Listed.RunsEndBy_ ? Writer_.storeClock().reachedBy(*Listed.RunsEndBy_)
-                            : std::nullopt;
-      Awaited[Id] = EndBy.value_or(LastLeaseEnd);
-      Roster_[Id] = Listed;
-      if (Listed.RunsEndBy_)
-        RecordedSilent_.insert(Id);
-      if (Links_.contains(Id)) {
-        Scheduler_.setRostered(Id, !Listed.RunsEndBy_);
-        continue;
-      }
-      schedule::WorkerInfo Info;
-      Info.Id_ = Id;
-      Info.Pool_ = Pool_;
-      Info.Address_ = Listed.Address_;
-      // Adds the worker as not registered: it may have runs but gets no new
-      // ones.
-      Scheduler_.setWorker(Info);
-      Scheduler_.removeWorker(Id);
-      Links_[Id].Address_ = Listed.Address_;
+  auto PoolRows = takeLoaded(RosterTable, RowKind::Roster);
+  restoreQueues(PoolRows[QueuesKey]);
+  for (const auto &[Id, Listed] : decodeRoster(PoolRows[RosterKey])) {
+    const auto EndBy = Listed.RunsEndBy_
+                           ? Writer_.storeClock().reachedBy(*Listed.RunsEndBy_)
+                           : std::nullopt;
+    Awaited[Id] = EndBy.value_or(LastLeaseEnd);
+    Roster_[Id] = Listed;
+    if (Listed.RunsEndBy_)
+      RecordedSilent_.insert(Id);
+    if (Links_.contains(Id)) {
+      Scheduler_.setRostered(Id, !Listed.RunsEndBy_);
+      continue;
     }
+    schedule::WorkerInfo Info;
+    Info.Id_ = Id;
+    Info.Pool_ = Pool_;
+    Info.Address_ = Listed.Address_;
+    // Adds the worker as not registered: it may have runs but gets no new
+    // ones.
+    Scheduler_.setWorker(Info);
+    Scheduler_.removeWorker(Id);
+    Links_[Id].Address_ = Listed.Address_;
+  }
   const auto AwaitedSilent = std::ranges::count_if(
       Roster_, [](const auto &E) { return E.second.RunsEndBy_.has_value(); });
   Scheduler_.awaitWorkers(Awaited);
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -92,6 +92,8 @@
 void PoolHolder::setConfiguration(const schedule::Configuration &C) {
   Configuration_ = C;
   Scheduler_.setQueues(C.queuesOf(Pool_));
+  if (Ready_ && !Lost_)
+    updateQueues();
   scheduleRound();
 }
 
@@ -200,6 +202,9 @@
   S.Spec_ = std::move(*Spec);
   S.ReceivedAt_ = Now;
   S.Handlers_.push_back(std::move(OnAnswer));
+  // Batches are applied in order, so that the settings are stored with the job
+  // or before it.
+  storeQueue(Queue);
   S.Ticket_ = Journal_.put({schedule::RowKind::Job, Id.str(), std::move(Row)},
                            true, Now);
   Submissions_.emplace(Id, std::move(S));
@@ -369,7 +374,7 @@
   if (Now - LastPurge_ < PurgeInterval)
     return;
   LastPurge_ = Now;
-  std::erase_if(JobEnds_, [&](const auto &Entry) {
+  const std::size_t Purged = std::erase_if(JobEnds_, [&](const auto &Entry) {
     const auto &[Id, End] = Entry;
     if (Now - End.AddedAt_ < Context_.Settings_.StatusKept_ + PurgeMargin ||
         End.Ticket_ > Journal_.durable())
@@ -380,6 +385,8 @@
     Scheduler_.forget(Id);
     return true;
   });
+  if (Purged > 0)
+    updateQueues();
 }
 
 void PoolHolder::afterCommit() {
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -160,6 +160,13 @@
   /// Whether the stored roster lists the worker as one that may get runs.
   bool isRostered(const InstanceId &Id) const;
   void purgeEndedJobs();
+  /// Stores the settings of a queue that is about to have a job.
+  void storeQueue(const schedule::QueueId &Queue);
+  /// Brings the stored settings up to date, for the queues that have jobs.
+  void updateQueues();
+  /// Takes in the row that earlier holders stored; empty if there is none.
+  void restoreQueues(const std::string &Row);
+  void putQueues(bool Urgent);
 
   /// A renewal that has been sent.
   struct Renewal {
@@ -210,6 +217,8 @@
   /// Instances that are still registered though another instance answers at
   /// their address, with that address.
   std::map<InstanceId, std::string> EndedInstances_;
+  /// The stored settings of the queues that have jobs.
+  StoredQueues Queues_;
   Roster Roster_;
   schedule::PoolJournal::Ticket RosterTicket_ = 0;
   /// Whether the scheduler knows the durable roster.
--- a/src/entry/rows.cc
+++ b/src/entry/rows.cc
@@ -6,6 +6,8 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
+#include <limits>
+
 namespace heathercross::entry {
 
 namespace {
@@ -38,6 +40,26 @@
   return E;
 }
 
+std::optional<schedule::QueueSettings> parseQueue(const QJsonValue &V,
+                                                  const PoolId &Pool) {
+  const QJsonObject O = V.toObject();
+  const auto Priority = optionalCount(O["priority"]);
+  const auto MaxFailures = optionalCount(O["max_failures"]);
+  const auto SlackMs = optionalCount(O["objective_slack_ms"]);
+  constexpr auto Max = std::numeric_limits<std::uint32_t>::max();
+  if (!Priority || *Priority > Max || !MaxFailures || *MaxFailures < 1 ||
+      *MaxFailures > Max || !SlackMs || O["objective_factor"].toDouble(-1) < 0)
+    return std::nullopt;
+  schedule::QueueSettings Q;
+  Q.Pool_ = Pool;
+  Q.Priority_ = static_cast<std::uint32_t>(*Priority);
+  Q.MaxFailures_ = static_cast<std::uint32_t>(*MaxFailures);
+  Q.ObjectiveFactor_ = O["objective_factor"].toDouble();
+  Q.ObjectiveSlack_ = Millis(*SlackMs);
+  Q.NeedsAdvice_ = O["needs_advice"].toBool();
+  return Q;
+}
+
 } // namespace
 
 std::string encodeHolder(const schedule::HolderRow &H) {
@@ -106,4 +128,25 @@
   return R;
 }
 
+std::string encodeQueues(const StoredQueues &Queues) {
+  QJsonObject O;
+  for (const auto &[Id, Q] : Queues)
+    O[toQString(Id.str())] = QJsonObject{
+        {"priority", static_cast<qint64>(Q.Priority_)},
+        {"max_failures", static_cast<qint64>(Q.MaxFailures_)},
+        {"objective_factor", Q.ObjectiveFactor_},
+        {"objective_slack_ms", static_cast<qint64>(Q.ObjectiveSlack_.count())},
+        {"needs_advice", Q.NeedsAdvice_}};
+  return encodeObject(O);
+}
+
+StoredQueues decodeQueues(const std::string &Text, const PoolId &Pool) {
+  StoredQueues Queues;
+  if (const auto O = parseObject(Text))
+    for (auto It = O->begin(); It != O->end(); ++It)
+      if (const auto Q = parseQueue(It.value(), Pool))
+        Queues[schedule::QueueId(It.key().toStdString())] = *Q;
+  return Queues;
+}
+
 } // namespace heathercross::entry
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -1,7 +1,7 @@
 // Encoding of the rows that heathercross itself keeps in the store.
 #pragma once
 
-#include "schedule/job.h"
+#include "schedule/model.h"
 #include "schedule/pool-journal.h"
 
 #include <QByteArray>
@@ -48,4 +48,13 @@
 /// Skips invalid entries.
 Roster decodeRoster(const std::string &Text);
 
+/// The settings of the queues that have jobs. They outlive a queue's removal
+/// from the configuration.
+using StoredQueues = std::map<schedule::QueueId, schedule::QueueSettings>;
+
+/// The pool isn't stored, as the row belongs to it.
+std::string encodeQueues(const StoredQueues &Queues);
+/// Skips invalid entries.
+StoredQueues decodeQueues(const std::string &Text, const PoolId &Pool);
+
 } // namespace heathercross::entry
--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -136,6 +136,7 @@
   Millis ObjectiveSlack_{0};
   /// Only workers named by the placement service may run a step.
   bool NeedsAdvice_ = false;
+  bool operator==(const QueueSettings &) const = default;
 };
 
 /// A worker that may run a step, and the ticket that proves it.
--- a/src/schedule/pool-journal.h
+++ b/src/schedule/pool-journal.h
@@ -21,7 +21,8 @@
   Job,
   /// The state of a job and which of its tasks are done.
   Progress,
-  /// The workers on which tasks may run.
+  /// What a pool stores once: the workers on which tasks may run, and the
+  /// settings of the queues that have jobs.
   Roster,
   /// The machines of a maintenance wave whose upkeep has begun.
   Wave,
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -38,12 +38,15 @@
 }
 
 void PoolScheduler::setQueues(const std::map<QueueId, QueueSettings> &Queues) {
-  // A queue that was removed from the configuration keeps its settings for the
-  // jobs that it accepted.
   for (const auto &[Id, Settings] : Queues)
     Queues_[Id] = Settings;
 }
 
+void PoolScheduler::restoreQueues(
+    const std::map<QueueId, QueueSettings> &Queues) {
+  Queues_.insert(Queues.begin(), Queues.end());
+}
+
 const QueueSettings &PoolScheduler::settings(const QueueId &Queue) const {
   static const QueueSettings None;
   const auto It = Queues_.find(Queue);
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -113,7 +113,12 @@
   PoolScheduler(const PoolScheduler &) = delete;
   PoolScheduler &operator=(const PoolScheduler &) = delete;
 
+  /// Sets the configured queues. One that was removed from the configuration
+  /// keeps its settings for the jobs that it accepted.
   void setQueues(const std::map<QueueId, QueueSettings> &Queues);
+  /// Sets the settings that earlier holders knew, for queues that this one
+  /// doesn't know from the configuration.
+  void restoreQueues(const std::map<QueueId, QueueSettings> &Queues);
 
   /// Sets the maximum number of unanswered start orders. Further tasks stay
   /// unordered, because orders wait at the entry in a queue that more urgent
@@ -203,6 +208,10 @@
   const Job *find(const JobId &Id) const;
   const std::map<JobId, Job> &jobs() const { return Jobs_; }
   const std::map<InstanceId, Worker> &workers() const { return Workers_; }
+  bool knowsQueue(const QueueId &Queue) const {
+    return Queues_.contains(Queue);
+  }
+  /// The settings of a queue; the default ones if it isn't known.
   const QueueSettings &settings(const QueueId &Queue) const;
   /// Returns and clears the set of jobs whose progress changed.
   std::set<JobId> takeChanged() { return std::exchange(Changed_, {}); }
--- a/test/entry/rows-test.cc
+++ b/test/entry/rows-test.cc
@@ -119,3 +119,35 @@
     CPPUNIT_ASSERT(problemsOf(Text).find("missing") == std::string::npos);
   });
 }
+
+// Guards against settings of a queue that a later holder reads otherwise than
+// the one that stored them.
+HEATHERCROSS_STORY(QueueRows, "the settings of queues survive their row") {
+  const PoolId Pool("quoting");
+  schedule::QueueSettings Q;
+  Q.Pool_ = Pool;
+  Q.Priority_ = 3;
+  Q.MaxFailures_ = 4;
+  Q.ObjectiveFactor_ = 1.6;
+  Q.ObjectiveSlack_ = Millis(600);
+  Q.NeedsAdvice_ = true;
+  const StoredQueues Queues{{schedule::QueueId("r-old"), Q},
+                            {schedule::QueueId("r/\"odd\""), Q}};
+  section("all of them are read back", [&] {
+    CPPUNIT_ASSERT(decodeQueues(encodeQueues(Queues), Pool) == Queues);
+  });
+  section("an odd entry leaves the others", [&] {
+    const std::string Row = encodeQueues({{schedule::QueueId("r-old"), Q}});
+    for (const char *Odd :
+         {R"("x":7,)", R"("x":{},)", R"("x":{"max_failures":0},)",
+          R"("x":{"max_failures":1e30,"objective_factor":1},)",
+          R"("x":{"max_failures":2,"objective_factor":-1},)"}) {
+      std::string Text = Row;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           decodeQueues(Text.insert(1, Odd), Pool).size());
+    }
+    CPPUNIT_ASSERT(decodeQueues("", Pool).empty());
+  });
+  section("an older version takes the row for a roster without workers",
+          [&] { CPPUNIT_ASSERT(decodeRoster(encodeQueues(Queues)).empty()); });
+}
--- /dev/null
+++ b/test/proof-deployment/removed-route-test.cc
@@ -0,0 +1,51 @@
+// End-to-end tests of jobs whose route is removed while they run.
+#include "proof-deployment/deployment.h"
+#include "standin/common/task-workers.h"
+#include "support/story.h"
+
+using namespace heathercross;
+using heathercross::standin::TaskWorkers;
+using heathercross::test::Deployment;
+using heathercross::test::runFor;
+using heathercross::test::section;
+using heathercross::test::startQt;
+using heathercross::test::waitFor;
+
+// Guards against a holder that doesn't know the settings of a removed queue: it
+// showed the queue's job as failed after the first of four attempts.
+HEATHERCROSS_STORY(RemovedRoute,
+                   "the jobs of a removed route keep its settings") {
+  constexpr int Attempts = 4;
+  const std::string Job = "00000000000000d1";
+  startQt();
+  TaskWorkers Workers(1);
+  Workers.failRuns(1);
+  Deployment D(2);
+  for (const auto &R : Workers.registrations())
+    D.writeWorker(R.Id_, R.Row_);
+  D.configure(4, {"quotes", "archive"}, Attempts);
+  section("a job of the route runs", [&] {
+    waitFor([&] {
+      return D.call(0, "POST", Job,
+                    R"({"spec":"6000","phases":[{"count":1,"cpu":1000,)"
+                    R"("mem_mb":10,"est_ms":6000}]})",
+                    "archive")
+                 .Status_ == 200;
+    });
+    waitFor([&] { return Workers.calls().Starts_ == 1; });
+  });
+  section("the route is removed, and the pool's duty has another holder", [&] {
+    D.configure(5, {"quotes"}, Attempts);
+    runFor(1000);
+    D.restart(D.holder());
+  });
+  section("the task is started again after its first run has failed",
+          [&] { waitFor([&] { return Workers.calls().Starts_ == 2; }); });
+  section("the job is complete once the route is there again", [&] {
+    D.configure(6, {"quotes", "archive"}, Attempts);
+    waitFor([&] {
+      return D.call(0, "GET", Job, {}, "archive")
+          .Body_.contains(R"("state":"complete")");
+    });
+  });
+}
