A pool accepts jobs only while they fit into its share of the memory

Cause: nothing bounded the jobs of a holder together. A job of 2.4 KB with 200 steps takes 73 KB, and every one was accepted, so that the process would end at its memory limit, and each successor as it loads the same jobs.

Change: a holder estimates the memory of each job from its row and its steps. The jobs of a pool may take half of the instance's memory, divided by the number of pools, since one instance may have to hold all pools. Beyond that a job is turned away before it is stored (memory-full); jobs of earlier holders count. The platform's limit comes from the new key memory_mib, which is optional.

"accepted jobs take no more memory than was estimated" found 72,658 bytes a job of 200 steps against an estimate of 73,354.

--- a/src/entry/entry-settings.cc
+++ b/src/entry/entry-settings.cc
@@ -21,6 +21,8 @@
 constexpr double MaxMillis = MaxSeconds * MillisPerSecond;
 constexpr double MaxRate = 1e6;
 constexpr double MaxCores = 1024;
+constexpr double MaxMib = 1 << 20;
+constexpr double BytesPerMib = 1 << 20;
 
 /// Reads typed values from a file and collects all problems.
 class SettingsReader {
@@ -49,9 +51,15 @@
   }
 
   double number(const char *Section, const char *Key, double Min, double Max) {
-    const std::string Value = readValue(Section, Key, true);
+    return optionalNumber(Section, Key, Min, Max, true).value_or(Min);
+  }
+
+  std::optional<double> optionalNumber(const char *Section, const char *Key,
+                                       double Min, double Max,
+                                       bool Required = false) {
+    const std::string Value = readValue(Section, Key, Required);
     if (Value.empty())
-      return Min;
+      return std::nullopt;
     double Number = 0;
     const char *End = Value.data() + Value.size();
     const auto Parsed = std::from_chars(Value.data(), End, Number);
@@ -123,6 +131,8 @@
   S.Name_ = EntryId(C.name("entry", "name"));
   S.Zone_ = ZoneId(C.name("entry", "zone"));
   S.CpuShare_ = C.number("entry", "cpu_share", 0, MaxCores);
+  if (const auto Mib = C.optionalNumber("entry", "memory_mib", 1, MaxMib))
+    S.Memory_ = {static_cast<std::uint64_t>(*Mib * BytesPerMib)};
   S.Front_ = C.endpoint("listen", "front");
   S.Ready_ = C.endpoint("listen", "ready");
   S.Peers_ = C.endpoint("listen", "peers");
--- a/src/entry/entry-settings.h
+++ b/src/entry/entry-settings.h
@@ -10,6 +10,9 @@
 
 namespace heathercross::entry {
 
+/// The least memory that an entry is given.
+inline constexpr Bytes DefaultMemory = 160_MiB;
+
 /// Settings that the platform writes to a file at each start and after each
 /// change.
 struct EntrySettings {
@@ -17,6 +20,8 @@
   ZoneId Zone_;
   /// Processor time that this entry may use, in cores.
   double CpuShare_ = 1;
+  /// Memory at which the platform ends this entry.
+  Bytes Memory_ = DefaultMemory;
   /// Listening address for callers.
   Endpoint Front_;
   /// Listening address for the load balancer's readiness checks.
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -111,6 +111,7 @@
       JobEnds_[Id] = {0, Now};
     else
       ++OpenJobs;
+    JobMemory_.add(Id, schedule::memoryOf(*Spec, Value.size()));
     Scheduler_.restore(std::move(J),
                        schedule::attemptFloor(self().Epoch_, Stored->Epoch_));
   }
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -84,6 +84,7 @@
       MinOrderLimit, static_cast<std::size_t>(MaxOrdersPerCore *
                                               Context_.Settings_.CpuShare_)));
   Scheduler_.setMaxLease(maxLease());
+  JobMemory_.setLimit(Context_.Settings_.Memory_.Count_, 1);
   load();
 }
 
@@ -92,6 +93,7 @@
 void PoolHolder::setConfiguration(const schedule::Configuration &C) {
   Configuration_ = C;
   Scheduler_.setQueues(C.queuesOf(Pool_));
+  JobMemory_.setLimit(Context_.Settings_.Memory_.Count_, C.Pools_.size());
   if (Ready_ && !Lost_)
     updateQueues();
   scheduleRound();
@@ -199,6 +201,10 @@
     Context_.Log_.write("job-too-long", F);
     return OnAnswer(Kind::Malformed);
   }
+  const std::size_t Memory = schedule::memoryOf(*Spec, Row.size());
+  if (!JobMemory_.fits(Memory))
+    return Reject("memory-full", RetryAfterBurst);
+  JobMemory_.add(Id, Memory);
   S.Spec_ = std::move(*Spec);
   S.ReceivedAt_ = Now;
   S.Handlers_.push_back(std::move(OnAnswer));
@@ -383,6 +389,7 @@
                  Now);
     Journal_.put({schedule::RowKind::Job, Id.str(), std::nullopt}, false, Now);
     Scheduler_.forget(Id);
+    JobMemory_.remove(Id);
     return true;
   });
   if (Purged > 0)
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -5,6 +5,7 @@
 #include "entry/journal-writer.h"
 #include "entry/rows.h"
 #include "schedule/configuration.h"
+#include "schedule/job-memory.h"
 #include "schedule/pool-scheduler.h"
 
 #include <QObject>
@@ -213,6 +214,7 @@
   schedule::PoolJournal &Journal_;
   schedule::PoolScheduler Scheduler_;
   schedule::Configuration Configuration_;
+  schedule::JobMemory JobMemory_;
   std::map<InstanceId, Link> Links_;
   /// Instances that are still registered though another instance answers at
   /// their address, with that address.
--- a/src/schedule/task-progress.cc
+++ b/src/schedule/task-progress.cc
@@ -66,6 +66,8 @@
 Occurrences::Occurrences(const std::vector<StepSpec> &Steps,
                          std::uint32_t Count)
     : Count_(Count) {
+  New_.Steps_.reserve(Steps.size());
+  Done_.Steps_.reserve(Steps.size());
   for (const StepSpec &S : Steps) {
     New_.Steps_.emplace_back(S.Count_);
     Done_.Steps_.push_back(StepState::allDone(S.Count_));
--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -49,7 +49,10 @@
   };
 
   /// Starts the instances with one route, /quotes/, to the pool "quoting".
-  explicit Deployment(int Count) : Entries_(static_cast<std::size_t>(Count)) {
+  /// EntryKeys are further lines of the settings' section entry.
+  explicit Deployment(int Count, std::string EntryKeys = "")
+      : EntryKeys_(std::move(EntryKeys)),
+        Entries_(static_cast<std::size_t>(Count)) {
     StoreProcess_ = startProcess(
         "standin-platform", {"--port", QString::number(StorePort_)}, "store");
     configure(3, {"quotes"});
@@ -217,8 +220,8 @@
     const std::string Name = "entry-" + std::to_string(I);
     std::ofstream(pathInFolder(Name + ".ini"))
         << "[entry]\nname = " << Name << "\nzone = z" << I
-        << "\ncpu_share = 0.25\n[listen]\nfront = "
-        << loopbackAddress(E.FrontPort_)
+        << "\ncpu_share = 0.25\n"
+        << EntryKeys_ << "[listen]\nfront = " << loopbackAddress(E.FrontPort_)
         << "\nready = " << loopbackAddress(E.ReadyPort_)
         << "\npeers = " << loopbackAddress(E.PeersPort_)
         << "\n[store]\naddress = " << loopbackAddress(StorePort_)
@@ -235,6 +238,7 @@
     waitFor([&] { return ready(I); });
   }
 
+  std::string EntryKeys_;
   http::Client Http_;
   QTemporaryDir Folder_;
   quint16 StorePort_ = freePort();
--- a/test/schedule/long-schedule-test.cc
+++ b/test/schedule/long-schedule-test.cc
@@ -1,8 +1,11 @@
 // Tests of jobs whose schedules reach far ahead.
+#include "schedule/job-memory.h"
 #include "schedule/model-pool.h"
 #include "support/memory.h"
 #include "support/story.h"
 
+#include <list>
+
 using namespace heathercross;
 using namespace heathercross::schedule;
 using namespace heathercross::schedule::test;
@@ -106,3 +109,54 @@
     CPPUNIT_ASSERT_EQUAL(18U, P.Starts_);
   });
 }
+
+// Guards against a limit that is kept while the process grows beyond it.
+HEATHERCROSS_STORY(JobMemoryEstimate,
+                   "accepted jobs take no more memory than was estimated") {
+#ifdef __SANITIZE_ADDRESS__
+  // Each allocation has a margin of its own size and more.
+  constexpr std::size_t Margin = 4;
+#else
+  constexpr std::size_t Margin = 1;
+#endif
+  constexpr int Jobs = 2000;
+  // All are kept, so that none takes the memory that another has freed.
+  std::list<PoolScheduler> Holders;
+  const auto ExpectBounded = [&](const JobSpec &Spec) {
+    const std::size_t Estimate = memoryOf(Spec, Spec.Payload_.size());
+    const std::size_t Before = residentBytes();
+    PoolScheduler &Holder = Holders.emplace_back();
+    for (int I = 0; I < Jobs; ++I)
+      Holder.admit(Job(idOf(I), QueueId("q"), Spec, Instant()));
+    const std::size_t After = residentBytes();
+    CPPUNIT_ASSERT(After <= Before + Margin * Estimate * Jobs);
+  };
+  section("with many steps", [&] {
+    ExpectBounded(job(std::vector<StepSpec>(200, step(1, 100, Millis(200)))));
+  });
+  section("with a long payload", [&] {
+    JobSpec Spec = job({step(1, 100, Millis(200))});
+    Spec.Payload_.assign(20'000, 'x');
+    ExpectBounded(Spec);
+  });
+  section("with little of either",
+          [&] { ExpectBounded(job({step(6, 100, Millis(200))})); });
+}
+
+HEATHERCROSS_STORY(JobMemoryLimit, "pools share the memory for jobs") {
+  JobMemory Memory;
+  Memory.setLimit(1000, 5);
+  Memory.add(idOf(1), 60);
+  CPPUNIT_ASSERT(Memory.fits(40));
+  CPPUNIT_ASSERT(!Memory.fits(41));
+  section("a job counts once", [&] {
+    Memory.add(idOf(1), 70);
+    CPPUNIT_ASSERT(!Memory.fits(31));
+  });
+  section("jobs of earlier holders count beyond the limit", [&] {
+    Memory.add(idOf(2), 500);
+    CPPUNIT_ASSERT(!Memory.fits(1));
+    Memory.remove(idOf(2));
+    CPPUNIT_ASSERT(Memory.fits(30));
+  });
+}
