Pools that have had a holder are listed in the store

An entry claimed the duties of pools to which it had seen a route, so that after a rolling restart no process knew that the pool had work.

Change: before the first claim of a duty its pool's name is stored in the table pools. An entry that starts reads these names and the holder rows of these pools; a pool of which a holder row is read needs a holder. That is one read more at an entry's start, and one write in the life of a pool.

--- a/src/entry/cluster-state.cc
+++ b/src/entry/cluster-state.cc
@@ -69,13 +69,16 @@
                           dropMissingWorkers();
                           Handlers_.OnWorkers_();
                         }}),
-      DutiesFollower_(C, {HolderTable, Millis(0), DutiesPause},
+      DutiesFollower_(C, {HolderTable, Millis(0), DutiesPause, PoolTable},
                       {[this] { return dutyPartitions(); },
                        [this](const auto &Rows) { applyHolderRows(Rows); },
                        [this](const auto &Rows) { applyHolderRows(Rows); },
                        [this] {
                          Duties_.polled(Context_.Clock_.now());
                          Handlers_.OnDuties_();
+                       },
+                       [this](const StoredRow &Row) {
+                         ListedPools_.insert(PoolId(Row.Place_.Key_));
                        }}) {}
 
 void ClusterState::start() {
@@ -180,9 +183,7 @@
   std::set<PoolId> Pools{FleetDuty};
   for (const schedule::Route &R : Configuration_->Routes_)
     Pools.insert(R.Settings_.Pool_);
-  // A pool without routes may still have jobs to finish.
-  Pools.insert(Duties_.pools().begin(), Duties_.pools().end());
-  Duties_.setPools(std::move(Pools), Context_.Clock_.now());
+  Duties_.addPools(Pools, Context_.Clock_.now());
   Handlers_.OnConfiguration_();
 }
 
--- a/src/entry/cluster-state.h
+++ b/src/entry/cluster-state.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace heathercross::entry {
 
@@ -42,6 +43,12 @@
   }
   schedule::DutyWatch &duties() { return Duties_; }
   const schedule::DutyWatch &duties() const { return Duties_; }
+  /// Whether the stored list of pools names this one, so that entries find its
+  /// duty without a route to it.
+  bool isListed(const PoolId &Pool) const {
+    return ListedPools_.contains(Pool);
+  }
+  void setListed(const PoolId &Pool) { ListedPools_.insert(Pool); }
   /// Whether the last poll of the holder rows succeeded.
   bool storeAnswers() const { return !DutiesFollower_.failing(); }
   /// Whether neither the store nor an entry of another zone has answered for a
@@ -73,6 +80,7 @@
   std::map<InstanceId, Instant> Missing_;
   std::map<std::uint64_t, schedule::UpkeepWave> Waves_;
   schedule::DutyWatch Duties_;
+  std::set<PoolId> ListedPools_;
   /// The configuration as stored, and its row's version.
   std::string ConfigurationText_;
   RowVersion ConfigurationRow_;
--- a/src/entry/context.h
+++ b/src/entry/context.h
@@ -44,6 +44,8 @@
 /// Names of the store's tables and keys; a row's partition is its pool.
 inline constexpr const char *HolderTable = "holders";
 inline constexpr const char *HolderKey = "holder";
+/// The pools that have had a holder, in the partition "" by name.
+inline constexpr const char *PoolTable = "pools";
 inline constexpr const char *JobTable = "jobs";
 inline constexpr const char *ProgressTable = "progress";
 inline constexpr const char *RosterTable = "rosters";
--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -39,7 +39,7 @@
 }
 
 void Duties::onDuties() {
-  if (Stopping_ || Claiming_)
+  if (Stopping_ || Claiming_ || !ClusterState_.configuration())
     return;
   // A holder row may name this entry because of a claim whose answer was lost.
   // When it was written isn't known, so the duty is held only once the first
@@ -63,6 +63,29 @@
 
 void Duties::claim(const schedule::Claim &C) {
   Claiming_ = true;
+  if (C.Pool_ == FleetDuty || ClusterState_.isListed(C.Pool_))
+    return writeClaim(C);
+  listPool(C);
+}
+
+void Duties::listPool(const schedule::Claim &C) {
+  Context_.Store_.transact(
+      {{}, {{{PoolTable, "", C.Pool_.str()}, "{}"}}}, ClaimTimeout,
+      guarded(this, [this, C](const StoreReply &R) {
+        if (R.Outcome_ == StoreOutcome::Ok) {
+          ClusterState_.setListed(C.Pool_);
+          return writeClaim(C);
+        }
+        Claiming_ = false;
+        Context_.Log_.write(
+            "pool-unlisted",
+            {{"pool", C.Pool_.str().c_str()},
+             {"outcome", platform_api::outcomeName(R.Outcome_)}});
+        ClusterState_.duties().claimRefused(Context_.Clock_.now());
+      }));
+}
+
+void Duties::writeClaim(const schedule::Claim &C) {
   const schedule::HolderRow Self{Context_.Incarnation_,
                                  Context_.Settings_.Peers_.str(), C.Epoch_, 0};
   const platform_api::RowPlace Place{HolderTable, C.Pool_.str(), HolderKey};
--- a/src/entry/duties.h
+++ b/src/entry/duties.h
@@ -38,6 +38,10 @@
 
 private:
   void claim(const schedule::Claim &C);
+  /// Adds a pool to the stored list before its first holder accepts a job, then
+  /// claims its duty.
+  void listPool(const schedule::Claim &C);
+  void writeClaim(const schedule::Claim &C);
   void beginDuty(const PoolId &Pool, const schedule::HeldDuty &Duty,
                  schedule::ClaimCause Cause);
   void handleDutyEnd(const PoolId &Pool);
--- a/src/entry/table-follower.cc
+++ b/src/entry/table-follower.cc
@@ -1,6 +1,7 @@
 // Follows the changes of one table of the store.
 #include "entry/table-follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace heathercross::entry {
@@ -15,6 +16,11 @@
 /// Pause after a failed call.
 constexpr Millis FailurePause{250};
 
+/// The smallest key greater than that of a row.
+std::string keyAfter(const platform_api::StoredRow &Row) {
+  return Row.Place_.Key_ + '\0';
+}
+
 } // namespace
 
 TableFollower::TableFollower(Context &C, FollowerConfig Config, Handlers H)
@@ -93,6 +99,34 @@
   Rows_.clear();
   if (PartitionsLeft_.empty())
     return schedulePoll(FailurePause);
+  if (!Config_.IndexTable_.empty())
+    return readIndex("");
+  readPage();
+}
+
+void TableFollower::readIndex(const std::string &From) {
+  InFlight_ = true;
+  Context_.Store_.read(Config_.IndexTable_, "", From, CallTimeout,
+                       guarded(this, [this](const StoreReply &R) {
+                         InFlight_ = false;
+                         handleIndexReply(R);
+                       }));
+}
+
+void TableFollower::handleIndexReply(const StoreReply &R) {
+  trackOutage(R);
+  if (R.Outcome_ != StoreOutcome::Ok)
+    return schedulePoll(FailurePause);
+  for (const auto &Row : R.Rows_) {
+    if (Row.Removed_)
+      continue;
+    Handlers_.OnIndexRow_(Row);
+    if (std::ranges::find(PartitionsLeft_, Row.Place_.Key_) ==
+        PartitionsLeft_.end())
+      PartitionsLeft_.push_back(Row.Place_.Key_);
+  }
+  if (R.More_ && !R.Rows_.empty())
+    return readIndex(keyAfter(R.Rows_.back()));
   readPage();
 }
 
@@ -113,8 +147,7 @@
     FirstVersion_ = R.Version_;
   Rows_.insert(Rows_.end(), R.Rows_.begin(), R.Rows_.end());
   if (R.More_ && !R.Rows_.empty()) {
-    // The smallest key greater than the last one that was read.
-    NextKey_ = R.Rows_.back().Place_.Key_ + '\0';
+    NextKey_ = keyAfter(R.Rows_.back());
     return readPage();
   }
   PartitionsLeft_.pop_back();
--- a/src/entry/table-follower.h
+++ b/src/entry/table-follower.h
@@ -18,6 +18,9 @@
   Millis Wait_{0};
   /// Pause between the end of a call and the next one.
   Millis Pause_{0};
+  /// A table whose keys in the partition "" name further partitions to read;
+  /// empty if there is none.
+  std::string IndexTable_ = {};
 };
 
 /// Reads the complete table, then polls for its changes. When the store no
@@ -25,7 +28,8 @@
 class TableFollower : public QObject {
 public:
   struct Handlers {
-    /// Returns the partitions to read when the complete table is read.
+    /// Returns the partitions to read when the complete table is read; empty
+    /// if it can't be read yet.
     std::function<std::vector<std::string>()> Partitions_;
     /// Called with all rows of these partitions.
     std::function<void(const std::vector<platform_api::StoredRow> &)> OnTable_;
@@ -35,6 +39,8 @@
     /// Called after each successful read; rows that weren't reported are
     /// unchanged.
     std::function<void()> OnCurrent_;
+    /// Called with each row of the index table; may be null without one.
+    std::function<void(const platform_api::StoredRow &)> OnIndexRow_ = {};
   };
 
   TableFollower(Context &C, FollowerConfig Config, Handlers H);
@@ -50,6 +56,8 @@
 private:
   void poll();
   void readTable();
+  void readIndex(const std::string &From);
+  void handleIndexReply(const platform_api::StoreReply &R);
   void readPage();
   void handleReadReply(const platform_api::StoreReply &R);
   void handleChangesReply(const platform_api::StoreReply &R);
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -47,15 +47,18 @@
 DutyWatch::DutyWatch(EntryId Self, double DelayFactor)
     : Self_(std::move(Self)), DelayFactor_(DelayFactor) {}
 
-void DutyWatch::setPools(std::set<PoolId> Pools, Instant Now) {
+void DutyWatch::addPools(const std::set<PoolId> &Pools, Instant Now) {
   for (const PoolId &P : Pools)
     if (!Watches_.contains(P))
       Watches_[P].UnchangedSince_ = Now;
-  Pools_ = std::move(Pools);
+  Pools_.insert(Pools.begin(), Pools.end());
 }
 
 void DutyWatch::holderRead(const PoolId &Pool, const StoredHolder &Holder,
                            Instant Now) {
+  // A pool that has had a holder may have jobs to finish, even if the
+  // configuration doesn't name it any more.
+  Pools_.insert(Pool);
   Watch &W = Watches_[Pool];
   if (W.Stored_ && W.Stored_->Version_ >= Holder.Version_)
     return;
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -52,8 +52,9 @@
   /// above 1 the entry waits longer before a claim, below 1 less long.
   DutyWatch(EntryId Self, double DelayFactor);
 
-  /// Sets the pools whose duties need a holder.
-  void setPools(std::set<PoolId> Pools, Instant Now);
+  /// Adds pools whose duties need a holder.
+  void addPools(const std::set<PoolId> &Pools, Instant Now);
+  /// Takes in a holder row. Its pool needs a holder from then on.
   void holderRead(const PoolId &Pool, const StoredHolder &Holder, Instant Now);
   /// Records that the store answered; rows that it did not report are
   /// unchanged.
--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -106,6 +106,18 @@
     startEntry(I);
   }
 
+  /// Kills all entry instances at once, and starts them again.
+  void killAll() {
+    for (std::size_t I = 0; I < Entries_.size(); ++I)
+      sendSignal(I, SIGKILL);
+    for (std::size_t I = 0; I < Entries_.size(); ++I) {
+      Entries_[I].Process_->waitForFinished(StartTimeoutMs);
+      startEntry(I);
+    }
+  }
+
+  std::size_t size() const { return Entries_.size(); }
+
   /// Writes a configuration with these routes to the pool "quoting".
   void configure(int Version, const std::vector<std::string> &Routes,
                  int Attempts = 2) {
--- a/test/proof-deployment/removed-route-test.cc
+++ b/test/proof-deployment/removed-route-test.cc
@@ -49,3 +49,54 @@
     });
   });
 }
+
+namespace {
+
+/// Removes the only route of a pool while a job of two steps runs there, and
+/// expects that its second step starts although all entries were restarted.
+template <class Restart> void runWithoutRoutes(Restart RestartEntries) {
+  const std::string Job = "00000000000000d2";
+  startQt();
+  TaskWorkers Workers(1);
+  Deployment D(2);
+  for (const auto &R : Workers.registrations())
+    D.writeWorker(R.Id_, R.Row_);
+  section("the first step of a job runs", [&] {
+    waitFor([&] {
+      return D.call(0, "POST", Job,
+                    R"({"spec":"4000","phases":[{"count":1,"est_ms":4000},)"
+                    R"({"count":1,"est_ms":4000,"after":[0]}]})")
+                 .Status_ == 200;
+    });
+    waitFor([&] { return Workers.calls().Starts_ == 1; });
+  });
+  section("its pool has no route any more, and the entries are restarted", [&] {
+    D.configure(4, {});
+    runFor(1000);
+    RestartEntries(D);
+  });
+  section("the second step starts",
+          [&] { waitFor([&] { return Workers.calls().Starts_ == 2; }); });
+  section("the job is complete once there is a route again", [&] {
+    D.configure(5, {"quotes"});
+    waitFor([&] {
+      return D.call(1, "GET", Job).Body_.contains(R"("state":"complete")");
+    });
+  });
+}
+
+} // namespace
+
+// Guards against work that is nobody's once its service has no routes: only
+// entries that had seen one took the pool's duty.
+HEATHERCROSS_STORY(WorkWithoutRoutes,
+                   "a pool whose last route is removed finishes its jobs") {
+  section("when the entries are restarted in turn", [] {
+    runWithoutRoutes([](Deployment &D) {
+      for (std::size_t I = 0; I < D.size(); ++I)
+        D.restart(I);
+    });
+  });
+  section("when all of them are killed at once",
+          [] { runWithoutRoutes([](Deployment &D) { D.killAll(); }); });
+}
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -32,16 +32,26 @@
                    "vacant duties are taken over and distributed evenly") {
   Instant Now{Seconds(10)};
   DutyWatch W(EntryId("e1"), 1);
-  W.setPools({Quotes, PoolId("bookings")}, Now);
+  W.addPools({Quotes, PoolId("bookings")}, Now);
   section("an entry without duties soon claims one", [&] {
     const auto Claimed = poll(W, Now, Seconds(1));
     CPPUNIT_ASSERT(Claimed && Claimed->Epoch_ == Epoch(1) &&
                    Claimed->Version_ == RowVersion());
   });
+  section("also that of a pool which only a holder row names", [&] {
+    DutyWatch Restarted(EntryId("e2"), 1);
+    Instant RestartedNow{Seconds(10)};
+    const PoolId Removed("archive");
+    Restarted.holderRead(Removed, {{EntryId(), "", Epoch(4), 7}, RowVersion(9)},
+                         RestartedNow);
+    const auto Claimed = poll(Restarted, RestartedNow, Seconds(1));
+    CPPUNIT_ASSERT(Claimed && Claimed->Pool_ == Removed &&
+                   Claimed->Epoch_ == Epoch(5));
+  });
   section("it waits longer when it has many", [&] {
     DutyWatch Busy(EntryId("e2"), 1);
     Instant BusyNow{Seconds(10)};
-    Busy.setPools({Quotes}, BusyNow);
+    Busy.addPools({Quotes}, BusyNow);
     CPPUNIT_ASSERT(!poll(Busy, BusyNow, Millis(900), 4));
     CPPUNIT_ASSERT(poll(Busy, BusyNow, Seconds(1), 4).has_value());
   });
@@ -52,8 +62,8 @@
         DutyWatch Fast(EntryId(FastId), 0.5);
         Instant SlowNow{Seconds(10)};
         Instant FastNow{Seconds(10)};
-        Slow.setPools({Quotes}, SlowNow);
-        Fast.setPools({Quotes}, FastNow);
+        Slow.addPools({Quotes}, SlowNow);
+        Fast.addPools({Quotes}, FastNow);
         CPPUNIT_ASSERT(poll(Slow, SlowNow, Seconds(5)).has_value());
         CPPUNIT_ASSERT(poll(Fast, FastNow, Seconds(5), 2).has_value());
         CPPUNIT_ASSERT(FastNow < SlowNow);
@@ -65,7 +75,7 @@
                    "a duty is taken over from a silent holder only") {
   Instant Now{Seconds(10)};
   DutyWatch W(EntryId("e1"), 1);
-  W.setPools({Quotes}, Now);
+  W.addPools({Quotes}, Now);
   section("not while its row changes", [&] {
     for (std::uint64_t V = 5; V < 15; ++V) {
       W.holderRead(Quotes, holder("e2", V), Now);
@@ -101,7 +111,7 @@
   });
   section("at once by the machine that held it before it started again", [&] {
     DutyWatch Restarted(EntryId("e2/200"), 1);
-    Restarted.setPools({Quotes}, Now);
+    Restarted.addPools({Quotes}, Now);
     Restarted.holderRead(Quotes, holder("e2/100", 27), Now);
     const Instant Since = Now;
     CPPUNIT_ASSERT(poll(Restarted, Now, Seconds(1), 3).has_value());
