Files of the scheduler and the pool's holder split by decision

Reports of workers and starts of tasks leave the scheduler's two files, and the requests of callers leave the holder's. No line of a function changed.

--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -2,11 +2,8 @@
 #include "entry/pool-holder.h"
 
 #include "entry/pool-holder-detail.h"
-#include "platform/documents.h"
-#include "schedule/long-value.h"
 
 #include <algorithm>
-#include <cmath>
 #include <ranges>
 #include <utility>
 
@@ -41,10 +38,6 @@
 /// Factor by which a lease may last longer on a worker's clock, which may be 2%
 /// slow.
 constexpr double ClockSlack = 1.03;
-/// Submissions are rejected once the store hasn't answered for this long.
-constexpr Millis StoreUnavailableAfter{400};
-/// Retry-After of a submission that the pool can't accept at the moment.
-constexpr Millis RetryAfterBurst{4000};
 /// A worker is reported as being evacuated only if the evacuation lasts at
 /// least this much longer. Within this time the report must arrive and an order
 /// for the worker's machine must be carried out.
@@ -144,126 +137,7 @@
   return !Lost_ && Context_.Clock_.now() - Journal_.renewedAt() < MaxRenewalAge;
 }
 
-// Requests of callers.
-
-void PoolHolder::submit(const JobId &Id, const schedule::QueueId &Queue,
-                        const QByteArray &Body, AnswerHandler OnAnswer) {
-  using Kind = JobAnswer::Kind;
-  if (!Ready_ || Lost_ || HandingOver_)
-    return OnAnswer(Kind::NotHolder);
-  if (Scheduler_.find(Id))
-    return OnAnswer(Kind::Accepted);
-  if (const auto It = Submissions_.find(Id); It != Submissions_.end()) {
-    It->second.Handlers_.push_back(std::move(OnAnswer));
-    return;
-  }
-  auto Spec = platform_api::parseJob(Body);
-  if (!Spec)
-    return OnAnswer(Kind::Malformed);
-  const Instant Now = Context_.Clock_.now();
-  const Job J(Id, Queue, *Spec, Now);
-  const double WorkAhead = Scheduler_.workAhead(J, Now, Context_.Clock_.wall());
-  const auto Reject = [&](const char *Cause, Millis RetryAfter) {
-    JobAnswer A{Kind::Rejected};
-    A.RetryAfter_ = RetryAfter;
-    A.Cause_ = Cause;
-    QJsonObject F = jobFields(Id);
-    F["queue"] = toQString(Queue.str());
-    F["cause"] = Cause;
-    F["cores"] = std::round(Scheduler_.cores());
-    F["work_ahead_core_s"] = std::round(WorkAhead);
-    F["store_away_ms"] = static_cast<qint64>(
-        Journal_.failingSince()
-            ? toMillis(Now - *Journal_.failingSince()).count()
-            : 0);
-    Context_.Log_.write("job-rejected", F);
-    Context_.Metrics_.add("heathercross_jobs_rejected_total",
-                          "Jobs that were turned away.");
-    OnAnswer(A);
-  };
-  if (Journal_.failingSince() &&
-      Now - *Journal_.failingSince() > StoreUnavailableAfter)
-    return Reject("store-away",
-                  schedule::retryAfterOutage(Now - *Journal_.failingSince()));
-  if (!std::ranges::all_of(Spec->Steps_, [this](const schedule::StepSpec &S) {
-        return Scheduler_.fitsKnownCapacity(S);
-      }))
-    return Reject("larger-than-any-worker", RetryAfterBurst);
-  if (!schedule::worthAccepting(J, Scheduler_.settings(Queue), WorkAhead,
-                                Scheduler_.cores()))
-    return Reject("too-much-ahead", RetryAfterBurst);
-  Submission S;
-  S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_};
-  std::string Row = encodeJob(S.Row_);
-  if (Row.size() > schedule::MaxValueBytes) {
-    QJsonObject F = jobFields(Id);
-    F["bytes"] = static_cast<qint64>(Row.size());
-    Context_.Log_.write("job-too-long", F);
-    return OnAnswer(Kind::Malformed);
-  }
-  const std::size_t Memory = schedule::memoryOf(*Spec, Row.size());
-  if (!JobMemory_.fits(Memory))
-    return Reject("memory-full", RetryAfterBurst);
-  JobMemory_.add(Id, Memory);
-  S.Spec_ = std::move(*Spec);
-  S.ReceivedAt_ = Now;
-  S.Handlers_.push_back(std::move(OnAnswer));
-  // Batches are applied in order, so that the settings are stored with the job
-  // or before it.
-  storeQueue(Queue);
-  S.Ticket_ = Journal_.put({schedule::RowKind::Job, Id.str(), std::move(Row)},
-                           true, Now);
-  Submissions_.emplace(Id, std::move(S));
-  scheduleRound();
-}
-
-void PoolHolder::state(const JobId &Id, const AnswerHandler &OnAnswer) {
-  using Kind = JobAnswer::Kind;
-  if (!Ready_ || Lost_)
-    return OnAnswer(Kind::NotHolder);
-  const Job *J = Scheduler_.find(Id);
-  if (!J)
-    return OnAnswer(
-        {Submissions_.contains(Id) ? Kind::Known : Kind::NoSuchJob});
-  JobAnswer A{Kind::Known};
-  A.State_ = J->state();
-  const auto End = JobEnds_.find(Id);
-  // An end that isn't durable yet would be lost if this holder failed now.
-  if (isFinal(A.State_) &&
-      (End == JobEnds_.end() || End->second.Ticket_ > Journal_.durable()))
-    A.State_ = schedule::JobState::Active;
-  OnAnswer(A);
-}
-
-void PoolHolder::cancel(const JobId &Id, AnswerHandler OnAnswer) {
-  using Kind = JobAnswer::Kind;
-  if (!Ready_ || Lost_ || HandingOver_)
-    return OnAnswer(Kind::NotHolder);
-  // A job that isn't stored yet can't be cancelled. After NotHolder the request
-  // is repeated.
-  if (Submissions_.contains(Id))
-    return OnAnswer(Kind::NotHolder);
-  const Job *J = Scheduler_.find(Id);
-  if (!J)
-    return OnAnswer(Kind::NoSuchJob);
-  if (Scheduler_.cancel(Id))
-    storeChanges();
-  const auto End = JobEnds_.find(Id);
-  const auto Ticket = End == JobEnds_.end() ? 0 : End->second.Ticket_;
-  if (Ticket <= Journal_.durable())
-    return OnAnswer(Kind::Accepted);
-  Waiters_.push_back({Ticket, std::move(OnAnswer), {Kind::Accepted}});
-  scheduleRound();
-}
-
-void PoolHolder::queued(const schedule::QueueId &Queue,
-                        const AnswerHandler &OnAnswer) {
-  if (!Ready_ || Lost_)
-    return OnAnswer(JobAnswer::Kind::NotHolder);
-  JobAnswer A{JobAnswer::Kind::Known};
-  A.Queued_ = Scheduler_.queuedJobs(Queue);
-  OnAnswer(A);
-}
+// Requests of the fleet controller.
 
 void PoolHolder::evacuate(const std::set<InstanceId> &Workers,
                           Millis Duration) {
--- /dev/null
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -0,0 +1,384 @@
+// Which tasks a pool's scheduler starts, in which order and where, and what it
+// asks the placement service.
+#include "schedule/pool-scheduler.h"
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+#include <optional>
+#include <ranges>
+
+namespace heathercross::schedule {
+
+namespace {
+
+/// A worker gets new tasks only if its leases last at least this long.
+constexpr Millis MinLease{500};
+/// Maximum number of workers in a query to the placement service. Each one adds
+/// to the cost of the query, and the objective allows for advice on 30 per
+/// step.
+constexpr std::size_t MaxAdvisedWorkers = 30;
+
+Micros ageOf(const Job &J, std::uint32_t OccurrenceIndex, Instant Now,
+             WallTime Wall) {
+  if (J.spec().Repeats_ > 0)
+    return Wall - J.due(OccurrenceIndex);
+  return Now - J.accepted();
+}
+
+} // namespace
+
+bool PoolScheduler::acceptsTasks(const Worker &W, Instant Now) const {
+  return W.hasReported() && W.Registered_ && W.Rostered_ &&
+         !W.info().Draining_ && !W.UnresponsiveSince_ && !W.AnswerOverdue_ &&
+         W.fenceConfirmed() && W.matchesRegistration() &&
+         Now >= W.PausedUntil_ && Now >= W.EvacuateUntil_ &&
+         W.LeasesEnd_ > Now + MinLease;
+}
+
+Rank PoolScheduler::timedRank(const Job &J, std::uint32_t OccurrenceIndex,
+                              Instant Now, WallTime Wall) const {
+  return rankOf(J, settings(J.queue()), ageOf(J, OccurrenceIndex, Now, Wall),
+                meanWork(J.queue()));
+}
+
+Rank PoolScheduler::rank(const Job &J, std::uint32_t OccurrenceIndex,
+                         std::uint32_t Step, Instant Now, WallTime Wall) const {
+  const StepSpec &S = J.spec().Steps_[Step];
+  const QueueSettings &Q = settings(J.queue());
+  if (S.BestEffort_)
+    return {Urgency::BestEffort, Q.Priority_, 0};
+  if (S.LongRunning_)
+    return {Urgency::LongRunning, Q.Priority_, 0};
+  return timedRank(J, OccurrenceIndex, Now, Wall);
+}
+
+double PoolScheduler::meanWork(const QueueId &Queue) const {
+  const auto It = Arrivals_.find(Queue);
+  return It == Arrivals_.end() ? 0 : It->second.meanWork();
+}
+
+std::vector<PoolScheduler::ReadyStep>
+PoolScheduler::readySteps(Instant Now, WallTime Wall) const {
+  std::vector<ReadyStep> Ready;
+  const bool RestoredMayStart = restoredJobsMayStart(Now);
+  for (const auto &[Id, Open] : Open_) {
+    const Job &J = *Open;
+    if (!J.hasWaiting() || (!RestoredMayStart && Restored_.contains(Id)))
+      continue;
+    for (std::uint32_t O = J.occurrences().firstOpen();
+         O < J.occurrences().count() && J.isDue(O, Wall); ++O) {
+      const Occurrence &State = J.occurrences()[O];
+      if (State.done())
+        continue;
+      for (std::uint32_t S = 0; S < State.Steps_.size(); ++S)
+        if (State.Steps_[S].waitingCount() > 0 && J.ready(O, S, Wall))
+          Ready.push_back({rank(J, O, S, Now, Wall), &J, O, S});
+    }
+  }
+  std::ranges::stable_sort(Ready, {}, &ReadyStep::Rank_);
+  return Ready;
+}
+
+std::vector<Worker *> PoolScheduler::availableWorkers(Instant Now) {
+  std::vector<Worker *> Found;
+  for (auto &[Id, W] : Workers_)
+    if (acceptsTasks(W, Now))
+      Found.push_back(&W);
+  return Found;
+}
+
+std::vector<Worker *>
+PoolScheduler::workersWithRoom(const std::vector<ReadyStep> &Steps,
+                               Instant Now) {
+  if (Steps.empty())
+    return {};
+  constexpr auto Max = std::numeric_limits<std::int64_t>::max();
+  Resources Least{Max, Max, Max};
+  for (const ReadyStep &S : Steps) {
+    const Resources Needed = S.Job_->spec().Steps_[S.Step_].reserved();
+    Least.CpuMilli_ = std::min(Least.CpuMilli_, Needed.CpuMilli_);
+    Least.MemoryMb_ = std::min(Least.MemoryMb_, Needed.MemoryMb_);
+    Least.Gpus_ = std::min(Least.Gpus_, Needed.Gpus_);
+  }
+  std::vector<Worker *> Found = availableWorkers(Now);
+  std::erase_if(Found, [&](const Worker *W) { return !Least.fits(W->free()); });
+  return Found;
+}
+
+std::vector<Candidate>
+PoolScheduler::candidates(const Job &J, const ReadyStep &S,
+                          const std::vector<Worker *> &Available,
+                          Instant Now) const {
+  std::vector<Candidate> Found;
+  const bool NeedsAdvice = settings(J.queue()).NeedsAdvice_;
+  const Advice *ValidAdvice = NeedsAdvice ? adviceFor(J, S, Now) : nullptr;
+  if (NeedsAdvice && !ValidAdvice)
+    return Found;
+  const StepSpec &Spec = J.spec().Steps_[S.Step_];
+  const Resources Needed = Spec.reserved();
+  for (Worker *W : Available) {
+    if (!Needed.fits(W->free()) ||
+        (ValidAdvice && !ValidAdvice->Tickets_.contains(W->info().Id_)))
+      continue;
+    Candidate C{W, 0, Spec.LongRunning_ ? W->longRunningRuns() : 0};
+    if (Spec.MaxPerWorker_ > 0) {
+      const auto First =
+          W->runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
+      const auto Last =
+          W->runs().lower_bound({J.id(), S.Occurrence_, S.Step_ + 1, 0});
+      C.SameStep_ = static_cast<std::uint32_t>(std::distance(First, Last));
+    }
+    Found.push_back(C);
+  }
+  return Found;
+}
+
+PlacementRequest PoolScheduler::request(const Job &J, const ReadyStep &S,
+                                        const TaskState &T, Instant Now) const {
+  const StepSpec &Spec = J.spec().Steps_[S.Step_];
+  PlacementRequest R;
+  R.Reserved_ = Spec.reserved();
+  R.Label_ = Spec.Label_;
+  R.Rack_ = Spec.DataRack_;
+  R.MaxPerWorker_ = Spec.MaxPerWorker_;
+  R.LongRunning_ = Spec.LongRunning_;
+  R.Avoid_ = T.Worker_;
+  R.Required_ = requiredWorker(T, Now);
+  return R;
+}
+
+Run PoolScheduler::plannedRun(const StepSpec &S) {
+  Run R;
+  R.Reserved_ = S.reserved();
+  R.LongRunning_ = S.LongRunning_;
+  R.BestEffort_ = S.BestEffort_;
+  R.LatencyGoal_ = S.LatencyGoal_;
+  return R;
+}
+
+void PoolScheduler::orderStart(Job &J, const TaskKey &Key, Worker &W, Attempt A,
+                               Instant Now, Orders &Out) {
+  TaskState &T = *J.openTask(Key);
+  T.Attempt_ = T.RunAttempt_ = A;
+  J.setPhase(Key, TaskPhase::Placed);
+  T.Worker_ = W.info().Id_;
+  T.OrderedAt_ = Now;
+  T.ReleaseCause_ = "";
+  Run R = plannedRun(J.spec().Steps_[Key.Step_]);
+  R.Attempt_ = A;
+  R.OrderedAt_ = Now;
+  R.Fence_ = W.Fence_;
+  W.add(Key, R);
+  Out.Starts_.push_back(startOrder(J, Key, W, A));
+}
+
+StartOrder PoolScheduler::startOrder(const Job &J, const TaskKey &Key,
+                                     const Worker &W, Attempt A) const {
+  StartOrder O{
+      W.info().Id_, Key,     A, J.spec().Payload_, J.task(Key).Checkpoint_,
+      "",           W.Fence_};
+  if (const auto It = Advice_.find({Key.Job_, Key.Occurrence_, Key.Step_});
+      It != Advice_.end())
+    if (const auto Ticket = It->second.Tickets_.find(W.info().Id_);
+        Ticket != It->second.Tickets_.end())
+      O.Ticket_ = Ticket->second;
+  return O;
+}
+
+bool PoolScheduler::isRepeatable(const TaskKey &Key, const Run &R) const {
+  const Job *J = find(Key.Job_);
+  return J && J->has(Key) && !isFinal(J->state()) && !R.StopWanted_ &&
+         !J->spec().Steps_[Key.Step_].Gang_;
+}
+
+void PoolScheduler::repeatStarts(Instant Now, Orders &Out) {
+  for (auto &[Id, W] : Workers_) {
+    if (!W.Unsettled_)
+      continue;
+    const bool Accepts = acceptsTasks(W, Now);
+    const bool Leaving = W.isLeaving(Now);
+    std::vector<TaskKey> Released;
+    for (auto &[Key, R] : W.runs()) {
+      if (R.Phase_ != RunPhase::Void)
+        continue;
+      if (Leaving || !isRepeatable(Key, R)) {
+        Released.push_back(Key);
+        continue;
+      }
+      if (!Accepts || Unanswered_ + Out.Starts_.size() >= OrderLimit_)
+        continue;
+      R.Phase_ = RunPhase::Ordered;
+      R.OrderedAt_ = Now;
+      R.Fence_ = W.Fence_;
+      Out.Starts_.push_back(startOrder(*find(Key.Job_), Key, W, R.Attempt_));
+    }
+    for (const TaskKey &Key : Released)
+      release(W, Key, "start-void");
+  }
+}
+
+void PoolScheduler::startTasks(const ReadyStep &S,
+                               const std::vector<Worker *> &Available,
+                               Instant Now, Orders &Out) {
+  std::vector<Candidate> Places = candidates(*S.Job_, S, Available, Now);
+  if (Places.empty())
+    return;
+  Job &J = *findJob(S.Job_->id());
+  const std::uint32_t Count = J.spec().Steps_[S.Step_].Count_;
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    const TaskState &T = J.step(S.Occurrence_, S.Step_).task(I);
+    if (T.Phase_ != TaskPhase::Waiting || T.UnwantedRuns_ > 0)
+      continue;
+    HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
+    if (HeldBack_)
+      return;
+    const PlacementRequest Request = request(J, S, T, Now);
+    Worker *W = choose(Places, Request);
+    if (!W && !Request.Required_.empty())
+      continue;
+    if (!W)
+      return;
+    // Workers start an attempt once, so that the same attempt can't run twice
+    // if an unresolved order for it is carried out, too.
+    const bool Again = !Request.Required_.empty() &&
+                       T.Unresolved_->Attempt_ == T.Attempt_ &&
+                       T.SeenAttempt_ < T.Attempt_;
+    orderStart(J, {J.id(), S.Occurrence_, S.Step_, I}, *W,
+               Again ? T.Attempt_ : T.nextAttempt(J.attemptFloor()), Now, Out);
+    const auto Place = std::ranges::find(Places, W, &Candidate::Worker_);
+    ++Place->SameStep_;
+  }
+}
+
+void PoolScheduler::startGang(const ReadyStep &S,
+                              const std::vector<Worker *> &Available,
+                              Instant Now, Orders &Out) {
+  Job &J = *findJob(S.Job_->id());
+  const StepSpec &Spec = J.spec().Steps_[S.Step_];
+  const auto KeyOf = [&](std::uint32_t Index) {
+    return TaskKey{J.id(), S.Occurrence_, S.Step_, Index};
+  };
+  const StepState &State = J.step(S.Occurrence_, S.Step_);
+  std::vector<const TaskState *> Tasks;
+  for (std::uint32_t I = 0; I < State.count(); ++I)
+    Tasks.push_back(&State.task(I));
+  const auto IsWaiting = [](const TaskState *T) {
+    return T->Phase_ == TaskPhase::Waiting && T->UnwantedRuns_ == 0;
+  };
+  if (!std::ranges::all_of(Tasks, IsWaiting))
+    return;
+  // Plans on copies of the workers, so that an incomplete plan has no effect.
+  const auto Plan = [&](const RackId &Rack) {
+    std::map<InstanceId, Worker> Copies;
+    std::vector<InstanceId> Chosen;
+    std::vector<Candidate> Places = candidates(J, S, Available, Now);
+    for (Candidate &C : Places) {
+      const InstanceId Id = C.Worker_->info().Id_;
+      C.Worker_ = &Copies.emplace(Id, *C.Worker_).first->second;
+    }
+    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+      PlacementRequest R = request(J, S, *Tasks[I], Now);
+      R.RackRequired_ = !Rack.empty();
+      if (!Rack.empty())
+        R.Rack_ = Rack;
+      Worker *W = choose(Places, R);
+      if (!W)
+        return std::vector<InstanceId>();
+      W->add(KeyOf(I), plannedRun(Spec));
+      ++std::ranges::find(Places, W, &Candidate::Worker_)->SameStep_;
+      Chosen.push_back(W->info().Id_);
+    }
+    return Chosen;
+  };
+  std::set<RackId> Racks;
+  if (Spec.OneRack_)
+    for (const auto &[Id, W] : Workers_)
+      Racks.insert(W.info().Rack_);
+  std::vector<InstanceId> Chosen;
+  for (const RackId &Rack : Racks)
+    if (Chosen.empty() && !Rack.empty())
+      Chosen = Plan(Rack);
+  if (Chosen.empty())
+    Chosen = Plan(RackId());
+  if (Chosen.size() != Spec.Count_)
+    return;
+  Attempt A = 0;
+  for (const TaskState *T : Tasks)
+    A = std::max(A, T->nextAttempt(J.attemptFloor()));
+  // A checkpoint of any member is valid for the whole gang.
+  const auto Saved = std::ranges::find_if(
+      Tasks, [](const TaskState *T) { return !T->Checkpoint_.empty(); });
+  const std::string Checkpoint =
+      Saved == Tasks.end() ? std::string() : (*Saved)->Checkpoint_;
+  for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+    J.openTask(KeyOf(I))->Checkpoint_ = Checkpoint;
+    orderStart(J, KeyOf(I), *findWorker(Chosen[I]), A, Now, Out);
+  }
+}
+
+void PoolScheduler::orderStarts(Instant Now, WallTime Wall, Orders &Out) {
+  HeldBack_ = false;
+  const std::vector<ReadyStep> Ready = readySteps(Now, Wall);
+  const std::vector<Worker *> Available = workersWithRoom(Ready, Now);
+  if (Available.empty())
+    return;
+  for (const ReadyStep &S : Ready) {
+    HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
+    if (HeldBack_)
+      return;
+    if (S.Job_->spec().Steps_[S.Step_].Gang_)
+      startGang(S, Available, Now, Out);
+    else
+      startTasks(S, Available, Now, Out);
+  }
+}
+
+const PoolScheduler::Advice *
+PoolScheduler::adviceFor(const Job &J, const ReadyStep &S, Instant Now) const {
+  const auto It = Advice_.find({J.id(), S.Occurrence_, S.Step_});
+  const bool Valid = It != Advice_.end() && Now < It->second.ValidUntil_;
+  return Valid ? &It->second : nullptr;
+}
+
+void PoolScheduler::setAdvice(const StepKey &Key,
+                              std::vector<PlacementTicket> Tickets,
+                              Instant ValidUntil) {
+  Advice A;
+  A.ValidUntil_ = ValidUntil;
+  for (PlacementTicket &T : Tickets)
+    A.Tickets_[T.Worker_] = std::move(T.Ticket_);
+  Advice_[Key] = std::move(A);
+}
+
+void PoolScheduler::dropAdvice(const JobId &Id) {
+  Advice_.erase(Advice_.lower_bound({Id, 0, 0}),
+                Advice_.upper_bound({Id, ~0U, ~0U}));
+}
+
+std::optional<PoolScheduler::AdviceRequest>
+PoolScheduler::nextAdviceRequest(Instant Now, WallTime Wall) {
+  if (std::ranges::none_of(
+          Queues_, [](const auto &Entry) { return Entry.second.NeedsAdvice_; }))
+    return std::nullopt;
+  for (const ReadyStep &S : readySteps(Now, Wall)) {
+    const Job &J = *S.Job_;
+    if (!settings(J.queue()).NeedsAdvice_ || adviceFor(J, S, Now))
+      continue;
+    // Workers with the most free cores first: only MaxAdvisedWorkers fit into a
+    // query.
+    std::vector<Worker *> LeastLoaded = availableWorkers(Now);
+    std::ranges::stable_sort(LeastLoaded, std::greater(), [](const Worker *W) {
+      return W->free().CpuMilli_;
+    });
+    AdviceRequest Request{{J.id(), S.Occurrence_, S.Step_}, {}};
+    for (const Worker *W : LeastLoaded)
+      if (Request.Workers_.size() < MaxAdvisedWorkers)
+        Request.Workers_.push_back(W->info().Id_);
+    if (!Request.Workers_.empty())
+      return Request;
+  }
+  return std::nullopt;
+}
+
+} // namespace heathercross::schedule
