An entry that is stopping doesn't claim the duty of a pool it has just listed

The claim follows the write of the pool's name, which takes up to 1.5 s. A SIGTERM in between left a claimed duty that nobody ran until others found it silent. Found by reading, not shown by a test.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -72,11 +72,13 @@
   Context_.Store_.transact(
       {{}, {{{PoolTable, "", C.Pool_.str()}, "{}"}}}, ClaimTimeout,
       guarded(this, [this, C](const StoreReply &R) {
-        if (R.Outcome_ == StoreOutcome::Ok) {
+        if (R.Outcome_ == StoreOutcome::Ok)
           ClusterState_.setListed(C.Pool_);
+        if (R.Outcome_ == StoreOutcome::Ok && !Stopping_)
           return writeClaim(C);
-        }
         Claiming_ = false;
+        if (Stopping_)
+          return;
         Context_.Log_.write(
             "pool-unlisted",
             {{"pool", C.Pool_.str().c_str()},
--- a/src/schedule/task-progress.h
+++ b/src/schedule/task-progress.h
@@ -78,7 +78,7 @@
   /// known.
   const TaskState &task(std::uint32_t Index) const;
   /// Returns the state of a task for changes other than of its phase; null if
-  /// the task is done. References stay valid until the task is done.
+  /// the task is done. The pointer stays valid until the task is done.
   TaskState *openTask(std::uint32_t Index);
   /// Sets the phase of a task to waiting or placed, unless it is done.
   void setPhase(std::uint32_t Index, TaskPhase Phase);
