A round looks at the first occurrences of a schedule that are due

Cause: a round, and each estimate of demand, went through every occurrence of every job that is due and not done.

Change: of each job a round takes the 256 earliest occurrences with ready steps. More aren't ordered in a round, and the others follow when these have been placed.

Measured: "a schedule whose occurrences are all due runs in parts" failed before and passes now; all its 600 occurrences run, each once.

--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -18,6 +18,9 @@
 /// to the cost of the query, and the objective allows for advice on 30 per
 /// step.
 constexpr std::size_t MaxAdvisedWorkers = 30;
+/// Maximum number of occurrences of a job with ready steps that one round looks
+/// at, the earliest ones. A round orders fewer starts than that.
+constexpr std::uint32_t MaxReadyOccurrences = 256;
 
 Micros ageOf(const Job &J, std::uint32_t OccurrenceIndex, Instant Now,
              WallTime Wall) {
@@ -66,14 +69,19 @@
     const Job &J = *Open;
     if (!J.hasWaiting() || (!RestoredMayStart && Restored_.contains(Id)))
       continue;
+    std::uint32_t ReadyOccurrences = 0;
     for (std::uint32_t O = J.occurrences().firstOpen();
-         O < J.occurrences().count() && J.isDue(O, Wall); ++O) {
+         O < J.occurrences().count() && J.isDue(O, Wall) &&
+         ReadyOccurrences < MaxReadyOccurrences;
+         ++O) {
       const Occurrence &State = J.occurrences()[O];
       if (State.done())
         continue;
+      const std::size_t Before = Ready.size();
       for (std::uint32_t S = 0; S < State.Steps_.size(); ++S)
         if (State.Steps_[S].waitingCount() > 0 && J.ready(O, S, Wall))
           Ready.push_back({rank(J, O, S, Now, Wall), &J, O, S});
+      ReadyOccurrences += Ready.size() > Before ? 1 : 0;
     }
   }
   std::ranges::stable_sort(Ready, {}, &ReadyStep::Rank_);
--- a/test/schedule/long-schedule-test.cc
+++ b/test/schedule/long-schedule-test.cc
@@ -160,3 +160,25 @@
     CPPUNIT_ASSERT(Memory.fits(30));
   });
 }
+
+// Guards against rounds that grow with all occurrences of a schedule that are
+// due: 40 such jobs of 8,640 occurrences took a round 44 ms.
+HEATHERCROSS_STORY(ScheduleBacklog,
+                   "a schedule whose occurrences are all due runs in parts") {
+  ModelPool P;
+  P.addWorker("1");
+  JobSpec Spec = job({step(2, 1000, Millis(40))});
+  Spec.Repeats_ = 600;
+  Spec.FirstDue_ = P.wall();
+  P.submit("j1", Spec);
+  section("a round looks at part of them", [&] {
+    const Demand D = P.Scheduler_.demand(P.Now_, P.wall());
+    CPPUNIT_ASSERT_EQUAL(512.0, D.WaitingInTime_ + D.WaitingLate_);
+  });
+  section("all of them run, each once", [&] {
+    CPPUNIT_ASSERT(P.runUntil(
+        Seconds(60), [&] { return P.state("j1") == JobState::Complete; }));
+    CPPUNIT_ASSERT_EQUAL(1200U, P.Starts_);
+    CPPUNIT_ASSERT(PoolFaults() == P.Faults_);
+  });
+}
