Jobs of an unknown queue get the fewest attempts of the pool's queues

Rows of an older version name no settings. Such a queue now has the fewest attempts of the pool's known queues, so that its jobs neither fail at once nor start more often than a queue of the pool allows; without any, as many as are recorded.

Measured: "a queue that isn't known has attempts of the others" passes; before the change the default was one attempt, by reading.

--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -32,17 +32,25 @@
 void PoolScheduler::setQueues(const std::map<QueueId, QueueSettings> &Queues) {
   for (const auto &[Id, Settings] : Queues)
     Queues_[Id] = Settings;
+  updateUnknownQueue();
 }
 
 void PoolScheduler::restoreQueues(
     const std::map<QueueId, QueueSettings> &Queues) {
   Queues_.insert(Queues.begin(), Queues.end());
+  updateUnknownQueue();
+}
+
+void PoolScheduler::updateUnknownQueue() {
+  UnknownQueue_.MaxFailures_ = MaxRecordedFailures;
+  for (const auto &[Id, Settings] : Queues_)
+    UnknownQueue_.MaxFailures_ =
+        std::min(UnknownQueue_.MaxFailures_, Settings.MaxFailures_);
 }
 
 const QueueSettings &PoolScheduler::settings(const QueueId &Queue) const {
-  static const QueueSettings None;
   const auto It = Queues_.find(Queue);
-  return It == Queues_.end() ? None : It->second;
+  return It == Queues_.end() ? UnknownQueue_ : It->second;
 }
 
 void PoolScheduler::setWorker(const WorkerInfo &Info) {
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -107,7 +107,7 @@
 /// epoch that workers check.
 class PoolScheduler {
 public:
-  PoolScheduler() = default;
+  PoolScheduler() { updateUnknownQueue(); }
   PoolScheduler(PoolScheduler &&) = default;
   PoolScheduler &operator=(PoolScheduler &&) = default;
   PoolScheduler(const PoolScheduler &) = delete;
@@ -211,7 +211,9 @@
   bool knowsQueue(const QueueId &Queue) const {
     return Queues_.contains(Queue);
   }
-  /// The settings of a queue; the default ones if it isn't known.
+  /// The settings of a queue. One that isn't known gets the fewest attempts of
+  /// the pool's queues, so that its jobs neither fail at once nor start too
+  /// often.
   const QueueSettings &settings(const QueueId &Queue) const;
   /// Returns and clears the set of jobs whose progress changed.
   std::set<JobId> takeChanged() { return std::exchange(Changed_, {}); }
@@ -243,6 +245,7 @@
     std::uint32_t Step_ = 0;
   };
 
+  void updateUnknownQueue();
   Job *findJob(const JobId &Id);
   Worker *findWorker(const InstanceId &Id);
   /// The run of this attempt on the worker, or null. W may be null.
@@ -346,6 +349,8 @@
                    const InstanceId &Worker, std::string Cause);
 
   std::map<QueueId, QueueSettings> Queues_;
+  /// Settings of queues that aren't known.
+  QueueSettings UnknownQueue_;
   std::map<JobId, Job> Jobs_;
   /// Jobs that have not reached a final state; they point into Jobs_.
   std::map<JobId, Job *> Open_;
--- a/test/schedule/long-schedule-test.cc
+++ b/test/schedule/long-schedule-test.cc
@@ -182,3 +182,24 @@
     CPPUNIT_ASSERT(PoolFaults() == P.Faults_);
   });
 }
+
+// Guards against a job that fails at its first failed run, since nobody knows
+// the settings of its queue.
+HEATHERCROSS_STORY(UnknownQueue,
+                   "a queue that isn't known has attempts of the others") {
+  PoolScheduler S;
+  const QueueId Unknown("r-old");
+  section("as many as are recorded if there is no other queue", [&] {
+    CPPUNIT_ASSERT_EQUAL(MaxRecordedFailures, S.settings(Unknown).MaxFailures_);
+  });
+  section("the fewest of the pool's queues", [&] {
+    QueueSettings Three;
+    Three.MaxFailures_ = 3;
+    QueueSettings Four;
+    Four.MaxFailures_ = 4;
+    S.setQueues({{QueueId("a"), Four}, {QueueId("b"), Three}});
+    CPPUNIT_ASSERT_EQUAL(3U, S.settings(Unknown).MaxFailures_);
+    S.restoreQueues({{Unknown, Four}});
+    CPPUNIT_ASSERT_EQUAL(4U, S.settings(Unknown).MaxFailures_);
+  });
+}
