The memory for jobs follows from the smallest entry

An entry of 512 MiB accepted three times what one of 160 MiB can load when it takes over all pools, which would be a loop of kills. The limit now follows from 160 MiB, or from the entry's own memory if that is less. A job that never fits gets 400 and no advice to come again.

Measured: "a pool turns jobs away that its holders can't keep" and the tests of entry and schedule passed. The difference between large and small entries has no test of its own.

--- a/src/entry/entry-settings.h
+++ b/src/entry/entry-settings.h
@@ -10,8 +10,8 @@
 
 namespace heathercross::entry {
 
-/// The least memory that an entry is given.
-inline constexpr Bytes DefaultMemory = 160_MiB;
+/// The least memory that an entry is given, unless its settings say less.
+inline constexpr Bytes LeastMemory = 160_MiB;
 
 /// Settings that the platform writes to a file at each start and after each
 /// change.
@@ -21,7 +21,7 @@
   /// Processor time that this entry may use, in cores.
   double CpuShare_ = 1;
   /// Memory at which the platform ends this entry.
-  Bytes Memory_ = DefaultMemory;
+  Bytes Memory_ = LeastMemory;
   /// Listening address for callers.
   Endpoint Front_;
   /// Listening address for the load balancer's readiness checks.
--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -78,6 +78,12 @@
     return OnAnswer(Kind::Malformed);
   }
   const std::size_t Memory = schedule::memoryOf(*Spec, Row.size());
+  if (Memory > JobMemory_.limit()) {
+    QJsonObject F = jobFields(Id);
+    F["memory"] = static_cast<qint64>(Memory);
+    Context_.Log_.write("job-too-large", F);
+    return OnAnswer(Kind::Malformed);
+  }
   if (!JobMemory_.fits(Memory))
     return Reject("memory-full", RetryAfterBurst);
   JobMemory_.add(Id, Memory);
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -77,7 +77,7 @@
       MinOrderLimit, static_cast<std::size_t>(MaxOrdersPerCore *
                                               Context_.Settings_.CpuShare_)));
   Scheduler_.setMaxLease(maxLease());
-  JobMemory_.setLimit(Context_.Settings_.Memory_.Count_, 1);
+  JobMemory_.setLimit(jobMemoryBase(), 1);
   load();
 }
 
@@ -86,7 +86,7 @@
 void PoolHolder::setConfiguration(const schedule::Configuration &C) {
   Configuration_ = C;
   Scheduler_.setQueues(C.queuesOf(Pool_));
-  JobMemory_.setLimit(Context_.Settings_.Memory_.Count_, C.Pools_.size());
+  JobMemory_.setLimit(jobMemoryBase(), C.Pools_.size());
   if (Ready_ && !Lost_)
     updateQueues();
   scheduleRound();
@@ -133,6 +133,10 @@
   return longestWait(Context_.Settings_.RunLeaseMax_);
 }
 
+std::uint64_t PoolHolder::jobMemoryBase() const {
+  return std::min(Context_.Settings_.Memory_, LeastMemory).Count_;
+}
+
 bool PoolHolder::mayGiveOrders() const {
   return !Lost_ && Context_.Clock_.now() - Journal_.renewedAt() < MaxRenewalAge;
 }
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -204,6 +204,9 @@
   Millis leaseBound() const;
   /// How long the longest lease that a worker grants lasts, whatever its clock.
   Millis maxLease() const;
+  /// The memory in bytes of the smallest entry, which may have to load what
+  /// this one accepts.
+  std::uint64_t jobMemoryBase() const;
   /// Whether the duty was renewed recently enough to give orders.
   bool mayGiveOrders() const;
 
