A holder of the fleet's duty passes on the orders of those before it

Cause: a holder that gives the duty back stored its own recent orders over those that it had read of its predecessor. A holder that had taken the duty of a lost one, or of this entry's earlier process, passed on nothing of what it didn't know. One that was stopped before it had loaded its rows wrote empty ones over them.

Change: OrderTurns decides for which machines a holder waits and what it passes on, apart from I/O: while the lease since it took the duty lasts, the orders of all holders before it as well, or any machine where they aren't known. Rows that weren't loaded stay.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -84,10 +84,17 @@
       OnLost_(std::move(OnLost)),
       Writer_(C, FleetDuty, std::move(Duty),
               {[] {}, [this] { loseDuty("row-taken"); }}),
-      HeldSince_(C.Clock_.now()), Cause_(Cause),
+      Cause_(Cause), Turns_(C.Settings_.OrderLease_ + OrderLeaseMargin,
+                            CallTimeout, C.Clock_.now()),
       Orders_(Writer_.journal().self().Epoch_, C.Settings_.OrderFencing_) {
   connect(&TickTimer_, &QTimer::timeout, this, [this] { tick(); });
   TickTimer_.start(TickIntervalMs);
+  // A holder that gave the duty back has stored the recent orders; of others
+  // nothing is known.
+  if (Cause_ == schedule::ClaimCause::OwnRestart)
+    Turns_.adoptOwn({schedule::AnyMachine});
+  else if (Cause_ != schedule::ClaimCause::Vacant)
+    Turns_.adopt({schedule::AnyMachine});
   load();
 }
 
@@ -111,7 +118,7 @@
           Writer_.journal().restoreParts(schedule::RowKind::Wave, Key,
                                          Stored.Parts_);
           if (Key == RecentOrdersKey) {
-            FormerOrders_ = decodeMachines(Stored.Value_);
+            Turns_.adopt(decodeMachines(Stored.Value_));
             continue;
           }
           if (Key == OpenOrdersKey) {
@@ -150,31 +157,6 @@
          Context_.Clock_.now() - Writer_.journal().renewedAt() < MaxRenewalAge;
 }
 
-bool FleetController::awaitsFormerOrder(const MachineId &Id) const {
-  if (Context_.Clock_.now() - HeldSince_ >=
-      Context_.Settings_.OrderLease_ + OrderLeaseMargin)
-    return false;
-  // A holder that gave the duty back has stored its recent orders. With
-  // OwnRestart the former holder was this entry's previous process, which has
-  // ended.
-  if (Cause_ == schedule::ClaimCause::Vacant)
-    return FormerOrders_.contains(Id);
-  return Cause_ != schedule::ClaimCause::OwnRestart;
-}
-
-void FleetController::recordOrder(const MachineId &Id) {
-  LastOrders_[Id] = Context_.Clock_.now();
-}
-
-std::set<MachineId> FleetController::recentOrders() const {
-  const Instant Now = Context_.Clock_.now();
-  std::set<MachineId> Recent = Orders_.open();
-  for (const auto &[Id, OrderedAt] : LastOrders_)
-    if (Now - OrderedAt < Context_.Settings_.OrderLease_ + CallTimeout)
-      Recent.insert(Id);
-  return Recent;
-}
-
 void FleetController::tick() {
   if (Lost_)
     return;
@@ -237,7 +219,8 @@
     S.LongRunning_ = L.LongRunning_;
     S.Evacuating_ = L.Evacuating_;
     S.Reported_ = L.Reported_;
-    S.Reserved_ = Reserved_.contains(Id) || awaitsFormerOrder(Id);
+    S.Reserved_ =
+        Reserved_.contains(Id) || Turns_.mustWait(Id, Context_.Clock_.now());
     if (const auto It = PendingMoves_.find(Id); It != PendingMoves_.end()) {
       S.Pool_ = It->second.To_;
       S.Up_ = false;
@@ -256,12 +239,12 @@
       continue;
     evacuate(Id);
     Reserved_.insert(Id);
-    if (!mayGiveOrders() || awaitsFormerOrder(Id) ||
+    if (!mayGiveOrders() || Turns_.mustWait(Id, Context_.Clock_.now()) ||
         M->second.State_ != MachineState::Up)
       continue;
     FormerOpen_.erase(Id);
     PendingMoves_[Id] = {M->second.Pool_, std::nullopt};
-    recordOrder(Id);
+    Turns_.ordered(Id, Context_.Clock_.now());
     orderMove({Id, M->second.Pool_});
   }
 }
@@ -289,7 +272,7 @@
   if (mayGiveOrders())
     for (const schedule::MachineMove &M : Step.Moves_) {
       PendingMoves_[M.Machine_] = {M.To_, std::nullopt};
-      recordOrder(M.Machine_);
+      Turns_.ordered(M.Machine_, Context_.Clock_.now());
       orderMove(M);
     }
   // No run starts on a machine with a pending move until the outcome of the
@@ -432,9 +415,9 @@
   }
   if (mayGiveOrders())
     for (const MachineId &Id : Step.Order_) {
-      if (awaitsFormerOrder(Id) || Orders_.isOpen(Id))
+      if (Turns_.mustWait(Id, Context_.Clock_.now()) || Orders_.isOpen(Id))
         continue;
-      recordOrder(Id);
+      Turns_.ordered(Id, Context_.Clock_.now());
       W.Plan_.ordered(Id);
       orderUpkeep(W.Plan_.wave().Number_, Id);
     }
@@ -550,12 +533,20 @@
 
 void FleetController::handOver(std::function<void()> OnDone) {
   HandingOver_ = true;
-  Writer_.journal().put({schedule::RowKind::Wave, RecentOrdersKey,
-                         encodeMachines(recentOrders())},
-                        true, Context_.Clock_.now());
+  const Instant Now = Context_.Clock_.now();
+  std::set<MachineId> Recent = Turns_.recent(Now);
+  Recent.merge(Orders_.open());
+  // The orders of former holders are unknown until they are loaded, and their
+  // open orders stay in the store.
+  if (!Loaded_)
+    Recent.insert(schedule::AnyMachine);
+  else
+    Writer_.journal().put({schedule::RowKind::Wave, OpenOrdersKey,
+                           encodeMachines(Orders_.open())},
+                          true, Now);
   Writer_.journal().put(
-      {schedule::RowKind::Wave, OpenOrdersKey, encodeMachines(Orders_.open())},
-      true, Context_.Clock_.now());
+      {schedule::RowKind::Wave, RecentOrdersKey, encodeMachines(Recent)}, true,
+      Now);
   OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
     Writer_.giveBack(guarded(this, [this, OnDone] {
       loseDuty("handed-over");
--- a/src/entry/fleet-controller.h
+++ b/src/entry/fleet-controller.h
@@ -6,6 +6,7 @@
 #include "entry/journal-writer.h"
 #include "entry/pool-holder.h"
 #include "schedule/machine-orders.h"
+#include "schedule/order-turns.h"
 #include "schedule/pool-sizing.h"
 #include "schedule/wave-plan.h"
 
@@ -74,13 +75,6 @@
   void storeWave(WaveState &W);
   void writeStatus(WaveState &W, bool Complete);
   bool mayGiveOrders() const;
-  /// Whether the platform may still refuse orders for the machine, as a former
-  /// holder gave one within the order lease.
-  bool awaitsFormerOrder(const schedule::MachineId &Id) const;
-  void recordOrder(const schedule::MachineId &Id);
-  /// Machines for which this holder gave an order within the platform's order
-  /// lease or has an open one.
-  std::set<schedule::MachineId> recentOrders() const;
   std::map<schedule::MachineId, schedule::MachineLoad> machineLoads() const;
   void loseDuty(const char *Cause);
 
@@ -89,16 +83,11 @@
   FindLocalHolder FindLocalHolder_;
   std::function<void()> OnLost_;
   JournalWriter Writer_;
-  Instant HeldSince_;
   schedule::ClaimCause Cause_;
-  /// Machines for which the former holder gave orders shortly before it gave
-  /// the duty back.
-  std::set<schedule::MachineId> FormerOrders_;
+  schedule::OrderTurns Turns_;
   /// Machines for which the former holder left open orders and this one hasn't
   /// given any.
   std::set<schedule::MachineId> FormerOpen_;
-  /// When this holder gave the last order for each machine.
-  std::map<schedule::MachineId, Instant> LastOrders_;
   schedule::MachineOrders Orders_;
   bool Loaded_ = false;
   bool Lost_ = false;
