--- a/src/entry/rows.cc
+++ b/src/entry/rows.cc
@@ -149,4 +149,20 @@
   return Queues;
 }
 
+std::string encodeMachines(const std::set<schedule::MachineId> &Machines) {
+  QJsonArray A;
+  for (const schedule::MachineId &Id : Machines)
+    A.append(toQString(Id.str()));
+  return QJsonDocument(A).toJson(QJsonDocument::Compact).toStdString();
+}
+
+std::set<schedule::MachineId> decodeMachines(const std::string &Text) {
+  std::set<schedule::MachineId> Ids;
+  const auto A =
+      QJsonDocument::fromJson(QByteArray::fromStdString(Text)).array();
+  for (const auto V : A)
+    Ids.insert(schedule::MachineId(V.toString().toStdString()));
+  return Ids;
+}
+
 } // namespace heathercross::entry
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace heathercross::entry {
@@ -57,4 +58,9 @@
 /// Skips invalid entries.
 StoredQueues decodeQueues(const std::string &Text, const PoolId &Pool);
 
+/// A list of machines in a row of the fleet duty. Decoding invalid text returns
+/// no machines.
+std::string encodeMachines(const std::set<schedule::MachineId> &Machines);
+std::set<schedule::MachineId> decodeMachines(const std::string &Text);
+
 } // namespace heathercross::entry
