An upkeep is announced in the store before it is ordered

An upkeep was stored after its answer, 100 ms later or more, and during a planned stop not at all. A successor counted such a machine as available and ordered another one.

Change: the machines that a wave evacuates are stored before the first of them is ordered (schedule/announced-orders.h), in the row that already lists orders left open at a planned stop. A successor counts each of them as away, and orders none, until its own order for the machine has been answered, which voids the former one. Evacuation takes longer than the write, so that no order waits for it. A planned stop stores the upkeeps that have begun. A machine of the wave in an upkeep that the holder knows nothing of counts as away as well.

--- a/src/entry/fleet-controller-waves.cc
+++ b/src/entry/fleet-controller-waves.cc
@@ -43,14 +43,16 @@
     writeStatus(W, false);
   const auto Step =
       W.Plan_.step(Machines_, machineLoads(), Context_.Settings_.Upkeep_,
-                   Context_.Clock_.now());
+                   Context_.Clock_.now(), FormerOpen_);
   for (const MachineId &Id : Step.Evacuate_) {
     evacuate(Id);
     Reserved_.insert(Id);
   }
+  const auto Durable = Writer_.journal().durable();
   if (mayGiveOrders())
     for (const MachineId &Id : Step.Order_) {
-      if (Turns_.mustWait(Id, Context_.Clock_.now()) || Orders_.isOpen(Id))
+      if (Turns_.mustWait(Id, Context_.Clock_.now()) || Orders_.isOpen(Id) ||
+          !Announced_.isStored(Id, Durable))
         continue;
       Turns_.ordered(Id, Context_.Clock_.now());
       W.Plan_.ordered(Id);
--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -42,8 +42,8 @@
 /// Key of the row that lists the machines for which a holder gave orders
 /// shortly before it gave the duty back. The other rows' keys are wave numbers.
 constexpr const char *RecentOrdersKey = "late-orders";
-/// Key of the row that lists the machines whose orders were still open when a
-/// holder gave the duty back.
+/// Key of the row that lists the machines of waves that the holder may order,
+/// and those whose orders may be open.
 constexpr const char *OpenOrdersKey = "open-orders";
 /// Added to the platform's order lease for clock differences and call times.
 constexpr Millis OrderLeaseMargin{300};
@@ -153,6 +153,7 @@
     if (!W.CompleteWritten_)
       runWave(W);
   settleFormerOrders();
+  announceOrders();
   sizePools();
   pollHolders();
 }
@@ -207,23 +208,34 @@
 }
 
 void FleetController::settleFormerOrders() {
-  for (auto It = FormerOpen_.begin(); It != FormerOpen_.end();) {
-    const MachineId Id = *It++;
+  const std::set<MachineId> Unsettled = FormerOpen_;
+  for (const MachineId &Id : Unsettled) {
     const auto M = Machines_.find(Id);
     if (M == Machines_.end())
       continue;
     evacuate(Id);
     Reserved_.insert(Id);
-    if (!mayGiveOrders() || Turns_.mustWait(Id, Context_.Clock_.now()) ||
+    if (PendingMoves_.contains(Id) || !mayGiveOrders() ||
+        Turns_.mustWait(Id, Context_.Clock_.now()) ||
         M->second.State_ != MachineState::Up)
       continue;
-    FormerOpen_.erase(Id);
     PendingMoves_[Id] = {M->second.Pool_, std::nullopt};
     Turns_.ordered(Id, Context_.Clock_.now());
     orderMove({Id, M->second.Pool_});
   }
 }
 
+void FleetController::announceOrders() {
+  std::set<MachineId> Machines = FormerOpen_;
+  Machines.insert(Reserved_.begin(), Reserved_.end());
+  for (const auto &[Number, W] : Waves_)
+    Machines.insert(W.Plan_.ordered().begin(), W.Plan_.ordered().end());
+  if (Announced_.set(Machines))
+    Announced_.put(Writer_.journal().put(
+        {schedule::RowKind::Wave, OpenOrdersKey, encodeMachines(Machines)},
+        true, Context_.Clock_.now()));
+}
+
 void FleetController::sizePools() {
   const Instant Now = Context_.Clock_.now();
   std::erase_if(PendingMoves_, [&](const auto &Entry) {
@@ -304,6 +316,7 @@
     return;
   switch (Orders_.handleAnswer(M.Machine_, Token, O)) {
   case OrderState::Done:
+    FormerOpen_.erase(M.Machine_);
     PendingMoves_[M.Machine_].AnsweredAt_ = Context_.Clock_.now();
     Context_.Metrics_.add("heathercross_moves_total",
                           "Machines that were moved to another pool.");
@@ -311,6 +324,7 @@
   case OrderState::DutyLost:
     return loseDuty("fenced-by-machine");
   case OrderState::NotDone:
+    FormerOpen_.erase(M.Machine_);
     PendingMoves_.erase(M.Machine_);
     break;
   case OrderState::Uncertain:
@@ -394,12 +408,15 @@
   Recent.merge(Orders_.open());
   // The orders of former holders are unknown until they are loaded, and their
   // open orders stay in the store.
-  if (!Loaded_)
+  if (!Loaded_) {
     Recent.insert(schedule::AnyMachine);
-  else
+  } else {
+    for (auto &[Number, W] : Waves_)
+      storeWave(W);
     Writer_.journal().put({schedule::RowKind::Wave, OpenOrdersKey,
                            encodeMachines(Orders_.open())},
                           true, Now);
+  }
   Writer_.journal().put(
       {schedule::RowKind::Wave, RecentOrdersKey, encodeMachines(Recent)}, true,
       Now);
--- a/src/entry/fleet-controller.h
+++ b/src/entry/fleet-controller.h
@@ -5,6 +5,7 @@
 #include "entry/cluster-state.h"
 #include "entry/journal-writer.h"
 #include "entry/pool-holder.h"
+#include "schedule/announced-orders.h"
 #include "schedule/machine-orders.h"
 #include "schedule/order-turns.h"
 #include "schedule/pool-sizing.h"
@@ -62,6 +63,8 @@
   /// Orders machines into the pools that they are in, to make a former holder's
   /// open orders for them void.
   void settleFormerOrders();
+  /// Stores which machines of waves may be ordered next.
+  void announceOrders();
   void sizePools();
   void logSizes(const std::map<PoolId, schedule::PoolSize> &Sizes,
                 const std::map<PoolId, schedule::PoolNeed> &Needs);
@@ -85,9 +88,10 @@
   JournalWriter Writer_;
   schedule::ClaimCause Cause_;
   schedule::OrderTurns Turns_;
-  /// Machines for which the former holder left open orders and this one hasn't
-  /// given any.
+  /// Machines for which former holders may have left open orders. They are
+  /// settled once an order of this holder is answered.
   std::set<schedule::MachineId> FormerOpen_;
+  schedule::AnnouncedOrders Announced_;
   schedule::MachineOrders Orders_;
   bool Loaded_ = false;
   bool Lost_ = false;
@@ -119,7 +123,8 @@
     std::optional<Instant> AnsweredAt_;
   };
   std::map<schedule::MachineId, PendingMove> PendingMoves_;
-  /// Machines that a maintenance wave evacuates.
+  /// Machines that a maintenance wave evacuates, or whose orders of former
+  /// holders are open.
   std::set<schedule::MachineId> Reserved_;
   /// Instances to evacuate, by pool.
   std::map<PoolId, std::set<InstanceId>> Evacuating_;
--- a/src/schedule/wave-plan.cc
+++ b/src/schedule/wave-plan.cc
@@ -47,27 +47,38 @@
 
 WaveStep WavePlan::step(const std::map<MachineId, Machine> &Machines,
                         const std::map<MachineId, MachineLoad> &Loads,
-                        Millis Upkeep, Instant Now) const {
+                        Millis Upkeep, Instant Now,
+                        const std::set<MachineId> &Unsettled) const {
   WaveStep Out;
   std::uint32_t Unavailable = static_cast<std::uint32_t>(Ordered_.size());
   std::vector<MachineId> Pending;
+  bool AllSettled = Ordered_.empty();
   for (const MachineId &Id : Wave_.Machines_) {
     const auto M = Machines.find(Id);
     if (M == Machines.end())
       continue;
+    const bool InUpkeep = M->second.State_ == MachineState::Upkeep;
     const auto BeginTime = Begun_.find(Id);
-    if (BeginTime == Begun_.end()) {
-      if (Ordered_.contains(Id))
-        Out.Evacuate_.push_back(Id);
-      else
-        Pending.push_back(Id);
+    if (BeginTime != Begun_.end()) {
+      if (InUpkeep || Now < BeginTime->second + Upkeep + UnavailableMargin)
+        ++Unavailable;
       continue;
     }
-    if (Now < BeginTime->second + Upkeep + UnavailableMargin ||
-        M->second.State_ == MachineState::Upkeep)
+    if (Ordered_.contains(Id)) {
+      Out.Evacuate_.push_back(Id);
+      continue;
+    }
+    if (Unsettled.contains(Id)) {
+      ++Unavailable;
+      AllSettled = false;
+      Out.Evacuate_.push_back(Id);
+      continue;
+    }
+    if (InUpkeep)
       ++Unavailable;
+    Pending.push_back(Id);
   }
-  Out.Complete_ = Pending.empty() && Ordered_.empty() && !Machines.empty() &&
+  Out.Complete_ = Pending.empty() && AllSettled && !Machines.empty() &&
                   !Wave_.Machines_.empty();
   const auto Load = [&](const MachineId &Id) {
     const auto It = Loads.find(Id);
--- a/src/schedule/wave-plan.h
+++ b/src/schedule/wave-plan.h
@@ -46,16 +46,20 @@
   /// Records that an order did not begin an upkeep.
   void refused(const MachineId &Id) { Ordered_.erase(Id); }
 
+  /// Machines whose upkeep was ordered with an unknown outcome.
+  const std::set<MachineId> &ordered() const { return Ordered_; }
   /// Machines whose upkeep has begun, and when. The caller stores them.
   const std::map<MachineId, Instant> &begun() const { return Begun_; }
   void restore(const std::set<MachineId> &Begun, Instant Now);
   const UpkeepWave &wave() const { return Wave_; }
 
   /// Returns the actions that are due. Machines holds all existing machines;
-  /// Upkeep is the duration of one upkeep.
+  /// Upkeep is the duration of one upkeep. Former holders may have ordered the
+  /// upkeep of the machines in Unsettled: these count as unavailable, and none
+  /// of them is ordered.
   WaveStep step(const std::map<MachineId, Machine> &Machines,
                 const std::map<MachineId, MachineLoad> &Loads, Millis Upkeep,
-                Instant Now) const;
+                Instant Now, const std::set<MachineId> &Unsettled = {}) const;
 
 private:
   /// The number of machines in upkeep at a time that completes the wave in
--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace heathercross::test {
@@ -49,9 +50,11 @@
   };
 
   /// Starts the instances with one route, /quotes/, to the pool "quoting".
-  /// EntryKeys are further lines of the settings' section entry.
-  explicit Deployment(int Count, std::string EntryKeys = "")
-      : EntryKeys_(std::move(EntryKeys)),
+  /// EntryKeys are further lines of the settings' section entry. There is a
+  /// machine API only if MachinesPort isn't 0.
+  explicit Deployment(int Count, std::string EntryKeys = "",
+                      quint16 MachinesPort = 0)
+      : EntryKeys_(std::move(EntryKeys)), MachinesPort_(MachinesPort),
         Entries_(static_cast<std::size_t>(Count)) {
     StoreProcess_ = startProcess(
         "standin-platform", {"--port", QString::number(StorePort_)}, "store");
@@ -106,14 +109,18 @@
     startEntry(I);
   }
 
+  /// Starts an entry instance that is ending.
+  void startAgain(std::size_t I) {
+    Entries_[I].Process_->waitForFinished(StartTimeoutMs);
+    startEntry(I);
+  }
+
   /// Kills all entry instances at once, and starts them again.
   void killAll() {
     for (std::size_t I = 0; I < Entries_.size(); ++I)
       sendSignal(I, SIGKILL);
-    for (std::size_t I = 0; I < Entries_.size(); ++I) {
-      Entries_[I].Process_->waitForFinished(StartTimeoutMs);
-      startEntry(I);
-    }
+    for (std::size_t I = 0; I < Entries_.size(); ++I)
+      startAgain(I);
   }
 
   std::size_t size() const { return Entries_.size(); }
@@ -150,10 +157,35 @@
     CPPUNIT_ASSERT_EQUAL(200, send(std::move(C)).Status_);
   }
 
+  /// Requests a maintenance wave that has 25 s.
+  void requestWave(int Number, const std::vector<std::string> &Machines,
+                   int MaxAtOnce) {
+    std::ostringstream Text;
+    Text << R"({"wave":)" << Number << R"(,"within_s":25,"max_count":)"
+         << MaxAtOnce << R"(,"machines":[)";
+    const char *Separator = "";
+    for (const std::string &M : Machines) {
+      Text << Separator << '"' << M << '"';
+      Separator = ",";
+    }
+    Text << "]}";
+    const std::string Key = "wave/" + std::to_string(Number);
+    waitFor([&] { return writeRow({"op", "", Key}, Text.str()); });
+  }
+
+  /// Returns the index of the entry instance to which a process belongs.
+  static std::size_t indexOf(const std::string &Incarnation) {
+    constexpr std::size_t PrefixLength = std::string_view("entry-").size();
+    return std::stoul(Incarnation.substr(PrefixLength));
+  }
+
   /// Writes a row of the workers' table.
   void writeWorker(const std::string &Id, const std::string &Value) {
     waitFor([&] { return writeRow({"servers", "", Id}, Value); });
   }
+  void removeWorker(const std::string &Id) {
+    waitFor([&] { return writeRow({"servers", "", Id}, std::nullopt); });
+  }
 
   /// Waits until an entry instance holds the pool's duty and returns its index.
   std::size_t holder() {
@@ -204,6 +236,8 @@
   }
 
   static void terminate(QProcess &P) {
+    if (P.state() == QProcess::NotRunning)
+      return;
     ::kill(static_cast<pid_t>(P.processId()), SIGCONT);
     P.kill();
     P.waitForFinished(StartTimeoutMs);
@@ -218,7 +252,9 @@
     return {Reply->Status_, Timer.elapsed(), Reply->Body_};
   }
 
-  bool writeRow(const platform_api::RowPlace &Place, const std::string &Value) {
+  /// Writes a row, or removes it if there is no value.
+  bool writeRow(const platform_api::RowPlace &Place,
+                const std::optional<std::string> &Value) {
     platform_api::Store S(Http_, {loopbackAddress(StorePort_), {}, true});
     std::optional<platform_api::StoreReply> Reply;
     S.transact({{}, {{Place, Value}}}, Millis(500),
@@ -237,7 +273,8 @@
         << "\nready = " << loopbackAddress(E.ReadyPort_)
         << "\npeers = " << loopbackAddress(E.PeersPort_)
         << "\n[store]\naddress = " << loopbackAddress(StorePort_)
-        << "\n[machines]\naddress = " << loopbackAddress(StorePort_)
+        << "\n[machines]\naddress = "
+        << loopbackAddress(MachinesPort_ ? MachinesPort_ : StorePort_)
         << "\norders_per_s = 64.0\n[advice]\naddress =\n[bounds]\n"
            "run_lease_max_ms = 10000\norder_lease_ms = 3000\n"
            "order_fencing = true\n"
@@ -251,6 +288,7 @@
   }
 
   std::string EntryKeys_;
+  quint16 MachinesPort_;
   http::Client Http_;
   QTemporaryDir Folder_;
   quint16 StorePort_ = freePort();
--- a/test/schedule/machines-test.cc
+++ b/test/schedule/machines-test.cc
@@ -276,3 +276,43 @@
     CPPUNIT_ASSERT(!Evacuated(First));
   });
 }
+
+// Guards against a holder that counts a machine as available which a former
+// holder, or another wave, has sent into its upkeep.
+HEATHERCROSS_STORY(UnsettledMachines,
+                   "machines of which a holder isn't sure count as away") {
+  UpkeepWave W;
+  W.Number_ = 1;
+  W.MaxAtOnce_ = 1;
+  W.TimeLimit_ = Millis(25'000);
+  const MachineId First("m0");
+  const MachineId Second("m1");
+  std::map<MachineId, Machine> Machines;
+  std::map<MachineId, MachineLoad> Loads;
+  for (const MachineId &Id : {First, Second}) {
+    W.Machines_.push_back(Id);
+    Machines[Id] = {Id, PoolId("quotes"), MachineState::Up, {}, {}, {}, {}};
+    Loads[Id] = {0, 0, true, true};
+  }
+  const Instant Now{Seconds(5)};
+  WavePlan Plan(W, Now);
+  const auto Ordered = [&](const std::set<MachineId> &Unsettled) {
+    return Plan.step(Machines, Loads, Seconds(2), Now, Unsettled).Order_;
+  };
+  section("an order of a former holder may be open", [&] {
+    CPPUNIT_ASSERT(Ordered({First}).empty());
+    CPPUNIT_ASSERT(Ordered({}) == std::vector{First});
+  });
+  section("it is in an upkeep that this holder knows nothing of", [&] {
+    Machines[First].State_ = MachineState::Upkeep;
+    CPPUNIT_ASSERT(Ordered({}).empty());
+    Machines[First].State_ = MachineState::Up;
+  });
+  section("the wave isn't complete meanwhile", [&] {
+    Plan.restore({Second}, Now);
+    CPPUNIT_ASSERT(
+        !Plan.step(Machines, Loads, Seconds(2), Now, {First}).Complete_);
+    Plan.restore({First}, Now);
+    CPPUNIT_ASSERT(Plan.step(Machines, Loads, Seconds(2), Now).Complete_);
+  });
+}
