A start isn't repeated to a worker that no longer suits its task

Cause: a void order is given again to its worker without another look at the worker, whose registration may have changed with its life. Room wasn't looked at either.

Change: an order is repeated only if the worker has the label and the room that the task needs. Otherwise it is released as for a worker that is leaving, and the task is placed anew.

--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -200,6 +200,13 @@
          !J->spec().Steps_[Key.Step_].Gang_;
 }
 
+bool PoolScheduler::suits(const Worker &W, const TaskKey &Key) const {
+  const std::string &Label = find(Key.Job_)->spec().Steps_[Key.Step_].Label_;
+  return Resources().fits(W.free()) &&
+         (Label.empty() ||
+          std::ranges::find(W.info().Labels_, Label) != W.info().Labels_.end());
+}
+
 void PoolScheduler::repeatStarts(Instant Now, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
     if (!W.Unsettled_)
@@ -216,6 +223,10 @@
       }
       if (!Accepts || Unanswered_ + Out.Starts_.size() >= OrderLimit_)
         continue;
+      if (!suits(W, Key)) {
+        Released.push_back(Key);
+        continue;
+      }
       R.Phase_ = RunPhase::Ordered;
       R.OrderedAt_ = Now;
       R.Fence_ = W.Fence_;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -276,6 +276,9 @@
   /// emptied.
   void repeatStarts(Instant Now, Orders &Out);
   bool isRepeatable(const TaskKey &Key, const Run &R) const;
+  /// Whether the worker has the label and the room for a run that is placed on
+  /// it. It may have started again as another kind.
+  bool suits(const Worker &W, const TaskKey &Key) const;
   /// Releases the runs of an unresponsive worker that have certainly ended.
   void releaseExpired(Worker &W, Instant Now);
   /// The only worker on which the task may start; empty for any.
--- a/test/schedule-faults/restart-test.cc
+++ b/test/schedule-faults/restart-test.cc
@@ -264,3 +264,36 @@
     CPPUNIT_ASSERT_EQUAL(0U, P.Scheduler_.queuedJobs(QueueId("q")));
   });
 }
+
+// Guards against a start that is repeated to a worker which has come back as
+// another kind, without the label or the room that the task requires.
+HEATHERCROSS_STORY(WorkerOfAnotherKind,
+                   "an order isn't repeated to a worker that no longer suits") {
+  const auto StartAgainAs = [](ManualPool &P, WorkerInfo Info) {
+    Info.Incarnation_ = 2;
+    P.Scheduler_.setWorker(Info);
+    P.report("w1", 2, {});
+    P.report("w1", 2, {});
+    return P.step().Starts_;
+  };
+  JobSpec Spec = job({step(1, 3000, Millis(500))});
+  Spec.Steps_[0].Label_ = "a";
+  const auto Play = [&](const WorkerInfo &Info) {
+    ManualPool P("w1", 4000);
+    const auto First = P.submit("j1", Spec);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, First.size());
+    P.answer(First[0], StartAnswer::Unknown);
+    return StartAgainAs(P, Info).size();
+  };
+  section("it is if the worker is as before", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Play(workerInfo("w1", "r1", 4000)));
+  });
+  section("not without the label", [&] {
+    WorkerInfo Other = workerInfo("w1", "r1", 4000);
+    Other.Labels_ = {"b", "r1"};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Play(Other));
+  });
+  section("not without the room", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Play(workerInfo("w1", "r1", 2000)));
+  });
+}
