A test that a queue's settings go with its last job

The row of queues is rewritten when jobs are forgotten, which had no test. The deployment of the tests takes its options as a struct.

--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -38,6 +38,16 @@
   return "127.0.0.1:" + std::to_string(Port);
 }
 
+/// What differs between the deployments of tests.
+struct DeploymentOptions {
+  /// Further lines of the settings' section entry.
+  std::string EntryKeys_ = {};
+  /// Port of the machine API; there is none if it is 0.
+  quint16 MachinesPort_ = 0;
+  /// How long the state of an ended job can be queried.
+  int StatusKeptSeconds_ = 120;
+};
+
 /// A stand-in for the platform's store and several entry instances, each in its
 /// own zone.
 class Deployment {
@@ -50,11 +60,8 @@
   };
 
   /// Starts the instances with one route, /quotes/, to the pool "quoting".
-  /// EntryKeys are further lines of the settings' section entry. There is a
-  /// machine API only if MachinesPort isn't 0.
-  explicit Deployment(int Count, std::string EntryKeys = "",
-                      quint16 MachinesPort = 0)
-      : EntryKeys_(std::move(EntryKeys)), MachinesPort_(MachinesPort),
+  explicit Deployment(int Count, DeploymentOptions Options = {})
+      : Options_(std::move(Options)),
         Entries_(static_cast<std::size_t>(Count)) {
     StoreProcess_ = startProcess(
         "standin-platform", {"--port", QString::number(StorePort_)}, "store");
@@ -187,6 +194,19 @@
     waitFor([&] { return writeRow({"servers", "", Id}, std::nullopt); });
   }
 
+  /// Whether the store has a row.
+  bool hasRow(const platform_api::RowPlace &Place) {
+    platform_api::Store S(Http_, {loopbackAddress(StorePort_), {}, true});
+    std::optional<platform_api::StoreReply> Reply;
+    S.readRow(Place, Millis(500),
+              [&](const platform_api::StoreReply &R) { Reply = R; });
+    waitFor([&] { return Reply.has_value(); });
+    CPPUNIT_ASSERT(Reply->Outcome_ == platform_api::StoreOutcome::Ok);
+    // The answer begins with the next key if there is no such row.
+    return !Reply->Rows_.empty() &&
+           Reply->Rows_.front().Place_.Key_ == Place.Key_;
+  }
+
   /// Waits until an entry instance holds the pool's duty and returns its index.
   std::size_t holder() {
     std::optional<std::size_t> Found;
@@ -269,17 +289,20 @@
     std::ofstream(pathInFolder(Name + ".ini"))
         << "[entry]\nname = " << Name << "\nzone = z" << I
         << "\ncpu_share = 0.25\n"
-        << EntryKeys_ << "[listen]\nfront = " << loopbackAddress(E.FrontPort_)
+        << Options_.EntryKeys_
+        << "[listen]\nfront = " << loopbackAddress(E.FrontPort_)
         << "\nready = " << loopbackAddress(E.ReadyPort_)
         << "\npeers = " << loopbackAddress(E.PeersPort_)
         << "\n[store]\naddress = " << loopbackAddress(StorePort_)
         << "\n[machines]\naddress = "
-        << loopbackAddress(MachinesPort_ ? MachinesPort_ : StorePort_)
+        << loopbackAddress(Options_.MachinesPort_ ? Options_.MachinesPort_
+                                                  : StorePort_)
         << "\norders_per_s = 64.0\n[advice]\naddress =\n[bounds]\n"
            "run_lease_max_ms = 10000\norder_lease_ms = 3000\n"
            "order_fencing = true\n"
-           "status_kept_s = 120\nstop_grace_s = 6\nmove_s = 1.5\n"
-           "upkeep_s = 2\n";
+           "status_kept_s = "
+        << Options_.StatusKeptSeconds_
+        << "\nstop_grace_s = 6\nmove_s = 1.5\nupkeep_s = 2\n";
     E.Process_ = startProcess(
         "heathercrossd",
         {"--deployment", QString::fromStdString(pathInFolder(Name + ".ini"))},
@@ -287,8 +310,7 @@
     waitFor([&] { return ready(I); });
   }
 
-  std::string EntryKeys_;
-  quint16 MachinesPort_;
+  DeploymentOptions Options_;
   http::Client Http_;
   QTemporaryDir Folder_;
   quint16 StorePort_ = freePort();
--- a/test/proof-deployment/job-memory-test.cc
+++ b/test/proof-deployment/job-memory-test.cc
@@ -30,7 +30,7 @@
   // Half of 16 MiB for the only pool; a step takes 200 bytes or more.
   constexpr int MaxJobs = 8 * 1024 * 1024 / (200 * 200);
   startQt();
-  Deployment D(2, "memory_mib = 16\n");
+  Deployment D(2, {.EntryKeys_ = "memory_mib = 16\n"});
   const QByteArray Body = manySteps();
   int Accepted = 0;
   int Status = 200;
--- a/test/proof-deployment/removed-route-test.cc
+++ b/test/proof-deployment/removed-route-test.cc
@@ -50,6 +50,23 @@
   });
 }
 
+// Guards against rows that grow with every queue that a pool has ever had.
+HEATHERCROSS_STORY(QueueForgotten,
+                   "the settings of a queue are stored as long as its jobs") {
+  const platform_api::RowPlace Queues{"rosters", "quoting", "queues"};
+  startQt();
+  TaskWorkers Workers(1);
+  Deployment D(1, {.StatusKeptSeconds_ = 1});
+  for (const auto &R : Workers.registrations())
+    D.writeWorker(R.Id_, R.Row_);
+  section("they are there once a job is accepted", [&] {
+    waitFor([&] { return D.submit(0, "00000000000000d3").Status_ == 200; });
+    CPPUNIT_ASSERT(D.hasRow(Queues));
+  });
+  section("they go with the last job",
+          [&] { waitFor([&] { return !D.hasRow(Queues); }); });
+}
+
 namespace {
 
 /// Removes the only route of a pool while a job of two steps runs there, and
--- a/test/proof-waves/upkeep-takeover-test.cc
+++ b/test/proof-waves/upkeep-takeover-test.cc
@@ -25,7 +25,7 @@
 public:
   WaveScene()
       : Workers_(MachineCount), Machines_(MachineCount),
-        Deployment_(2, "", Machines_.port()) {
+        Deployment_(2, {.MachinesPort_ = Machines_.port()}) {
     for (const auto &R : Workers_.registrations())
       Deployment_.writeWorker(R.Id_, R.Row_);
   }
