The log says which lease a release waited for, and what is known of a worker

The hypotheses of the incident with reused worker ids couldn't be told apart: run-ended with lease-expired gave neither the lease that was waited for nor why. It does now (requested, longest, longest-late, the time since the last lease, and whether the worker is registered). worker-first-report gives start time and clock of a worker as a holder first sees it, busy-worker-unregistered a registration that lapses while there are runs, worker-restarted the start time of the new incarnation.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -100,13 +100,15 @@
   const char *Help_;
 };
 
-constexpr std::array<DecisionMetric, 3> DecisionMetrics{{
+constexpr std::array<DecisionMetric, 4> DecisionMetrics{{
     {"worker-restarted", "heathercross_worker_restarts_total",
      "Workers that started again under their id."},
     {"start-unanswered", "heathercross_starts_unanswered_total",
      "Orders to start a task that got no clear answer."},
     {"start-late", "heathercross_starts_late_total",
      "Runs that were listed after their order had been given up."},
+    {"busy-worker-unregistered", "heathercross_busy_workers_unregistered_total",
+     "Workers that were no longer registered while they had runs."},
 }};
 
 } // namespace
@@ -237,8 +239,18 @@
   L.ClockMs_ = R.ClockMs_;
   L.ClockReadAt_ = Now;
   // An earlier holder may have granted leases to runs of this worker.
-  if (FirstReply)
+  if (FirstReply) {
     Scheduler_.leaseGranted(Id, Now, leaseBound());
+    Context_.Log_.writeRoutine("worker-first-report", [&] {
+      return QJsonObject{
+          {"worker", toQString(Id.str())},
+          {"pool", toQString(Pool_.str())},
+          {"epoch", static_cast<qint64>(self().Epoch_.value())},
+          {"born", static_cast<qint64>(R.Report_.Incarnation_)},
+          {"clock_ms", static_cast<qint64>(R.ClockMs_)},
+          {"runs", static_cast<qint64>(R.Report_.Running_.size())}};
+    });
+  }
   L.ReportSentAt_ = Sent.SentAt_;
   Scheduler_.report(Id, R.Report_, Sent.SentAt_, Sent.Fence_, Now);
   if (!R.Report_.Ended_.empty())
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -65,8 +65,14 @@
 }
 
 void PoolScheduler::removeWorker(const InstanceId &Id) {
-  if (Worker *W = findWorker(Id))
-    W->Registered_ = false;
+  Worker *W = findWorker(Id);
+  if (!W)
+    return;
+  W->Registered_ = false;
+  if (!W->runs().empty())
+    logDecision("busy-worker-unregistered", {}, 0, Id,
+                "runs=" + std::to_string(W->runs().size()) +
+                    (W->UnresponsiveSince_ ? " silent" : " responds"));
 }
 
 void PoolScheduler::setRostered(const InstanceId &Id, bool Rostered) {
@@ -215,7 +221,8 @@
         [](const auto &Entry) { return Entry.second.Phase_; });
     logDecision("worker-restarted", {}, 0, W.info().Id_,
                 "runs=" + std::to_string(W.runs().size()) +
-                    " unanswered=" + std::to_string(Unanswered));
+                    " unanswered=" + std::to_string(Unanswered) +
+                    " born=" + std::to_string(Incarnation));
     restarted(W);
   }
   if (W.Incarnation_ == Incarnation)
@@ -237,7 +244,8 @@
   return It == Workers_.end() ? Fence_ : It->second.Fence_;
 }
 
-void PoolScheduler::release(Worker &W, const TaskKey &Key, const char *Cause) {
+void PoolScheduler::release(Worker &W, const TaskKey &Key, const char *Cause,
+                            const std::string &Detail) {
   const Run *R = W.find(Key);
   if (!R)
     return;
@@ -251,7 +259,8 @@
     return;
   J->setPhase(Key, TaskPhase::Waiting);
   J->openTask(Key)->ReleaseCause_ = Cause;
-  logDecision("run-ended", Key, A, W.info().Id_, Cause);
+  logDecision("run-ended", Key, A, W.info().Id_,
+              Detail.empty() ? Cause : Cause + (" " + Detail));
 }
 
 void PoolScheduler::releaseAllRuns(Worker &W, const char *Cause) {
@@ -284,13 +293,17 @@
 void PoolScheduler::releaseExpired(Worker &W, Instant Now) {
   if (!W.UnresponsiveSince_ || knownHeldAt(Now) < W.LeasesEnd_)
     return;
-  std::vector<TaskKey> Expired;
+  std::vector<std::pair<TaskKey, LeaseKind>> Expired;
   for (const auto &[Key, R] : W.runs()) {
     if (knownHeldAt(Now) >= W.leaseEnd(R))
-      Expired.push_back(Key);
+      Expired.emplace_back(Key, W.leaseKind(R));
   }
-  for (const TaskKey &Key : Expired)
-    release(W, Key, "lease-expired");
+  const auto SinceGrant = toMillis(Now - (W.MaxLeaseEnd_ - MaxLease_));
+  for (const auto &[Key, Kind] : Expired)
+    release(W, Key, "lease-expired",
+            std::string("lease=") + leaseKindName(Kind) +
+                " granted_ms=" + std::to_string(SinceGrant.count()) +
+                (W.Registered_ ? "" : " unregistered"));
 }
 
 InstanceId PoolScheduler::requiredWorker(const TaskState &T,
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -293,8 +293,9 @@
   void completeTask(Job &J, const TaskKey &Key);
   void endJob(Job &J, JobState State);
   void releaseAllRuns(Worker &W, const char *Cause);
-  /// Removes a run and sets its task back to waiting.
-  void release(Worker &W, const TaskKey &Key, const char *Cause);
+  /// Removes a run and sets its task back to waiting. Detail is for the log.
+  void release(Worker &W, const TaskKey &Key, const char *Cause,
+               const std::string &Detail = "");
   static void stopRun(Worker &W, Run &R);
 
   void refreshWorkers(Instant Now);
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -68,6 +68,29 @@
 /// An unanswered order is carried out within this time, if at all.
 inline constexpr Millis MaxOrderDelay{12'000};
 
+/// Which lease a run of an unresponsive worker may hold.
+enum class LeaseKind : std::uint8_t {
+  /// The lease that this holder asked for.
+  Requested,
+  /// The longest one that a worker grants.
+  Longest,
+  /// The longest one, granted by a call that arrived late.
+  LongestLate,
+};
+
+/// Returns the name of a kind of lease for logs.
+constexpr const char *leaseKindName(LeaseKind K) {
+  switch (K) {
+  case LeaseKind::Requested:
+    return "requested";
+  case LeaseKind::Longest:
+    return "longest";
+  case LeaseKind::LongestLate:
+    return "longest-late";
+  }
+  return "unknown";
+}
+
 class Worker {
 public:
   /// Fence is that of the first call.
@@ -143,14 +166,27 @@
     return !Runs_.empty() || Now < LateStartsEnd_;
   }
 
-  /// When a run has ended if no lease is renewed until then. Until the fence is
-  /// confirmed after a restart, a late renewal may extend the lease of any run.
-  /// A worker that is no longer registered counts as gone.
-  Instant leaseEnd(const Run &R) const {
+  /// Which lease a run may hold. Until the fence is confirmed after a restart,
+  /// a late renewal may extend the lease of any run. A worker that is no longer
+  /// registered counts as gone.
+  LeaseKind leaseKind(const Run &R) const {
     const bool Settled = R.Phase_ == RunPhase::Working && !Restarted_;
-    const bool LeaseKnown = (Settled && R.LeaseKnown_) || !Registered_;
-    return LeaseKnown ? LeasesEnd_
-                      : MaxLeaseEnd_ + (Settled ? Millis(0) : MaxOrderDelay);
+    if ((Settled && R.LeaseKnown_) || !Registered_)
+      return LeaseKind::Requested;
+    return Settled ? LeaseKind::Longest : LeaseKind::LongestLate;
+  }
+
+  /// When a run has ended if no lease is renewed until then.
+  Instant leaseEnd(const Run &R) const {
+    switch (leaseKind(R)) {
+    case LeaseKind::Requested:
+      return LeasesEnd_;
+    case LeaseKind::Longest:
+      return MaxLeaseEnd_;
+    case LeaseKind::LongestLate:
+      break;
+    }
+    return MaxLeaseEnd_ + MaxOrderDelay;
   }
 
   /// When all runs have ended if no lease is renewed and no order given until
