--- a/test/schedule-faults/restart-test.cc
+++ b/test/schedule-faults/restart-test.cc
@@ -1,6 +1,6 @@
 // Tests of a pool's scheduler, call by call: answers that belong to earlier
 // orders, and workers that start again under their id.
-#include "schedule/model-pool.h"
+#include "schedule/manual-pool.h"
 #include "support/story.h"
 
 using namespace heathercross;
@@ -8,65 +8,6 @@
 using namespace heathercross::schedule::test;
 using heathercross::test::section;
 
-namespace {
-
-/// A scheduler whose calls and answers the test plays one by one.
-class ManualPool {
-public:
-  PoolScheduler Scheduler_;
-  Instant Now_{Seconds(100)};
-
-  explicit ManualPool(const char *Id, std::int64_t CpuMilli) {
-    Scheduler_.setMaxLease(ModelPool::MaxLease);
-    addWorker(Id, CpuMilli);
-  }
-
-  void addWorker(const char *Id, std::int64_t CpuMilli) {
-    Scheduler_.setWorker(workerInfo(Id, "r1", CpuMilli));
-    report(Id, 1, {});
-    Scheduler_.setRostered(InstanceId(Id), true);
-  }
-
-  /// A renewal that is sent and answered now, by a life of the worker.
-  void report(const char *Id, std::int64_t Life,
-              std::vector<RunningReport> Running,
-              std::vector<EndReport> Ended = {}) {
-    const InstanceId Worker(Id);
-    Scheduler_.leaseGranted(Worker, Now_, ModelPool::Lease);
-    Scheduler_.report(Worker, {Life, std::move(Running), std::move(Ended)},
-                      Now_, Scheduler_.fence(Worker), Now_);
-    Now_ += Millis(1);
-  }
-
-  std::vector<StartOrder> submit(const char *Id, JobSpec Spec) {
-    Scheduler_.admit(Job(JobId(Id), QueueId("q"), std::move(Spec), Now_));
-    return step().Starts_;
-  }
-
-  Orders step() { return Scheduler_.step(Now_, WallTime()); }
-
-  void answer(const StartOrder &O, StartAnswer A) {
-    Scheduler_.started(O, A, Now_);
-  }
-
-  Resources used(const char *Id) const {
-    return Scheduler_.workers().at(InstanceId(Id)).used();
-  }
-};
-
-RunningReport running(const StartOrder &O) {
-  return {O.Task_, O.Attempt_, "", 100, 0};
-}
-
-JobSpec lasting() {
-  StepSpec S = step(1, 2000, Millis(1000));
-  S.LongRunning_ = true;
-  S.MaxUnavailable_ = 1;
-  return job({S});
-}
-
-} // namespace
-
 // Guards against a task that runs twice or is stopped at work: its only run is
 // of an earlier attempt, which a restarted worker took late.
 HEATHERCROSS_STORY(EarlierAttemptAfterRestart,
--- /dev/null
+++ b/test/worker-restarts/lease-test.cc
@@ -0,0 +1,124 @@
+// Tests of what a pool's scheduler concludes about the leases of a worker that
+// may have started again under its id.
+#include "schedule/manual-pool.h"
+#include "support/story.h"
+
+using namespace heathercross;
+using namespace heathercross::schedule;
+using namespace heathercross::schedule::test;
+using heathercross::test::section;
+
+namespace {
+
+constexpr Millis Step{100};
+
+/// Lets a worker be unresponsive while another one answers, until the task
+/// starts there; returns when that was, or nothing within the limit.
+std::optional<Instant> restartedElsewhere(ManualPool &P, const char *Silent,
+                                          const char *Responsive,
+                                          Micros Limit) {
+  P.Scheduler_.unresponsive(InstanceId(Silent), P.Now_);
+  for (const Instant End = P.Now_ + Limit; P.Now_ < End; P.Now_ += Step) {
+    P.report(Responsive, 1, {});
+    if (!P.step().Starts_.empty())
+      return P.Now_;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+// Guards against a task that runs twice: a former holder counted its lease on
+// the clock of the worker's former life, so the worker granted its longest one.
+HEATHERCROSS_STORY(LeaseOfFormerHolder,
+                   "an adopted run is given up only after the longest lease") {
+  ManualPool Former("w1", 4000);
+  const auto First = Former.submit("j1", lasting());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, First.size());
+  ManualPool P("w2", 4000);
+  P.Scheduler_.restore(Job(JobId("j1"), QueueId("q"), lasting(), P.Now_), 100);
+  P.Scheduler_.awaitWorkers({{InstanceId("w1"), P.Now_ + Seconds(11)}});
+  P.Scheduler_.setWorker(workerInfo("w1", "r1", 4000));
+  const Instant Adopted = P.Now_;
+  P.report("w1", 2, {running(First[0])});
+  const auto Restarted = restartedElsewhere(P, "w1", "w2", Seconds(20));
+  section("not before", [&] {
+    CPPUNIT_ASSERT(!Restarted || *Restarted >= Adopted + ModelPool::MaxLease);
+  });
+  section("soon after", [&] {
+    CPPUNIT_ASSERT(Restarted.has_value());
+    CPPUNIT_ASSERT(*Restarted <= Adopted + ModelPool::MaxLease + Seconds(1));
+  });
+}
+
+// Guards against a task that runs twice: a worker that was cut off right after
+// it had started again lost its registration while it worked on.
+HEATHERCROSS_STORY(UnregisteredWhileWorking,
+                   "a lapsed registration doesn't show that a run has ended") {
+  ManualPool P("w1", 4000);
+  const auto First = P.submit("j1", lasting());
+  P.Scheduler_.leaseGranted(InstanceId("w1"), P.Now_, ModelPool::Lease);
+  const Instant Ordered = P.Now_;
+  section("after a restart that only the clock has shown", [&] {
+    P.answer(First[0], StartAnswer::Started);
+    P.Scheduler_.suspectRestart(InstanceId("w1"));
+    P.addWorker("w2", 4000);
+    P.Scheduler_.removeWorker(InstanceId("w1"));
+    const auto Restarted = restartedElsewhere(P, "w1", "w2", Seconds(40));
+    CPPUNIT_ASSERT(Restarted.has_value());
+    CPPUNIT_ASSERT(*Restarted >= Ordered + ModelPool::MaxLease);
+  });
+  section("after an order without an answer", [&] {
+    ManualPool Unanswered("w1", 4000);
+    const auto Start = Unanswered.submit("j1", lasting());
+    Unanswered.Scheduler_.leaseGranted(InstanceId("w1"), Unanswered.Now_,
+                                       ModelPool::Lease);
+    const Instant Sent = Unanswered.Now_;
+    Unanswered.answer(Start[0], StartAnswer::Unknown);
+    Unanswered.addWorker("w2", 4000);
+    Unanswered.Scheduler_.removeWorker(InstanceId("w1"));
+    const auto Restarted =
+        restartedElsewhere(Unanswered, "w1", "w2", Seconds(40));
+    CPPUNIT_ASSERT(Restarted.has_value());
+    CPPUNIT_ASSERT(*Restarted >= Sent + MaxOrderDelay + ModelPool::MaxLease);
+  });
+}
+
+// Guards against a lease that a late call lengthens: it was sent before the
+// worker had been removed and registered again.
+HEATHERCROSS_STORY(RegisteredAgain,
+                   "calls to a worker that was removed are void for the next "
+                   "one under its id") {
+  ManualPool P("w1", 4000);
+  const InstanceId Id("w1");
+  const FenceGeneration Before = P.Scheduler_.fence(Id);
+  P.Scheduler_.removeWorker(Id);
+  P.step();
+  CPPUNIT_ASSERT(!P.Scheduler_.workers().contains(Id));
+  P.Scheduler_.setWorker(workerInfo("w1", "r1", 4000));
+  CPPUNIT_ASSERT(P.Scheduler_.fence(Id) > Before);
+}
+
+// Guards against a task that runs twice after a takeover: a worker that may
+// still carry out an order left the roster with its registration.
+HEATHERCROSS_STORY(LateOrderOfUnregisteredWorker,
+                   "a worker that may start a task late stays known while it "
+                   "is unregistered") {
+  ManualPool P("w1", 4000);
+  const InstanceId Id("w1");
+  const auto First = P.submit("j1", lasting());
+  const Instant Ordered = P.Now_;
+  P.answer(First[0], StartAnswer::Unknown);
+  P.Now_ += Step;
+  P.report("w1", 1, {});
+  P.Scheduler_.removeWorker(Id);
+  while (P.Now_ + Step < Ordered + MaxOrderDelay) {
+    P.step();
+    CPPUNIT_ASSERT(P.Scheduler_.workers().contains(Id));
+    CPPUNIT_ASSERT(P.Scheduler_.workers().at(Id).mayHoldRuns(P.Now_));
+    P.Now_ += Step;
+  }
+  P.Now_ += 2 * Step;
+  P.step();
+  CPPUNIT_ASSERT(!P.Scheduler_.workers().contains(Id));
+}
