A holder doesn't take a young worker's lease for one that it asked for

Callers saw two runs of one task: a worker started again under its id and was cut off soon after a takeover; the new holder started its tasks elsewhere while the worker went on.

Cause: a lease ends at a time on the worker's clock. The former holder renewed the lease of the worker's former life; the answer showed it the new one, whose clock is behind and which had cut the lease to the longest one, 10 s. It reckoned with that, but the next holder didn't know and took 6.48 s for every worker that it first heard of.

Now the first report of an incarnation makes its lease count as the longest one, unless it has been running for so long that every call that was counted on a former clock has arrived and its lease has ended. So a holder waits longer only for workers that fall silent within 4 s of its first call to them and were young then. The story LeaseOfFormerHolder failed before.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -238,9 +238,7 @@
   const bool FirstReply = L.ClockMs_ == 0;
   L.ClockMs_ = R.ClockMs_;
   L.ClockReadAt_ = Now;
-  // An earlier holder may have granted leases to runs of this worker.
-  if (FirstReply) {
-    Scheduler_.leaseGranted(Id, Now, leaseBound());
+  if (FirstReply)
     Context_.Log_.writeRoutine("worker-first-report", [&] {
       return QJsonObject{
           {"worker", toQString(Id.str())},
@@ -250,9 +248,9 @@
           {"clock_ms", static_cast<qint64>(R.ClockMs_)},
           {"runs", static_cast<qint64>(R.Report_.Running_.size())}};
     });
-  }
   L.ReportSentAt_ = Sent.SentAt_;
-  Scheduler_.report(Id, R.Report_, Sent.SentAt_, Sent.Fence_, Now);
+  Scheduler_.report(Id, R.Report_, Sent.SentAt_, Sent.Fence_, Now,
+                    Context_.Clock_.wall());
   if (!R.Report_.Ended_.empty())
     ReportedEnds_.insert(Id);
   const auto W = Scheduler_.workers().find(Id);
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -76,7 +76,7 @@
   Scheduler_.setOrderLimit(std::max(
       MinOrderLimit, static_cast<std::size_t>(MaxOrdersPerCore *
                                               Context_.Settings_.CpuShare_)));
-  Scheduler_.setMaxLease(maxLease());
+  Scheduler_.setLeases(leaseBound(), maxLease());
   JobMemory_.setLimit(jobMemoryBase(), 1);
   load();
 }
--- a/src/schedule/pool-scheduler-reports.cc
+++ b/src/schedule/pool-scheduler-reports.cc
@@ -15,25 +15,44 @@
 /// Consecutive failed runs of different jobs after which a worker is suspected.
 /// Tasks on a healthy worker fail in 0.2% of runs.
 constexpr std::uint32_t SuspectFailures = 3;
+/// Calls that are counted on the clock of a worker's former life reach the next
+/// one at most this long after its start: a holder sends such calls until a
+/// renewal is answered or fails, and they arrive within MaxOrderDelay.
+constexpr Millis FormerClockCalls = MaxOrderDelay + Millis(8000);
+/// The times of day of a worker and of an entry differ by at most this.
+constexpr Millis MaxClockStep{10'000};
 /// How long a suspected worker gets no tasks. Worker faults last about 5 s.
 constexpr Millis SuspectPause{5000};
 
+/// The time since a worker has started, by the time of day.
+Millis ageOf(std::int64_t Incarnation, WallTime Wall) {
+  return Incarnation > 0 ? Wall - WallTime(Millis(Incarnation)) : Millis(0);
+}
+
 } // namespace
 
 void PoolScheduler::report(const InstanceId &Id, const WorkerReport &R,
-                           Instant SentAt, FenceGeneration Fence, Instant Now) {
+                           Instant SentAt, FenceGeneration Fence, Instant Now,
+                           WallTime Wall) {
   Worker *W = findWorker(Id);
   // An answer that was overtaken may list runs that have ended since.
   if (!W || SentAt < W->ReportSentAt_)
     return;
   W->ReportSentAt_ = SentAt;
+  const bool NewLife = W->Incarnation_ != R.Incarnation_;
   updateIncarnation(*W, R.Incarnation_);
   W->ConfirmedFence_ = std::max(W->ConfirmedFence_, Fence);
-  // Until it confirmed the fence, a new incarnation may have taken leases for
-  // the clock of the former one. They are in its far future, and it cuts them
-  // to the longest that it grants.
+  // Until it confirmed the fence, a new incarnation may have taken leases that
+  // this holder or an earlier one counted on the clock of the former one. They
+  // are in its far future, and it cuts them to the longest that it grants.
   if (W->Restarted_)
-    W->LeasesEnd_ = std::max(W->LeasesEnd_, Now + MaxLease_);
+    W->leaseGranted(Now, MaxLease_, MaxLease_);
+  else if (NewLife)
+    W->leaseGranted(Now,
+                    std::clamp(FormerClockCalls + MaxClockStep + MaxLease_ -
+                                   ageOf(R.Incarnation_, Wall),
+                               RequestedLease_, MaxLease_),
+                    MaxLease_);
   W->Restarted_ = W->Restarted_ && !W->fenceConfirmed();
   if (W->UnresponsiveSince_)
     logDecision(
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -184,8 +184,7 @@
   Worker *W = findWorker(Id);
   if (!W)
     return;
-  W->LeasesEnd_ = std::max(W->LeasesEnd_, GrantedAt + Lease);
-  W->MaxLeaseEnd_ = std::max(W->MaxLeaseEnd_, GrantedAt + MaxLease_);
+  W->leaseGranted(GrantedAt, Lease, MaxLease_);
 }
 
 void PoolScheduler::unresponsive(const InstanceId &Id, Instant Now) {
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -131,8 +131,12 @@
   /// shown. A later holder may renew leases, so only those that ended before
   /// then are known to have ended.
   void dutyHeldAt(Instant At) { DutyHeldAt_ = At; }
-  /// Sets the longest lease that a worker grants.
-  void setMaxLease(Millis Lease) { MaxLease_ = Lease; }
+  /// Sets how long the leases last that holders ask for, and the longest one
+  /// that a worker grants.
+  void setLeases(Millis Requested, Millis Longest) {
+    RequestedLease_ = Requested;
+    MaxLease_ = Longest;
+  }
 
   /// Adds or updates a registered worker.
   void setWorker(const WorkerInfo &Info);
@@ -164,9 +168,10 @@
   void forget(const JobId &Id);
 
   /// Takes in a worker's answer to a lease renewal that was sent at SentAt with
-  /// the given fence.
+  /// the given fence. Wall tells how long ago the incarnation started; without
+  /// it, the incarnation counts as new.
   void report(const InstanceId &Id, const WorkerReport &R, Instant SentAt,
-              FenceGeneration Fence, Instant Now);
+              FenceGeneration Fence, Instant Now, WallTime Wall = {});
   /// Records that a worker's clock doesn't agree with its earlier answers.
   void suspectRestart(const InstanceId &Id);
   /// The fence for calls to a worker.
@@ -367,6 +372,7 @@
   std::set<JobId> Changed_;
   std::vector<Decision> Log_;
   Resources MaxCapacity_;
+  Millis RequestedLease_{6'000};
   Millis MaxLease_{10'000};
   std::optional<Instant> DutyHeldAt_;
   /// The last fence that was given to a worker. Fences are unique in the pool,
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -166,6 +166,13 @@
     return !Runs_.empty() || Now < LateStartsEnd_;
   }
 
+  /// Records a lease as requested, and the longest one that the worker may have
+  /// granted instead.
+  void leaseGranted(Instant At, Millis Requested, Millis Longest) {
+    LeasesEnd_ = std::max(LeasesEnd_, At + Requested);
+    MaxLeaseEnd_ = std::max(MaxLeaseEnd_, At + Longest);
+  }
+
   /// Which lease a run may hold. Until the fence is confirmed after a restart,
   /// a late renewal may extend the lease of any run. A worker that is no longer
   /// registered counts as gone.
--- a/test/schedule/manual-pool.h
+++ b/test/schedule/manual-pool.h
@@ -15,7 +15,7 @@
   Instant Now_{Seconds(100)};
 
   explicit ManualPool(const char *Id, std::int64_t CpuMilli) {
-    Scheduler_.setMaxLease(ModelPool::MaxLease);
+    Scheduler_.setLeases(ModelPool::Lease, ModelPool::MaxLease);
     addWorker(Id, CpuMilli);
   }
 
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -83,6 +83,7 @@
   bool FailsAll_ = false;
   bool Hangs_ = false;
   double SlowdownFactor_ = 1;
+  /// The time of day, in milliseconds, at which this life began.
   std::int64_t Incarnation_ = 1;
   Instant LeaseEnd_;
   std::map<TaskKey, Running> Running_;
@@ -244,7 +245,8 @@
     W.Sequence_ = 0;
     W.Fence_ = {};
     W.LeaseEnd_ = Instant();
-    ++W.Incarnation_;
+    W.Incarnation_ = std::max(W.Incarnation_ + 1,
+                              std::int64_t{wall().time_since_epoch().count()});
     Acked_.erase(W.Info_.Id_);
   }
 
@@ -326,7 +328,7 @@
                : (W.Hangs_ ? 7 : static_cast<std::uint32_t>(100 * Progress)),
            0});
     }
-    Scheduler_.report(Id, R, Now_, Generation, Now_);
+    Scheduler_.report(Id, R, Now_, Generation, Now_, wall());
   }
 
   template <class Order> ModelFence fenceOf(const Order &O) const {
