A lapsed registration doesn't show that a worker's runs have ended

A worker that is cut off loses its registration after three silent heartbeats and works on. Its runs were then taken to end with the lease that was asked for, even if the worker had started again or had not answered the order: it may hold the longest lease, and a late order may still start the task. A worker without a registration gets no new runs; when its runs end doesn't depend on it.

The story UnregisteredWhileWorking failed before in both sections: the task started elsewhere 6 s after the order, within the longest lease of 10 s.

--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -175,10 +175,10 @@
 
   /// Which lease a run may hold. Until the fence is confirmed after a restart,
   /// a late renewal may extend the lease of any run. A worker that is no longer
-  /// registered counts as gone.
+  /// registered may still be working.
   LeaseKind leaseKind(const Run &R) const {
     const bool Settled = R.Phase_ == RunPhase::Working && !Restarted_;
-    if ((Settled && R.LeaseKnown_) || !Registered_)
+    if (Settled && R.LeaseKnown_)
       return LeaseKind::Requested;
     return Settled ? LeaseKind::Longest : LeaseKind::LongestLate;
   }
