Calls to a worker that was removed are void for the next one under its id

A worker that was forgotten after its registration lapsed got the same fence when it registered again. A late renewal to its former life, counted on that life's clock, could then lengthen the leases of the new one beyond what the holder reckoned with. The fence rises now whenever a worker is forgotten, as it did when an instance had ended. The story RegisteredAgain failed before.

--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -63,10 +63,8 @@
     if (!W.Registered_ && W.runs().empty() && !Awaited)
       Removed.push_back(Id);
   }
-  for (const InstanceId &Id : Removed) {
-    logDecision("worker-gone", {}, 0, Id, "");
-    Workers_.erase(Id);
-  }
+  for (const InstanceId &Id : Removed)
+    eraseWorker(Id, "");
 }
 
 void PoolScheduler::stopStuckRuns(Worker &W, Instant Now) {
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -86,9 +86,13 @@
   if (!W)
     return;
   releaseAllRuns(*W, "instance-ended");
-  logDecision("worker-gone", {}, 0, Id, "instance-ended");
+  eraseWorker(Id, "instance-ended");
+}
+
+void PoolScheduler::eraseWorker(const InstanceId &Id, const char *Cause) {
+  logDecision("worker-gone", {}, 0, Id, Cause);
   Workers_.erase(Id);
-  // Orders to the instance may be in flight if it registers again.
+  // Calls to the instance may be in flight if it registers again.
   Fence_ = Fence_.next();
 }
 
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -298,6 +298,9 @@
   void completeTask(Job &J, const TaskKey &Key);
   void endJob(Job &J, JobState State);
   void releaseAllRuns(Worker &W, const char *Cause);
+  /// Forgets a worker that has no runs. Calls that were sent to it are void for
+  /// a worker that registers under its id later.
+  void eraseWorker(const InstanceId &Id, const char *Cause);
   /// Removes a run and sets its task back to waiting. Detail is for the log.
   void release(Worker &W, const TaskKey &Key, const char *Cause,
                const std::string &Detail = "");
