A clock that is behind the one that a lease was counted on is another one

The answer to an order was compared with the worker's clock give or take 1.5 s. After two restarts within about that time the run counted as one with a known lease, though the worker had granted up to 1.5 s more than was reckoned with. Only an answer that took long to be read can be ahead; none of the same clock can be behind what the clock showed when the order was sent, but for 5% of the time since the last answer. The clock that the order's lease was counted on is kept until the answer is there, as a report of another incarnation may come between.

--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -45,12 +45,6 @@
 /// An earlier renewal would only return the same ends again.
 constexpr Millis UnstoredRenewInterval{90};
 
-/// An answer is read at most this long after the worker has read its clock.
-constexpr Millis MaxClockDelay{1500};
-/// A worker's clock differs from the local one by at most the elapsed time
-/// divided by this.
-constexpr int MaxClockDriftDivisor = 20;
-
 const char *answerName(StartAnswer A) {
   switch (A) {
   case StartAnswer::Started:
@@ -129,24 +123,21 @@
                     MinBusyRenewInterval, MaxBusyRenewInterval);
 }
 
-std::int64_t PoolHolder::workerClock(const Link &L) const {
-  return L.ClockMs_ + toMillis(Context_.Clock_.now() - L.ClockReadAt_).count();
+std::int64_t PoolHolder::leaseUntil(const schedule::WorkerClock &Clock) const {
+  return (Clock.at(Context_.Clock_.now()) + runLease()).count();
 }
 
-void PoolHolder::checkClock(const InstanceId &Id, std::int64_t ClockMs) {
-  const auto It = Links_.find(Id);
-  if (It == Links_.end() || It->second.ClockMs_ == 0)
-    return;
-  const auto Elapsed =
-      toMillis(Context_.Clock_.now() - It->second.ClockReadAt_);
-  const auto Tolerance = MaxClockDelay + Elapsed / MaxClockDriftDivisor;
-  if (std::abs(ClockMs - workerClock(It->second)) <= Tolerance.count())
+void PoolHolder::checkClock(const InstanceId &Id,
+                            const schedule::WorkerClock &Clock, Instant SentAt,
+                            Millis Answered) {
+  const Instant Now = Context_.Clock_.now();
+  if (!Clock.known() || Clock.agrees(Answered, SentAt, Now))
     return;
   Context_.Log_.write(
       "worker-clock-differs",
       {{"worker", toQString(Id.str())},
-       {"clock_ms", static_cast<qint64>(ClockMs)},
-       {"expected_ms", static_cast<qint64>(workerClock(It->second))}});
+       {"clock_ms", static_cast<qint64>(Answered.count())},
+       {"expected_ms", static_cast<qint64>(Clock.at(SentAt).count())}});
   Scheduler_.suspectRestart(Id);
 }
 
@@ -183,9 +174,9 @@
   // reached the worker, would delay the restart of its tasks elsewhere. One
   // whose stored roster entry says when its runs end gets none before that
   // entry is replaced: a later holder relies on it.
-  if (L.ClockMs_ > 0 && !MayBeRestarted && !RecordedSilent_.contains(Id) &&
+  if (L.Clock_.known() && !MayBeRestarted && !RecordedSilent_.contains(Id) &&
       mayGiveOrders()) {
-    Call.LeaseUntilMs_ = workerClock(L) + runLease().count();
+    Call.LeaseUntilMs_ = leaseUntil(L.Clock_);
     Call.Wait_ = Busy ? RenewWait : Millis(0);
     Scheduler_.leaseGranted(Id, Now, leaseBound());
   }
@@ -235,9 +226,8 @@
   if (L.Incarnation_ != R.Report_.Incarnation_)
     L.EndsStored_ = 0;
   L.Incarnation_ = R.Report_.Incarnation_;
-  const bool FirstReply = L.ClockMs_ == 0;
-  L.ClockMs_ = R.ClockMs_;
-  L.ClockReadAt_ = Now;
+  const bool FirstReply = !L.Clock_.known();
+  L.Clock_.answered(Millis(R.ClockMs_), Now);
   if (FirstReply)
     Context_.Log_.writeRoutine("worker-first-report", [&] {
       return QJsonObject{
@@ -326,9 +316,10 @@
   Scheduler_.leaseGranted(O.Worker_, Now, leaseBound());
   L.NextRenew_ = std::min(L.NextRenew_, Now + busyRenewInterval());
   Context_.Workers_.start(
-      {O.Worker_, L.Address_}, O, workerClock(L) + runLease().count(),
-      self().Epoch_, OrderTimeout,
-      guarded(this, [this, O, Now](const platform_api::StartReply &Reply) {
+      {O.Worker_, L.Address_}, O, leaseUntil(L.Clock_), self().Epoch_,
+      OrderTimeout,
+      guarded(this, [this, O, Now,
+                     Clock = L.Clock_](const platform_api::StartReply &Reply) {
         if (Lost_)
           return;
         const StartAnswer A = Reply.Answer_;
@@ -355,7 +346,7 @@
           return loseDuty("fenced-by-worker");
         Scheduler_.started(O, Reply.orderAnswer(), AnsweredAt);
         if (Reply.ClockMs_)
-          checkClock(O.Worker_, *Reply.ClockMs_);
+          checkClock(O.Worker_, Clock, Now, Millis(*Reply.ClockMs_));
         renewIfRaised(O.Worker_);
         if (A != StartAnswer::Started || Scheduler_.heldBack())
           scheduleRound();
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -7,6 +7,7 @@
 #include "schedule/configuration.h"
 #include "schedule/job-memory.h"
 #include "schedule/pool-scheduler.h"
+#include "schedule/worker-clock.h"
 
 #include <QObject>
 #include <QTimer>
@@ -106,10 +107,7 @@
   /// State of the calls to one worker.
   struct Link {
     std::string Address_;
-    /// The worker's clock at its last answer (0: none yet), and the local time
-    /// of that answer.
-    std::int64_t ClockMs_ = 0;
-    Instant ClockReadAt_;
+    schedule::WorkerClock Clock_;
     int RenewalsInFlight_ = 0;
     /// The fence of the last renewal.
     schedule::FenceGeneration RenewFence_;
@@ -190,10 +188,13 @@
   void sendOrders(const schedule::Orders &Orders);
   void sendStart(const schedule::StartOrder &O);
   void sendStop(const schedule::StopOrder &O);
-  std::int64_t workerClock(const Link &L) const;
-  /// Compares the clock in an answer with the worker's earlier answers: the
-  /// clock of a restarted worker counts anew.
-  void checkClock(const InstanceId &Id, std::int64_t ClockMs);
+  /// When a lease that is granted now ends, in milliseconds on a worker's
+  /// clock.
+  std::int64_t leaseUntil(const schedule::WorkerClock &Clock) const;
+  /// Compares the clock in the answer to an order with the one that the order's
+  /// lease was counted on: the clock of a restarted worker counts anew.
+  void checkClock(const InstanceId &Id, const schedule::WorkerClock &Clock,
+                  Instant SentAt, Millis Answered);
   platform_api::WorkerAddress addressOf(const InstanceId &Id) const;
   void logDecisions();
   QJsonObject jobFields(const JobId &Id) const;
