A successor waits for the longest leases of workers that don't answer it

The holder that takes a duty starts restored tasks when every worker that the former holder may have called has answered, or when that holder's leases have ended. It counted those as they were asked for, from the takeover on; a worker that had started again may hold the longest one, 4 s more.

The wait now counts from when the former holder can have granted its last lease: when the row that gave the duty back was seen, when the process that this one replaces had ended, or 4 s after the last change of its row was seen. A holder that gives its duty back grants no lease from then on.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -114,7 +114,8 @@
         if (R.Outcome_ != StoreOutcome::Ok)
           return ClusterState_.duties().claimRefused(Now);
         ClusterState_.duties().holderRead(C.Pool_, {Self, R.Version_}, Now);
-        beginDuty(C.Pool_, {Self, R.Version_, SentAt}, C.Cause_);
+        beginDuty(C.Pool_, {Self, R.Version_, SentAt, C.FormerActsUntil_},
+                  C.Cause_);
       }));
 }
 
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -10,7 +10,6 @@
 
 namespace heathercross::entry {
 
-using detail::MaxRenewalAge;
 using detail::RetryPause;
 using detail::toQString;
 
@@ -115,9 +114,7 @@
     Scheduler_.restore(std::move(J),
                        schedule::attemptFloor(self().Epoch_, Stored->Epoch_));
   }
-  // The former holder may have granted leases until MaxRenewalAge after it last
-  // renewed the duty, which was before this holder took it.
-  const Instant LastLeaseEnd = Now + MaxRenewalAge + leaseBound();
+  const Instant LastLeaseEnd = Duty_.formerLeasesEnd(Now, maxLease());
   std::map<InstanceId, Instant> Awaited;
   auto PoolRows = takeLoaded(RosterTable, RowKind::Roster);
   restoreQueues(PoolRows[QueuesKey]);
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -10,7 +10,6 @@
 namespace heathercross::entry {
 
 using detail::LeaseMargin;
-using detail::MaxRenewalAge;
 using detail::toQString;
 
 namespace {
@@ -57,12 +56,12 @@
 PoolHolder::PoolHolder(Context &C, PoolId Pool, schedule::HeldDuty Duty,
                        std::function<void()> OnLost)
     : Context_(C), Pool_(std::move(Pool)), OnLost_(std::move(OnLost)),
-      Writer_(C, Pool_, std::move(Duty),
-              {[this] {
-                 afterCommit();
-                 scheduleRound();
-               },
-               [this] { loseDuty("row-taken"); }}),
+      Duty_(std::move(Duty)), Writer_(C, Pool_, Duty_,
+                                      {[this] {
+                                         afterCommit();
+                                         scheduleRound();
+                                       },
+                                       [this] { loseDuty("row-taken"); }}),
       Journal_(Writer_.journal()) {
   NextRound_.setSingleShot(true);
   NextRound_.setTimerType(Qt::PreciseTimer);
@@ -138,7 +137,8 @@
 }
 
 bool PoolHolder::mayGiveOrders() const {
-  return !Lost_ && Context_.Clock_.now() - Journal_.renewedAt() < MaxRenewalAge;
+  return !Lost_ && !GivingBack_ &&
+         Context_.Clock_.now() - Journal_.renewedAt() < schedule::MaxRenewalAge;
 }
 
 // Requests of the fleet controller.
@@ -351,6 +351,7 @@
 void PoolHolder::handOver(std::function<void()> OnDone) {
   HandingOver_ = true;
   OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
+    GivingBack_ = true;
     Writer_.giveBack(guarded(this, [this, OnDone] {
       loseDuty("handed-over");
       OnDone();
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -214,6 +214,8 @@
   Context &Context_;
   PoolId Pool_;
   std::function<void()> OnLost_;
+  /// As it was claimed.
+  schedule::HeldDuty Duty_;
   JournalWriter Writer_;
   schedule::PoolJournal &Journal_;
   schedule::PoolScheduler Scheduler_;
@@ -254,6 +256,9 @@
   bool Ready_ = false;
   bool Lost_ = false;
   bool HandingOver_ = false;
+  /// The row that gives the duty back is on its way. The next holder relies on
+  /// it that no lease is granted from then on.
+  bool GivingBack_ = false;
   /// The placement service accepts one call of an entry at a time.
   bool AskingAdvice_ = false;
   Instant NextAdvice_;
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -81,6 +81,19 @@
   return {UnresponsiveAfter, ClaimCause::Unresponsive};
 }
 
+Instant DutyWatch::actsUntil(const Watch &W, ClaimCause Cause, Instant Now) {
+  switch (Cause) {
+  case ClaimCause::Vacant:
+    return W.UnchangedSince_;
+  case ClaimCause::OwnRestart:
+    return Now;
+  case ClaimCause::Unreachable:
+  case ClaimCause::Unresponsive:
+    break;
+  }
+  return W.UnchangedSince_ + MaxRenewalAge;
+}
+
 void DutyWatch::claimRefused(Instant Now) {
   for (auto &[Pool, W] : Watches_)
     W.UnchangedSince_ = Now;
@@ -121,7 +134,8 @@
       continue;
     BestOverdue = Overdue;
     Best = Claim{P, W.Stored_ ? W.Stored_->Version_ : RowVersion(),
-                 W.Stored_ ? W.Stored_->Row_.Epoch_.next() : Epoch(1), Cause};
+                 W.Stored_ ? W.Stored_->Row_.Epoch_.next() : Epoch(1), Cause,
+                 actsUntil(W, Cause, Now)};
   }
   return Best;
 }
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -39,6 +39,9 @@
   RowVersion Version_;
   Epoch Epoch_;
   ClaimCause Cause_ = ClaimCause::Vacant;
+  /// When the holder of that version has granted its last lease, if the row
+  /// still has the version.
+  Instant FormerActsUntil_{};
 };
 
 /// Watches the holder rows. A holder writes its row about twice a second; one
@@ -89,6 +92,9 @@
   /// How long the row must be unchanged before the duty may be claimed, and the
   /// cause of such a claim.
   std::pair<Millis, ClaimCause> unchangedLimit(const Watch &W) const;
+  /// When the holder whose row is watched has granted its last lease if it
+  /// doesn't renew the row. It sent the last change before that was seen.
+  static Instant actsUntil(const Watch &W, ClaimCause Cause, Instant Now);
 
   EntryId Self_;
   double DelayFactor_;
--- a/src/schedule/pool-journal.h
+++ b/src/schedule/pool-journal.h
@@ -52,6 +52,11 @@
 /// A renewal time that is older than every limit, whatever the clock shows.
 inline constexpr Instant NeverRenewed{-Seconds(3600)};
 
+/// A holder whose row wasn't renewed for this long grants no leases and starts
+/// nothing, since another entry may have taken the duty. Together with the run
+/// lease it bridges a store outage of 10 s.
+inline constexpr Millis MaxRenewalAge{4000};
+
 /// A duty that this entry holds by a holder row that it wrote.
 struct HeldDuty {
   HolderRow Self_;
@@ -60,6 +65,16 @@
   /// When the write of the row was sent; NeverRenewed if that isn't known. The
   /// holder acts for a limited time from then on.
   Instant RenewedAt_ = NeverRenewed;
+  /// When the former holder has granted its last lease; absent if that isn't
+  /// known.
+  std::optional<Instant> FormerActsUntil_ = std::nullopt;
+
+  /// When every lease has ended that the former holder granted, if workers
+  /// grant none that lasts longer than Longest. A worker may have started
+  /// again, and have granted more than the former holder asked for.
+  Instant formerLeasesEnd(Instant Now, Millis Longest) const {
+    return FormerActsUntil_.value_or(Now + MaxRenewalAge) + Longest;
+  }
 };
 
 /// One transaction, conditional on the version of the holder row.
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -122,3 +122,43 @@
     CPPUNIT_ASSERT(!poll(W, Now, Seconds(5)));
   });
 }
+
+// Guards against a task that runs twice: a successor counted on leases as the
+// former holder asked for them, not on the longest one that a worker grants.
+HEATHERCROSS_STORY(FormerHolderLeases,
+                   "a successor knows when the former holder's leases have "
+                   "ended at the latest") {
+  const Millis Longest(10'000);
+  const auto ClaimOf = [](const char *Self, const EntryId &Former,
+                          Instant &Now) {
+    DutyWatch W(EntryId(Self), 1);
+    W.holderRead(Quotes, {{Former, "", Epoch(1), 7}, RowVersion(9)}, Now);
+    const auto Claimed = poll(W, Now, Seconds(4));
+    CPPUNIT_ASSERT(Claimed.has_value());
+    return *Claimed;
+  };
+  const auto LeasesEnd = [&](const Claim &C, Instant Now) {
+    HeldDuty D;
+    D.FormerActsUntil_ = C.FormerActsUntil_;
+    return D.formerLeasesEnd(Now, Longest);
+  };
+  const Instant Seen(Seconds(10));
+  Instant Now = Seen;
+  section("one that gave the duty back had granted its last lease before", [&] {
+    const Claim C = ClaimOf("e1/2", EntryId(), Now = Seen);
+    CPPUNIT_ASSERT(LeasesEnd(C, Now) == Seen + Longest);
+  });
+  section("one that doesn't renew its row acts for a while", [&] {
+    const Claim C = ClaimOf("e1/2", EntryId("e2/1"), Now = Seen);
+    CPPUNIT_ASSERT(Now > Seen);
+    CPPUNIT_ASSERT(LeasesEnd(C, Now) == Seen + MaxRenewalAge + Longest);
+  });
+  section("the process that this one replaces has ended", [&] {
+    const Claim C = ClaimOf("e1/2", EntryId("e1/1"), Now = Seen);
+    CPPUNIT_ASSERT(LeasesEnd(C, Now) == Now + Longest);
+  });
+  section("if nothing is known, it may still act", [&] {
+    CPPUNIT_ASSERT(HeldDuty().formerLeasesEnd(Now, Longest) ==
+                   Now + MaxRenewalAge + Longest);
+  });
+}
