The next worker under an id hasn't confirmed the fence of the former one

A worker that registered again counted as fenced before it had answered a call with its fence. The answer to a renewal that was sent before its predecessor was removed then made it accept tasks, while a late renewal with the former fence could still lengthen its lease beyond what the holder reckoned with: callers could see a task run twice.

A worker confirms a fence only by a report now.

--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -95,7 +95,7 @@
 public:
   /// Fence is that of the first call.
   Worker(WorkerInfo Info, FenceGeneration Fence)
-      : Fence_(Fence), ConfirmedFence_(Fence), Info_(std::move(Info)) {}
+      : Fence_(Fence), Info_(std::move(Info)) {}
 
   const WorkerInfo &info() const { return Info_; }
   void setInfo(WorkerInfo Info) { Info_ = std::move(Info); }
--- a/test/worker-restarts/lease-test.cc
+++ b/test/worker-restarts/lease-test.cc
@@ -122,3 +122,25 @@
   P.step();
   CPPUNIT_ASSERT(!P.Scheduler_.workers().contains(Id));
 }
+
+// Guards against a lease that a late call lengthens: the answer to a call with
+// the fence of a removed worker showed the next one under its id as fenced.
+HEATHERCROSS_STORY(AnswerToFormerCall,
+                   "an answer to a call that was sent before a worker was "
+                   "removed doesn't confirm the fence of the next one") {
+  ManualPool P("w1", 4000);
+  const InstanceId Id("w1");
+  const FenceGeneration Before = P.Scheduler_.fence(Id);
+  const Instant SentAt = P.Now_;
+  P.Scheduler_.removeWorker(Id);
+  P.step();
+  P.Scheduler_.setWorker(workerInfo("w1", "r1", 4000));
+  P.Scheduler_.setRostered(Id, true);
+  P.Now_ += Step;
+  P.Scheduler_.report(Id, {2, {}, {}}, SentAt, Before, P.Now_);
+  section("which gets no tasks until it knows its fence", [&] {
+    CPPUNIT_ASSERT(P.submit("j1", lasting()).empty());
+    P.report("w1", 2, {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.step().Starts_.size());
+  });
+}
