A worker that has started again isn't paused for the runs of its former life

A worker that was away for over 3 s and had started again got no tasks for 4 s more. Its runs are kept until it has confirmed the raised fence; its first report doesn't list them, so they had made no progress for over 3 s and counted as stuck, which pauses the worker and makes their tasks avoid it. The log showed run-stuck for each.

Runs are only checked for progress once the fence is confirmed; those that the worker doesn't list are released before that.

--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -68,6 +68,9 @@
 }
 
 void PoolScheduler::stopStuckRuns(Worker &W, Instant Now) {
+  // Runs of a former incarnation are kept until the fence is confirmed.
+  if (!W.fenceConfirmed())
+    return;
   std::vector<TaskKey> Stuck;
   for (const auto &[Key, R] : W.runs()) {
     const Job *J = find(Key.Job_);
--- a/test/worker-restarts/lease-test.cc
+++ b/test/worker-restarts/lease-test.cc
@@ -144,3 +144,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.step().Starts_.size());
   });
 }
+
+// Guards against idle workers: the runs of a former incarnation made no
+// progress, so the next one passed for a worker on which tasks hang.
+HEATHERCROSS_STORY(StuckAfterRestart,
+                   "a worker that has started again isn't paused for the runs "
+                   "that it had") {
+  ManualPool P("w1", 4000);
+  const auto First = P.submit("j1", job({step(1, 2000, Millis(60'000))}));
+  P.answer(First[0], StartAnswer::Started);
+  P.report("w1", 1, {running(First[0])});
+  P.Now_ += Seconds(4);
+  P.report("w1", 2, {});
+  P.report("w1", 2, {});
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.step().Starts_.size());
+}
