A worker stays known while a run that it may have started late can last

A worker with an order that may still be carried out left the roster, and was forgotten once unregistered, as soon as the order couldn't come anymore. A run that a new life of the worker has started just before may last for its longest lease, and longer if a late renewal reaches that life. After a takeover in that time callers could see the task run twice: the later holder didn't wait for the worker, though this one kept the task for it. The end that the roster gave left out the late renewal.

One bound is used now for what this holder waits for, for the roster and for forgetting a worker; a report that was requested after the order was due ends it early.

The end of LateOrderOfUnregisteredWorker, that the worker is forgotten after 12 s, was wrong by the same fault: a run may last then.

--- a/src/entry/pool-holder-roster.cc
+++ b/src/entry/pool-holder-roster.cc
@@ -27,7 +27,7 @@
   for (const auto &[Id, W] : Workers) {
     DropUntil(&Id);
     const bool Listed = Next != Roster_.end() && Next->first == Id;
-    const bool Needed = W.mayHoldRuns(Now);
+    const bool Needed = W.mayHoldRuns(Now, maxLease());
     if (Listed && !Needed) {
       Dropped.push_back(Id);
       Next = Roster_.erase(Next);
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -60,7 +60,8 @@
     releaseExpired(W, Now);
     const auto Await = Awaited_.find(Id);
     const bool Awaited = Await != Awaited_.end() && Now < Await->second;
-    if (!W.Registered_ && !W.isBusy(Now) && !Awaited)
+    if (!W.Registered_ && !W.isBusy(Now) && !Awaited &&
+        !W.mayStartLate(W.LateStartsEnd_, Now, MaxLease_))
       Removed.push_back(Id);
   }
   for (const InstanceId &Id : Removed)
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -140,12 +140,19 @@
   /// current incarnation is concerned.
   bool fenceConfirmed() const { return ConfirmedFence_ == Fence_; }
 
-  /// Whether an order that was released without a clear answer may still start
-  /// a task, after the worker has lost its fence in a restart. MaxLease is how
-  /// long such a run can last unseen.
+  /// When a run has ended that an order may have started unseen. The order was
+  /// released without a clear answer and is carried out before Until, if at
+  /// all, after the worker has lost its fence in a restart. MaxLease is the
+  /// longest lease that the worker grants.
+  Instant lateRunEnd(Instant Until, Millis MaxLease) const {
+    return ReportSentAt_ < Until
+               ? std::max(Until + MaxLease, MaxLeaseEnd_ + MaxOrderDelay)
+               : Instant();
+  }
+
+  /// Whether such an order may still start a task, or such a run may last.
   bool mayStartLate(Instant Until, Instant Now, Millis MaxLease) const {
-    return ReportSentAt_ < Until &&
-           Now < std::max(Until + MaxLease, MaxLeaseEnd_ + MaxOrderDelay);
+    return Now < lateRunEnd(Until, MaxLease);
   }
 
   /// Whether the registration is that of the reported incarnation. A new one
@@ -202,15 +209,14 @@
     Instant End = LeasesEnd_;
     for (const auto &[Key, R] : Runs_)
       End = std::max(End, leaseEnd(R));
-    if (LateStartsEnd_ > ReportSentAt_)
-      End = std::max(End, LateStartsEnd_ + MaxLease);
-    return End;
+    return std::max(End, lateRunEnd(LateStartsEnd_, MaxLease));
   }
 
   /// Whether the worker may have runs, now or soon. A later holder waits for
   /// such workers; workers that are sure to stay empty are left out.
-  bool mayHoldRuns(Instant Now) const {
-    return isBusy(Now) || !hasReported() ||
+  bool mayHoldRuns(Instant Now, Millis MaxLease) const {
+    return isBusy(Now) || mayStartLate(LateStartsEnd_, Now, MaxLease) ||
+           !hasReported() ||
            (Registered_ && !UnresponsiveSince_ && !Info_.Draining_ &&
             EvacuateUntil_ <= Now);
   }
--- a/test/worker-restarts/lease-test.cc
+++ b/test/worker-restarts/lease-test.cc
@@ -112,10 +112,11 @@
   P.Now_ += Step;
   P.report("w1", 1, {});
   P.Scheduler_.removeWorker(Id);
-  while (P.Now_ + Step < Ordered + MaxOrderDelay) {
+  while (P.Now_ + Step < Ordered + MaxOrderDelay + ModelPool::MaxLease) {
     P.step();
     CPPUNIT_ASSERT(P.Scheduler_.workers().contains(Id));
-    CPPUNIT_ASSERT(P.Scheduler_.workers().at(Id).mayHoldRuns(P.Now_));
+    CPPUNIT_ASSERT(
+        P.Scheduler_.workers().at(Id).mayHoldRuns(P.Now_, ModelPool::MaxLease));
     P.Now_ += Step;
   }
   P.Now_ += 2 * Step;
@@ -123,6 +124,43 @@
   CPPUNIT_ASSERT(!P.Scheduler_.workers().contains(Id));
 }
 
+// Guards against a task that runs twice after a takeover: a worker left the
+// roster when it couldn't start a task anymore, though a late start might last.
+HEATHERCROSS_STORY(LateRunOfSilentWorker,
+                   "a worker stays in the roster while a run that it may have "
+                   "started late can last") {
+  ManualPool P("w1", 4000);
+  const InstanceId Id("w1");
+  const auto First = P.submit("j1", lasting());
+  const Instant Ordered = P.Now_;
+  P.Scheduler_.leaseGranted(Id, Ordered, ModelPool::Lease);
+  P.answer(First[0], StartAnswer::Unknown);
+  P.Now_ += Step;
+  P.report("w1", 1, {});
+  P.Scheduler_.evacuate({Id}, P.Now_ + Step);
+  P.step();
+  CPPUNIT_ASSERT(P.Scheduler_.workers().at(Id).runs().empty());
+  const Instant Granted = P.Now_ += 2 * Step;
+  P.Scheduler_.leaseGranted(Id, Granted, ModelPool::Lease);
+  P.Scheduler_.unresponsive(Id, Granted);
+  const Instant End = Granted + MaxOrderDelay + ModelPool::MaxLease;
+  while ((P.Now_ += Step) < End) {
+    P.step();
+    CPPUNIT_ASSERT(
+        P.Scheduler_.workers().at(Id).mayHoldRuns(P.Now_, ModelPool::MaxLease));
+  }
+  section("whose end later holders are told", [&] {
+    const auto Told = P.Scheduler_.silentRunsEnd(Id, P.Now_);
+    CPPUNIT_ASSERT(Told.has_value());
+    CPPUNIT_ASSERT(*Told == End);
+  });
+  section("and no longer", [&] {
+    P.step();
+    CPPUNIT_ASSERT(!P.Scheduler_.workers().at(Id).mayHoldRuns(
+        P.Now_, ModelPool::MaxLease));
+  });
+}
+
 // Guards against a lease that a late call lengthens: the answer to a call with
 // the fence of a removed worker showed the next one under its id as fenced.
 HEATHERCROSS_STORY(AnswerToFormerCall,
