A successor counts on the holder before the last one

A holder whose duty was taken acts until 4 s after it last renewed its row. If its successor gave the duty back, or started again, within that time, the next one counted the leases from then on, so a worker with the longest lease of the first holder could still run a task that started elsewhere. Found by reading.

The story EarlierHolderLeases failed before: a claim 2 s after the first holder's last change took its last lease to be granted by then. The wait grows by 4 s at most, after a takeover within the last 4 s or for an entry that hasn't seen the rows of the earlier epochs.

--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -62,6 +62,9 @@
   Watch &W = Watches_[Pool];
   if (W.Stored_ && W.Stored_->Version_ >= Holder.Version_)
     return;
+  const Epoch Known = W.Stored_ ? W.Stored_->Row_.Epoch_ : Epoch(1);
+  if (Known < Holder.Row_.Epoch_)
+    W.EarlierActUntil_ = Now + MaxRenewalAge;
   W.Stored_ = Holder;
   W.UnchangedSince_ = Now;
   W.Unreachable_ = false;
@@ -84,9 +87,9 @@
 Instant DutyWatch::actsUntil(const Watch &W, ClaimCause Cause, Instant Now) {
   switch (Cause) {
   case ClaimCause::Vacant:
-    return W.UnchangedSince_;
+    return std::max(W.UnchangedSince_, W.EarlierActUntil_);
   case ClaimCause::OwnRestart:
-    return Now;
+    return std::max(Now, W.EarlierActUntil_);
   case ClaimCause::Unreachable:
   case ClaimCause::Unresponsive:
     break;
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -86,6 +86,8 @@
     /// Whether a call since then found nothing listening at the holder's
     /// address.
     bool Unreachable_ = false;
+    /// When the holders of earlier epochs have granted their last leases.
+    Instant EarlierActUntil_;
   };
 
   Millis claimDelay(const PoolId &Pool, std::size_t Held) const;
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -162,3 +162,32 @@
                    Now + MaxRenewalAge + Longest);
   });
 }
+
+// Guards against a task that runs twice: the holder before the last one grants
+// leases until it notices that its row was taken.
+HEATHERCROSS_STORY(EarlierHolderLeases,
+                   "a successor counts on the holder before the last one") {
+  const auto ActsUntil = [](const StoredHolder &Last) {
+    Instant Now(Seconds(10));
+    DutyWatch W(EntryId("e3/2"), 1);
+    W.holderRead(Quotes, {{EntryId("e1/1"), "", Epoch(1), 7}, RowVersion(9)},
+                 Now);
+    Now += Millis(1800);
+    W.holderRead(Quotes, {{EntryId("e2/1"), "", Epoch(2), 0}, RowVersion(10)},
+                 Now);
+    Now += Millis(200);
+    W.holderRead(Quotes, Last, Now);
+    const auto Claimed = poll(W, Now, Seconds(4));
+    CPPUNIT_ASSERT(Claimed.has_value());
+    return Claimed->FormerActsUntil_;
+  };
+  const Instant FirstActsUntil = Instant(Seconds(10)) + MaxRenewalAge;
+  section("if the last one gave the duty back soon", [&] {
+    CPPUNIT_ASSERT(ActsUntil({{EntryId(), "", Epoch(2), 1}, RowVersion(11)}) >=
+                   FirstActsUntil);
+  });
+  section("if the last one was an earlier process of this entry", [&] {
+    CPPUNIT_ASSERT(ActsUntil({{EntryId("e3/1"), "", Epoch(3), 0},
+                              RowVersion(11)}) >= FirstActsUntil);
+  });
+}
