A renewal that is found applied counts from its first sending

A batch without an answer is sent again; the conflict showed that it was applied, and the holder acted for 4 s from the second sending on. A successor counts these 4 s from when it saw the row change, which may be before. Found by reading.

The story RenewalFoundApplied failed before: the row had changed 1.5 s before the time that the renewal counted from.

--- a/src/schedule/pool-journal.cc
+++ b/src/schedule/pool-journal.cc
@@ -69,6 +69,7 @@
   InFlight_ = true;
   if (Current_)
     return Current_;
+  CurrentSentAt_ = Now;
   Batch B;
   B.Guard_ = Guard_;
   ++Self_.Serial_;
@@ -155,7 +156,7 @@
 void PoolJournal::conflict(const std::optional<HolderRow> &Current,
                            RowVersion Version, Instant SentAt) {
   if (Current && *Current == Self_)
-    return applied(Version, SentAt);
+    return applied(Version, std::min(SentAt, CurrentSentAt_));
   InFlight_ = false;
   const bool OwnRow = Current && Current->Holder_ == Self_.Holder_ &&
                       Current->Epoch_ == Self_.Epoch_;
--- a/src/schedule/pool-journal.h
+++ b/src/schedule/pool-journal.h
@@ -163,6 +163,8 @@
   /// The batch in flight or to be sent again, and the last ticket in it.
   std::optional<Batch> Current_;
   Ticket CurrentLastTicket_ = 0;
+  /// When that batch was first sent.
+  Instant CurrentSentAt_;
   bool InFlight_ = false;
   bool Uncertain_ = false;
   Ticket Last_ = 0;
--- a/test/schedule/pool-journal-test.cc
+++ b/test/schedule/pool-journal-test.cc
@@ -339,3 +339,23 @@
   HEATHERCROSS_PROPERTY("whichever answers are lost or late",
                         [] { runLossyCommits(); });
 }
+
+// Guards against a task that runs twice: a successor counts on the former
+// holder to act for a limited time after the last change of its row was seen.
+HEATHERCROSS_STORY(RenewalFoundApplied,
+                   "a renewal that is found applied counts from its first "
+                   "sending") {
+  Instant Now{Seconds(50)};
+  PoolJournal J({Self, RowVersion(10), Now});
+  ModelPartition Partition;
+  J.put(write("a"), true, Now);
+  const auto First = J.next(Now);
+  CPPUNIT_ASSERT(First && Partition.apply(*First));
+  const Instant Changed = Now;
+  J.outcomeUnknown(Now);
+  Now += Millis(1500);
+  CPPUNIT_ASSERT(J.next(Now).has_value());
+  J.conflict(Partition.Holder_, Partition.Version_, Now);
+  CPPUNIT_ASSERT(!J.lost());
+  CPPUNIT_ASSERT(J.renewedAt() <= Changed);
+}
