The model of a pool can be extended by one with another holder

The rounds of the model's holder and the reports of its workers were private, so a model that calls its workers otherwise had to copy them. Its users behave as before.

--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -2,6 +2,7 @@
 // scheduler.
 #pragma once
 
+#include "schedule/model-worker.h"
 #include "schedule/pool-scheduler.h"
 
 #include <algorithm>
@@ -38,91 +39,6 @@
   }
 };
 
-/// The fence of a call: the holder and the fence that it uses for the worker.
-struct ModelFence {
-  std::uint64_t Holder_ = 0;
-  std::uint64_t Generation_ = 0;
-  auto operator<=>(const ModelFence &) const = default;
-};
-
-class ModelWorker;
-
-/// A call that a worker carries out after its caller has given it up.
-struct LateCall {
-  Instant Due_;
-  InstanceId Worker_;
-  /// The life of the worker that the call was meant for.
-  std::int64_t Incarnation_ = 0;
-  std::function<void(ModelWorker &)> CarryOut_;
-};
-
-/// The true state of one worker.
-class ModelWorker {
-public:
-  struct Running {
-    Attempt Attempt_ = 0;
-    Resources Needs_;
-    Instant Ends_;
-    Instant Started_;
-    RunEnd End_ = RunEnd::Done;
-  };
-
-  WorkerInfo Info_;
-  bool Up_ = true;
-  /// A network partition: no calls get through, in either direction.
-  bool Partitioned_ = false;
-  /// Start orders are carried out, but their answers are lost.
-  bool LosesAnswers_ = false;
-  /// Orders get no answer and are carried out this much later, by whichever
-  /// life of the worker is there then.
-  Millis OrderDelay_{0};
-  /// The same for lease renewals.
-  Millis RenewalDelay_{0};
-  /// How long an accepted stop takes; the run is listed meanwhile.
-  Millis StopTime_{0};
-  bool FailsAll_ = false;
-  bool Hangs_ = false;
-  double SlowdownFactor_ = 1;
-  /// The time of day, in milliseconds, at which this life began.
-  std::int64_t Incarnation_ = 1;
-  Instant LeaseEnd_;
-  std::map<TaskKey, Running> Running_;
-  std::vector<EndReport> Ended_;
-  std::uint64_t Sequence_ = 0;
-  std::map<TaskKey, Attempt> Highest_;
-  /// The highest fence that this life has seen.
-  ModelFence Fence_;
-};
-
-inline WorkerInfo workerInfo(const std::string &Id, const std::string &Rack,
-                             std::int64_t CpuMilli = 32'000,
-                             std::int64_t MemoryMb = 64'000) {
-  WorkerInfo W;
-  W.Id_ = InstanceId(Id);
-  W.Pool_ = PoolId("quotes");
-  W.Address_ = "10.0.0.1:" + Id;
-  W.Capacity_ = {CpuMilli, MemoryMb, 0};
-  W.Rack_ = RackId(Rack);
-  W.Labels_ = {"a", Rack};
-  return W;
-}
-
-inline StepSpec step(std::uint32_t Count, std::int64_t CpuMilli,
-                     Millis Estimate) {
-  StepSpec S;
-  S.Count_ = Count;
-  S.Needs_ = {CpuMilli, 1000, 0};
-  S.Estimate_ = Estimate;
-  return S;
-}
-
-inline JobSpec job(std::vector<StepSpec> Steps) {
-  JobSpec J;
-  J.Payload_ = "x";
-  J.Steps_ = std::move(Steps);
-  return J;
-}
-
 /// A pool, its workers, and the scheduler of its current holder.
 class ModelPool {
 public:
@@ -150,6 +66,7 @@
   std::vector<LateCall> LateCalls_;
 
   ModelPool() { configure(); }
+  virtual ~ModelPool() = default;
 
   void configure() {
     QueueSettings Q;
@@ -199,13 +116,7 @@
       Scheduler_.setWorker(W.Info_);
       Scheduler_.setRostered(Id, true);
     }
-    for (const auto &[Id, Spec] : Specs_) {
-      Job J(Id, Queue_, Spec, Accepted_.at(Id));
-      if (const auto It = StoredProgress_.find(Id); It != StoredProgress_.end())
-        J.decodeProgress(It->second);
-      Scheduler_.restore(std::move(J),
-                         attemptFloor(epoch(), AcceptedIn_.at(Id)));
-    }
+    restoreJobs();
     Scheduler_.awaitWorkers(std::move(Awaited));
   }
 
@@ -250,8 +161,8 @@
     Acked_.erase(W.Info_.Id_);
   }
 
-private:
-  void tick() {
+protected:
+  virtual void tick() {
     for (auto &[Id, W] : Workers_)
       advance(W);
     carryOutLateCalls();
@@ -265,6 +176,17 @@
     store();
   }
 
+  /// Gives the current holder's scheduler the jobs as they are stored.
+  void restoreJobs() {
+    for (const auto &[Id, Spec] : Specs_) {
+      Job J(Id, Queue_, Spec, Accepted_.at(Id));
+      if (const auto It = StoredProgress_.find(Id); It != StoredProgress_.end())
+        J.decodeProgress(It->second);
+      Scheduler_.restore(std::move(J),
+                         attemptFloor(epoch(), AcceptedIn_.at(Id)));
+    }
+  }
+
   void advance(ModelWorker &W) {
     const bool Expired = W.LeaseEnd_ <= Now_;
     for (auto It = W.Running_.begin(); It != W.Running_.end();) {
@@ -312,6 +234,11 @@
       return;
     if (ClockKnown)
       grantLease(W, Known->second.Incarnation_.value_or(0), Until);
+    Scheduler_.report(Id, reportOf(W), Now_, Generation, Now_, wall());
+  }
+
+  /// What a worker says of its runs.
+  WorkerReport reportOf(const ModelWorker &W) const {
     WorkerReport R;
     R.Incarnation_ = W.Incarnation_;
     R.Ended_ = W.Ended_;
@@ -328,7 +255,7 @@
                : (W.Hangs_ ? 7 : static_cast<std::uint32_t>(100 * Progress)),
            0});
     }
-    Scheduler_.report(Id, R, Now_, Generation, Now_, wall());
+    return R;
   }
 
   template <class Order> ModelFence fenceOf(const Order &O) const {
