--- a/test/worker-restarts/restarting-pool.h
+++ b/test/worker-restarts/restarting-pool.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "schedule/model-pool.h"
+#include "schedule/pool-journal.h"
 #include "schedule/worker-clock.h"
 
 #include <memory>
@@ -95,11 +96,14 @@
     conditions(W).CutOffAfterStart_ = {Delay, Cut};
   }
 
-  /// The pool has no holder for a while, then another one. Calls of the former
-  /// one that are under way go on.
-  void loseHolder(Micros For) {
-    if (!TakeoverAt_)
-      TakeoverAt_ = Now_ + For;
+  /// The pool has no holder for a while, then another one, for which the former
+  /// one may have gone on granting leases for ActsFor. Calls of the former one
+  /// that are under way go on.
+  void loseHolder(Micros For, Micros ActsFor) {
+    if (TakeoverAt_)
+      return;
+    TakeoverAt_ = Now_ + For;
+    Duty_.FormerActsUntil_ = Now_ + ActsFor;
   }
 
   /// Ends everything that is done to the workers.
@@ -123,9 +127,6 @@
   static constexpr Millis LeaseBound{6480};
   static constexpr Millis MaxLeaseBound{10'600};
   static constexpr Millis LeaseMargin{300};
-  /// A former holder may have granted leases until this long after it had the
-  /// duty.
-  static constexpr Millis MaxRenewalAge{4000};
   static constexpr Millis IdleRenewInterval{1500};
   static constexpr Millis BusyRenewInterval{400};
   static constexpr Millis RetryPause{250};
@@ -217,7 +218,7 @@
         Links_[Id];
       }
     restoreJobs();
-    const Instant LastLeaseEnd = Now_ + MaxRenewalAge + LeaseBound;
+    const Instant LastLeaseEnd = Duty_.formerLeasesEnd(Now_, MaxLeaseBound);
     std::map<InstanceId, Instant> Awaited;
     for (const auto &[Id, RunsEndBy] : Roster_) {
       Awaited[Id] = RunsEndBy.value_or(LastLeaseEnd);
@@ -454,6 +455,8 @@
   /// silent.
   std::map<InstanceId, std::optional<Instant>> Roster_;
   std::vector<WaitingRenewal> Waiting_;
+  /// The duty as the next holder claims it.
+  HeldDuty Duty_;
   /// When the pool has a holder again.
   std::optional<Instant> TakeoverAt_;
 };
--- a/test/worker-restarts/restarts-test.cc
+++ b/test/worker-restarts/restarts-test.cc
@@ -189,9 +189,9 @@
     return P.submit("j" + std::to_string(Jobs++),
                     jobAt(E.Worker_, E.Duration_));
   case Fault::PlannedStop:
-    return P.loseHolder(Short / 2);
+    return P.loseHolder(Short / 2, Micros(0));
   case Fault::Death:
-    return P.loseHolder(Seconds(2) + Short);
+    return P.loseHolder(Seconds(2) + Short, MaxRenewalAge);
   }
 }
 
