Names and comments of how leases are reckoned say what is meant

The latest time at which a former holder may have granted a lease isn't when it has; a reading of a clock isn't the clock; a window isn't the calls in it. No decision changes.

--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -39,8 +39,8 @@
   RowVersion Version_;
   Epoch Epoch_;
   ClaimCause Cause_ = ClaimCause::Vacant;
-  /// When the holder of that version has granted its last lease, if the row
-  /// still has the version.
+  /// The latest time at which a holder may have granted a lease, if the row
+  /// still has that version.
   Instant FormerActsUntil_{};
 };
 
@@ -86,7 +86,8 @@
     /// Whether a call since then found nothing listening at the holder's
     /// address.
     bool Unreachable_ = false;
-    /// When the holders of earlier epochs have granted their last leases.
+    /// The latest time at which a holder of an earlier epoch may have granted a
+    /// lease.
     Instant EarlierActUntil_;
   };
 
@@ -94,8 +95,8 @@
   /// How long the row must be unchanged before the duty may be claimed, and the
   /// cause of such a claim.
   std::pair<Millis, ClaimCause> unchangedLimit(const Watch &W) const;
-  /// When the holder whose row is watched has granted its last lease if it
-  /// doesn't renew the row. It sent the last change before that was seen.
+  /// The latest time at which a holder may grant a lease if the row isn't
+  /// renewed. The last change was sent before it was seen.
   static Instant actsUntil(const Watch &W, ClaimCause Cause, Instant Now);
 
   EntryId Self_;
--- a/src/schedule/pool-journal.h
+++ b/src/schedule/pool-journal.h
@@ -65,13 +65,13 @@
   /// When the write of the row was sent; NeverRenewed if that isn't known. The
   /// holder acts for a limited time from then on.
   Instant RenewedAt_ = NeverRenewed;
-  /// When the former holder has granted its last lease; absent if that isn't
-  /// known.
+  /// The latest time at which a former holder may have granted a lease; absent
+  /// if that isn't known.
   std::optional<Instant> FormerActsUntil_ = std::nullopt;
 
-  /// When every lease has ended that the former holder granted, if workers
-  /// grant none that lasts longer than Longest. A worker may have started
-  /// again, and have granted more than the former holder asked for.
+  /// When every lease has ended that a former holder granted without delay, if
+  /// workers grant none that lasts longer than Longest. A worker may have
+  /// started again, and have granted more than that holder asked for.
   Instant formerLeasesEnd(Instant Now, Millis Longest) const {
     return FormerActsUntil_.value_or(Now + MaxRenewalAge) + Longest;
   }
--- a/src/schedule/pool-scheduler-reports.cc
+++ b/src/schedule/pool-scheduler-reports.cc
@@ -18,7 +18,7 @@
 /// Calls that are counted on the clock of a worker's former life reach the next
 /// one at most this long after its start: a holder sends such calls until a
 /// renewal is answered or fails, and they arrive within MaxOrderDelay.
-constexpr Millis FormerClockCalls = MaxOrderDelay + Millis(8000);
+constexpr Millis FormerClockWindow = MaxOrderDelay + Millis(8000);
 /// The times of day of a worker and of an entry differ by at most this.
 constexpr Millis MaxClockStep{10'000};
 /// How long a suspected worker gets no tasks. Worker faults last about 5 s.
@@ -49,7 +49,7 @@
     W->leaseGranted(Now, MaxLease_, MaxLease_);
   else if (NewLife)
     W->leaseGranted(Now,
-                    std::clamp(FormerClockCalls + MaxClockStep + MaxLease_ -
+                    std::clamp(FormerClockWindow + MaxClockStep + MaxLease_ -
                                    ageOf(R.Incarnation_, Wall),
                                RequestedLease_, MaxLease_),
                     MaxLease_);
--- a/src/schedule/worker-clock.h
+++ b/src/schedule/worker-clock.h
@@ -12,22 +12,22 @@
 class WorkerClock {
 public:
   /// Takes in the clock in an answer.
-  void answered(Millis Clock, Instant ReceivedAt) {
-    Clock_ = Clock;
+  void answered(Millis Shown, Instant ReceivedAt) {
+    Shown_ = Shown;
     ReceivedAt_ = ReceivedAt;
   }
   /// Whether an answer has been taken in.
-  bool known() const { return Clock_ > Millis(0); }
+  bool known() const { return Shown_ > Millis(0); }
   /// What the clock shows at a local time, as far as the last answer tells.
   Millis at(Instant Local) const {
-    return Clock_ + toMillis(Local - ReceivedAt_);
+    return Shown_ + toMillis(Local - ReceivedAt_);
   }
   /// Whether the answer to a call may come from the life whose clock this is.
   /// The answer of a life that began later is behind, and a lease that was
   /// counted on this clock lasts longer there.
-  bool agrees(Millis Clock, Instant SentAt, Instant ReceivedAt) const {
-    return Clock >= at(SentAt) - drift(SentAt) &&
-           Clock <= at(ReceivedAt) + MaxReadDelay + drift(ReceivedAt);
+  bool agrees(Millis Shown, Instant SentAt, Instant ReceivedAt) const {
+    return Shown >= at(SentAt) - drift(SentAt) &&
+           Shown <= at(ReceivedAt) + MaxReadDelay + drift(ReceivedAt);
   }
 
 private:
@@ -42,7 +42,8 @@
     return toMillis(Local - ReceivedAt_) / MaxDriftDivisor + Millis(2);
   }
 
-  Millis Clock_{0};
+  /// What the clock showed in the last answer.
+  Millis Shown_{0};
   Instant ReceivedAt_;
 };
 
--- a/test/worker-restarts/lease-test.cc
+++ b/test/worker-restarts/lease-test.cc
@@ -177,3 +177,32 @@
   P.report("w1", 2, {});
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, P.step().Starts_.size());
 }
+
+// Guards against tasks that wait for longer than they must: after a takeover
+// every worker counted as one that has just started.
+HEATHERCROSS_STORY(LeaseOfOldWorker,
+                   "only a young worker may hold more than the requested lease "
+                   "of a former holder") {
+  ManualPool Former("w1", 4000);
+  const auto First = Former.submit("j1", lasting());
+  const auto Away = [&](Millis Age) {
+    ManualPool P("w2", 4000);
+    P.Scheduler_.restore(Job(JobId("j1"), QueueId("q"), lasting(), P.Now_),
+                         100);
+    P.Scheduler_.setWorker(workerInfo("w1", "r1", 4000));
+    const Instant Adopted = P.Now_;
+    P.Scheduler_.report(InstanceId("w1"), {1, {running(First[0])}, {}}, Adopted,
+                        FenceGeneration(), Adopted, WallTime(Age + Millis(1)));
+    const auto Restarted = restartedElsewhere(P, "w1", "w2", Seconds(20));
+    CPPUNIT_ASSERT(Restarted.has_value());
+    return *Restarted - Adopted;
+  };
+  section("one that has just started",
+          [&] { CPPUNIT_ASSERT(Away(Millis(0)) >= ModelPool::MaxLease); });
+  section("one whose age a step of the time of day may hide",
+          [&] { CPPUNIT_ASSERT(Away(Seconds(29)) >= ModelPool::MaxLease); });
+  section("not one that has run for a minute", [&] {
+    CPPUNIT_ASSERT(Away(Seconds(60)) >= ModelPool::Lease);
+    CPPUNIT_ASSERT(Away(Seconds(60)) <= ModelPool::Lease + Seconds(1));
+  });
+}
