Calls need a key of the job's account

Cause: nothing on the platform path knew a client account.

Change: the configuration's accounts are read into an AccountDirectory, which keeps digests of keys and compares them in constant time. The front answers 401 without a known key, unless the route is public. A job's row names its account; another account's calls get 403. A configuration without accounts needs no keys, as before. Where the platform asks for strict revocation, an entry that can't confirm its configuration answers 503.

Ruled out: keys checked by the pool's holder, which may know a newer or an older configuration than the entry that the caller reached.

--- a/include/heathercross/ids.h
+++ b/include/heathercross/ids.h
@@ -49,6 +49,8 @@
 using ZoneId = Id<struct ZoneTag>;
 using RackId = Id<struct RackTag>;
 using TeamId = Id<struct TeamTag>;
+/// A client account. Callers of requests and tickets know theirs as their team.
+using AccountId = TeamId;
 using OperatorId = Id<struct OperatorTag>;
 using WaveId = Id<struct WaveTag>;
 using JobId = Id<struct JobTag>;
--- a/src/access/access.cc
+++ b/src/access/access.cc
@@ -15,15 +15,6 @@
 constexpr std::array<std::string_view, 3> KindNames{"operator", "team",
                                                     "metrics"};
 
-/// Compares all bytes even after a difference, so that the time taken doesn't
-/// depend on the digests.
-bool equalInConstantTime(const TokenDigest &A, const TokenDigest &B) {
-  std::uint8_t Difference = 0;
-  for (std::size_t I = 0; I != A.size(); ++I)
-    Difference |= A[I] ^ B[I];
-  return Difference == 0;
-}
-
 /// Ignores the case of ASCII letters. Other characters that differ only in bit
 /// 5 compare equal too.
 bool equalsIgnoringCase(std::string_view A, std::string_view B) {
@@ -72,6 +63,13 @@
   return Digest;
 }
 
+bool equalInConstantTime(const TokenDigest &A, const TokenDigest &B) {
+  std::uint8_t Difference = 0;
+  for (std::size_t I = 0; I != A.size(); ++I)
+    Difference |= A[I] ^ B[I];
+  return Difference == 0;
+}
+
 std::optional<Principal>
 Authenticator::authenticate(std::string_view Token) const {
   if (Token.empty() || Token.size() > MaxTokenLength)
--- a/src/access/access.h
+++ b/src/access/access.h
@@ -62,6 +62,10 @@
 using TokenDigest = std::array<std::uint8_t, 32>;
 TokenDigest digestOf(std::string_view Token);
 
+/// Compares all bytes even after a difference, so that the time taken doesn't
+/// depend on the digests.
+bool equalInConstantTime(const TokenDigest &A, const TokenDigest &B);
+
 /// An entry of the tokens file.
 struct TokenEntry {
   TokenDigest Digest_{};
--- a/src/entry/cluster-state.cc
+++ b/src/entry/cluster-state.cc
@@ -107,14 +107,15 @@
   AskingPeer_ = true;
   requestClusterState(
       Context_, *Chosen, PeerTimeout,
-      guarded(this, [this](const std::optional<SharedClusterState> &K) {
+      guarded(this, [this, SentAt = Context_.Clock_.now()](
+                        const std::optional<SharedClusterState> &K) {
         AskingPeer_ = false;
         if (K)
-          applyShared(*K);
+          applyShared(*K, SentAt);
       }));
 }
 
-void ClusterState::applyShared(const SharedClusterState &K) {
+void ClusterState::applyShared(const SharedClusterState &K, Instant SentAt) {
   const Instant Now = Context_.Clock_.now();
   if (K.Zone_ != Context_.Settings_.Zone_)
     OtherZoneAnsweredAt_ = Now;
@@ -122,6 +123,9 @@
     Duties_.holderRead(Pool, Holder, Now);
   if (!K.Configuration_.empty())
     applyConfiguration(K.Configuration_, K.ConfigurationRow_);
+  if (K.ConfigurationAge_ && K.ConfigurationRow_ == ConfigurationRow_)
+    PeerConfirmedAt_ =
+        std::max(PeerConfirmedAt_, SentAt - *K.ConfigurationAge_);
 }
 
 bool ClusterState::isolated() const {
@@ -139,6 +143,9 @@
       K.Holders_[P] = *H;
   K.Configuration_ = ConfigurationText_;
   K.ConfigurationRow_ = ConfigurationRow_;
+  if (const Instant Confirmed = configurationConfirmedAt();
+      Confirmed != Instant())
+    K.ConfigurationAge_ = toMillis(Context_.Clock_.now() - Confirmed);
   return K;
 }
 
--- a/src/entry/cluster-state.h
+++ b/src/entry/cluster-state.h
@@ -9,6 +9,7 @@
 
 #include <QObject>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -51,6 +52,11 @@
   void setListed(const PoolId &Pool) { ListedPools_.insert(Pool); }
   /// Whether the last poll of the holder rows succeeded.
   bool storeAnswers() const { return !DutiesFollower_.failing(); }
+  /// When the configuration was last known to be the newest one, as the store
+  /// or another entry has confirmed; the clock's epoch if it never was.
+  Instant configurationConfirmedAt() const {
+    return std::max(OperatorFollower_.currentAt(), PeerConfirmedAt_);
+  }
   /// Whether neither the store nor an entry of another zone has answered for a
   /// while. Entries of other zones can then serve the callers better.
   bool isolated() const;
@@ -66,7 +72,8 @@
   void applyOperatorRows(const std::vector<platform_api::StoredRow> &Rows);
   void applyConfiguration(const std::string &Text, RowVersion Row);
   void askPeer();
-  void applyShared(const SharedClusterState &K);
+  /// Takes in what another entry answered to a request sent at SentAt.
+  void applyShared(const SharedClusterState &K, Instant SentAt);
   void applyWorkerRow(const platform_api::StoredRow &Row);
   void dropMissingWorkers();
   void applyHolderRows(const std::vector<platform_api::StoredRow> &Rows);
@@ -87,6 +94,9 @@
   QTimer PeerPollTimer_;
   std::size_t NextPeer_ = 0;
   bool AskingPeer_ = false;
+  /// When the newest configuration that another entry passed on was confirmed
+  /// by the store.
+  Instant PeerConfirmedAt_;
   /// When an entry of another zone last answered.
   Instant OtherZoneAnsweredAt_;
   bool WorkersFollowed_ = false;
--- a/src/entry/entry-settings.cc
+++ b/src/entry/entry-settings.cc
@@ -145,6 +145,8 @@
   S.OrderFencing_ = C.flag("bounds", "order_fencing")
                         ? schedule::OrderFencing::Checked
                         : schedule::OrderFencing::Unchecked;
+  if (const auto Ms = C.optionalNumber("bounds", "key_trust_ms", 0, MaxMillis))
+    S.KeyTrust_ = Millis(static_cast<std::int64_t>(*Ms));
   S.StatusKept_ = C.seconds("bounds", "status_kept_s");
   S.StopGrace_ = C.seconds("bounds", "stop_grace_s");
   S.Move_ = C.seconds("bounds", "move_s");
--- a/src/entry/entry-settings.h
+++ b/src/entry/entry-settings.h
@@ -41,6 +41,9 @@
   Millis OrderLease_{0};
   /// Whether the platform checks the fencing tokens of machine orders.
   schedule::OrderFencing OrderFencing_ = schedule::OrderFencing::Checked;
+  /// How long an entry relies on account keys that neither the store nor
+  /// another entry confirms; absent for no limit.
+  std::optional<Millis> KeyTrust_;
   /// How long the state of an ended job can be queried.
   Millis StatusKept_{0};
   /// Time from SIGTERM to SIGKILL.
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -18,6 +18,8 @@
 
 constexpr int Ok = 200;
 constexpr int BadRequest = 400;
+constexpr int Unauthorized = 401;
+constexpr int Forbidden = 403;
 constexpr int NotFound = 404;
 constexpr int MethodNotAllowed = 405;
 constexpr int Gone = 410;
@@ -95,6 +97,14 @@
   C->Deadline_ = C->Arrived_ + Parsed.Timeout_.value_or(DefaultDeadline);
   if (!Parsed.Route_)
     return answer(C, NotFound, {}, "no-route");
+  if (Configuration->Accounts_ && !Parsed.Route_->Public_) {
+    if (!keysTrusted())
+      return answer(C, Unavailable, {}, "keys-unconfirmed", RetryAfterTakeover);
+    const auto *Account = Configuration->Accounts_->findByKey(Parsed.Key_);
+    if (!Account)
+      return answer(C, Unauthorized, {}, "unknown-key");
+    C->Request_.Account_ = Account->Id_;
+  }
   C->Request_.Pool_ = Parsed.Route_->Settings_.Pool_;
   C->Request_.Queue_ = Parsed.Route_->Queue_;
   C->Request_.Job_ = Parsed.Job_;
@@ -122,6 +132,13 @@
   attempt(C);
 }
 
+bool Front::keysTrusted() const {
+  const auto &Limit = Context_.Settings_.KeyTrust_;
+  return !Limit ||
+         Context_.Clock_.now() - ClusterState_.configurationConfirmedAt() <=
+             *Limit;
+}
+
 void Front::attempt(const CallPtr &C) {
   if (C->Answered_)
     return;
@@ -149,11 +166,12 @@
                             PoolHolder::AnswerHandler OnAnswer) {
   switch (Job.Kind_) {
   case Kind::Submit:
-    return H.submit(Job.Job_, Job.Queue_, Job.Body_, std::move(OnAnswer));
+    return H.submit(Job.Job_, Job.Queue_, Job.Account_, Job.Body_,
+                    std::move(OnAnswer));
   case Kind::State:
-    return H.state(Job.Job_, OnAnswer);
+    return H.state(Job.Job_, Job.Account_, OnAnswer);
   case Kind::Cancel:
-    return H.cancel(Job.Job_, std::move(OnAnswer));
+    return H.cancel(Job.Job_, Job.Account_, std::move(OnAnswer));
   case Kind::Queued:
     return H.queued(Job.Queue_, OnAnswer);
   }
@@ -314,6 +332,8 @@
     return answer(C, Gone, {}, "no-such-job");
   case AnswerKind::Malformed:
     return answer(C, BadRequest, {}, "malformed");
+  case AnswerKind::Forbidden:
+    return answer(C, Forbidden, {}, "other-account");
   }
 }
 
@@ -357,6 +377,7 @@
         {"kind", kindName(C->Request_.Kind_)},
         {"job", toQString(C->Request_.Job_.str())},
         {"queue", toQString(C->Request_.Queue_.str())},
+        {"account", toQString(C->Request_.Account_.str())},
         {"pool", toQString(C->Request_.Pool_.str())},
         {"status", Status},
         {"took_ms", static_cast<qint64>(toMillis(Took).count())},
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -61,6 +61,9 @@
   };
   using CallPtr = std::shared_ptr<Call>;
 
+  /// Whether the configuration's keys may be relied on: the store or another
+  /// entry has confirmed recently enough that none was withdrawn.
+  bool keysTrusted() const;
   /// Sends a request to the holder of its pool, in this process or another.
   void attempt(const CallPtr &C);
   void callLocalHolder(PoolHolder &H, const JobCall &Job,
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -22,8 +22,9 @@
 constexpr std::string_view ClusterStatePath = "/knowledge";
 constexpr std::array<const char *, 4> KindNames{"submit", "state", "cancel",
                                                 "queued"};
-constexpr std::array<const char *, 6> AnswerNames{
-    "accepted", "rejected", "not-holder", "known", "no-such-job", "malformed"};
+constexpr std::array<const char *, 7> AnswerNames{
+    "accepted",    "rejected",  "not-holder", "known",
+    "no-such-job", "malformed", "forbidden"};
 
 QString toQString(const std::string &T) { return QString::fromStdString(T); }
 std::string toStdString(const QJsonValue &V) {
@@ -82,6 +83,8 @@
   K.ConfigurationRow_ =
       RowVersion(optionalCount(O->value("configuration_row")).value_or(0));
   K.Zone_ = ZoneId(toStdString(O->value("zone")));
+  if (const auto Age = optionalCount(O->value("configuration_age_ms")))
+    K.ConfigurationAge_ = Millis(*Age);
   const QJsonObject Holders = O->value("holders").toObject();
   for (auto It = Holders.begin(); It != Holders.end(); ++It) {
     const QJsonArray Row = It.value().toArray();
@@ -127,13 +130,14 @@
 void sendJobCall(Context &C, const std::string &Address, const JobCall &Call,
                  Millis Timeout,
                  std::function<void(const PeerReply &)> OnDone) {
-  const QJsonObject Body{
-      {"kind", KindNames[static_cast<std::size_t>(Call.Kind_)]},
-      {"pool", toQString(Call.Pool_.str())},
-      {"queue", toQString(Call.Queue_.str())},
-      {"job", toQString(Call.Job_.str())},
-      {"epoch", static_cast<qint64>(Call.Epoch_.value())},
-      {"body", QString::fromUtf8(Call.Body_)}};
+  QJsonObject Body{{"kind", KindNames[static_cast<std::size_t>(Call.Kind_)]},
+                   {"pool", toQString(Call.Pool_.str())},
+                   {"queue", toQString(Call.Queue_.str())},
+                   {"job", toQString(Call.Job_.str())},
+                   {"epoch", static_cast<qint64>(Call.Epoch_.value())},
+                   {"body", QString::fromUtf8(Call.Body_)}};
+  if (!Call.Account_.empty())
+    Body["account"] = toQString(Call.Account_.str());
   C.Peers_.send(makePost(Address, CallPath, Body, Timeout),
                 [OnDone = std::move(OnDone)](const http::Reply &R) {
                   PeerReply Reply;
@@ -164,7 +168,8 @@
                  schedule::QueueId(toStdString(O->value("queue"))),
                  JobId(toStdString(O->value("job"))),
                  O->value("body").toString().toUtf8(),
-                 Epoch(*HolderEpoch)};
+                 Epoch(*HolderEpoch),
+                 AccountId(toStdString(O->value("account")))};
 }
 
 http::Response jobAnswerResponse(const JobAnswer &A) {
@@ -233,11 +238,15 @@
     Holders[toQString(Pool.str())] =
         QJsonArray{toQString(encodeHolder(H.Row_)),
                    static_cast<qint64>(H.Version_.value())};
-  return jsonResponse({{"holders", Holders},
-                       {"configuration", toQString(K.Configuration_)},
-                       {"zone", toQString(K.Zone_.str())},
-                       {"configuration_row",
-                        static_cast<qint64>(K.ConfigurationRow_.value())}});
+  QJsonObject Body{
+      {"holders", Holders},
+      {"configuration", toQString(K.Configuration_)},
+      {"zone", toQString(K.Zone_.str())},
+      {"configuration_row", static_cast<qint64>(K.ConfigurationRow_.value())}};
+  if (K.ConfigurationAge_)
+    Body["configuration_age_ms"] =
+        static_cast<qint64>(K.ConfigurationAge_->count());
+  return jsonResponse(Body);
 }
 
 std::optional<EvacuateCall> parseEvacuateCall(const http::Request &R) {
--- a/src/entry/peer-calls.h
+++ b/src/entry/peer-calls.h
@@ -8,6 +8,7 @@
 #include "schedule/duty-watch.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace heathercross::entry {
@@ -24,6 +25,8 @@
   /// carried out when the same entry holds the duty again in a later epoch: its
   /// caller may have been told since that the job never runs.
   Epoch Epoch_;
+  /// The account whose key the caller has; empty where no key is needed.
+  AccountId Account_ = {};
 };
 
 /// The outcome of a call to another entry.
@@ -54,6 +57,8 @@
   /// The operators' configuration as stored; empty if there is none.
   std::string Configuration_;
   RowVersion ConfigurationRow_;
+  /// How long ago the store confirmed that it is the newest one, if it did.
+  std::optional<Millis> ConfigurationAge_;
   /// Zone of the entry that sends the state.
   ZoneId Zone_;
 };
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -95,7 +95,8 @@
       Context_.Log_.write("job-unreadable", jobFields(Id));
       continue;
     }
-    Job J(Id, Stored->Queue_, *Spec, Now - (Wall - Stored->Accepted_));
+    Job J(Id, Stored->Queue_, *Spec, Now - (Wall - Stored->Accepted_),
+          Stored->Account_);
     const auto Saved = Progress.find(Key);
     try {
       if (Saved != Progress.end())
--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -10,6 +10,7 @@
 
 namespace heathercross::entry {
 
+using accounts::mayAccess;
 using detail::toQString;
 using schedule::Job;
 
@@ -23,13 +24,17 @@
 } // namespace
 
 void PoolHolder::submit(const JobId &Id, const schedule::QueueId &Queue,
-                        const QByteArray &Body, AnswerHandler OnAnswer) {
+                        const AccountId &Account, const QByteArray &Body,
+                        AnswerHandler OnAnswer) {
   using Kind = JobAnswer::Kind;
   if (!Ready_ || Lost_ || HandingOver_)
     return OnAnswer(Kind::NotHolder);
-  if (Scheduler_.find(Id))
-    return OnAnswer(Kind::Accepted);
+  if (const Job *Known = Scheduler_.find(Id))
+    return OnAnswer(mayAccess(Account, Known->account()) ? Kind::Accepted
+                                                         : Kind::Forbidden);
   if (const auto It = Submissions_.find(Id); It != Submissions_.end()) {
+    if (!mayAccess(Account, It->second.Row_.Account_))
+      return OnAnswer(Kind::Forbidden);
     It->second.Handlers_.push_back(std::move(OnAnswer));
     return;
   }
@@ -37,7 +42,7 @@
   if (!Spec)
     return OnAnswer(Kind::Malformed);
   const Instant Now = Context_.Clock_.now();
-  const Job J(Id, Queue, *Spec, Now);
+  const Job J(Id, Queue, *Spec, Now, Account);
   const double WorkAhead = Scheduler_.workAhead(J, Now, Context_.Clock_.wall());
   const auto Reject = [&](const char *Cause, Millis RetryAfter) {
     JobAnswer A{Kind::Rejected};
@@ -45,6 +50,8 @@
     A.Cause_ = Cause;
     QJsonObject F = jobFields(Id);
     F["queue"] = toQString(Queue.str());
+    if (!Account.empty())
+      F["account"] = toQString(Account.str());
     F["cause"] = Cause;
     F["cores"] = std::round(Scheduler_.cores());
     F["work_ahead_core_s"] = std::round(WorkAhead);
@@ -69,7 +76,7 @@
                                 Scheduler_.cores()))
     return Reject("too-much-ahead", RetryAfterBurst);
   Submission S;
-  S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_};
+  S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_, Account};
   std::string Row = encodeJob(S.Row_);
   if (Row.size() > schedule::MaxValueBytes) {
     QJsonObject F = jobFields(Id);
@@ -99,14 +106,22 @@
   scheduleRound();
 }
 
-void PoolHolder::state(const JobId &Id, const AnswerHandler &OnAnswer) {
+void PoolHolder::state(const JobId &Id, const AccountId &Account,
+                       const AnswerHandler &OnAnswer) {
   using Kind = JobAnswer::Kind;
   if (!Ready_ || Lost_)
     return OnAnswer(Kind::NotHolder);
   const Job *J = Scheduler_.find(Id);
-  if (!J)
-    return OnAnswer(
-        {Submissions_.contains(Id) ? Kind::Known : Kind::NoSuchJob});
+  if (!J) {
+    const auto It = Submissions_.find(Id);
+    if (It == Submissions_.end())
+      return OnAnswer(Kind::NoSuchJob);
+    return OnAnswer(mayAccess(Account, It->second.Row_.Account_)
+                        ? Kind::Known
+                        : Kind::Forbidden);
+  }
+  if (!mayAccess(Account, J->account()))
+    return OnAnswer(Kind::Forbidden);
   JobAnswer A{Kind::Known};
   A.State_ = J->state();
   const auto End = JobEnds_.find(Id);
@@ -117,7 +132,8 @@
   OnAnswer(A);
 }
 
-void PoolHolder::cancel(const JobId &Id, AnswerHandler OnAnswer) {
+void PoolHolder::cancel(const JobId &Id, const AccountId &Account,
+                        AnswerHandler OnAnswer) {
   using Kind = JobAnswer::Kind;
   if (!Ready_ || Lost_ || HandingOver_)
     return OnAnswer(Kind::NotHolder);
@@ -128,6 +144,8 @@
   const Job *J = Scheduler_.find(Id);
   if (!J)
     return OnAnswer(Kind::NoSuchJob);
+  if (!mayAccess(Account, J->account()))
+    return OnAnswer(Kind::Forbidden);
   if (Scheduler_.cancel(Id))
     storeChanges();
   const auto End = JobEnds_.find(Id);
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -293,7 +293,8 @@
     });
     Context_.Metrics_.add("heathercross_jobs_accepted_total",
                           "Jobs that were stored and accepted.");
-    Job J(Node.key(), S.Row_.Queue_, std::move(S.Spec_), S.ReceivedAt_);
+    Job J(Node.key(), S.Row_.Queue_, std::move(S.Spec_), S.ReceivedAt_,
+          S.Row_.Account_);
     Scheduler_.recordArrival(J, S.ReceivedAt_);
     Scheduler_.admit(std::move(J));
     for (const AnswerHandler &Handler : S.Handlers_)
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -37,6 +37,8 @@
     NoSuchJob,
     /// The body of the submission can't be parsed.
     Malformed,
+    /// The job belongs to another account.
+    Forbidden,
   };
   JobAnswer() = default;
   // NOLINTNEXTLINE(google-explicit-constructor): most answers are only a kind.
@@ -84,9 +86,13 @@
 
   /// Accepts or rejects a job. Idempotent: a repeated id means the same job.
   void submit(const JobId &Id, const schedule::QueueId &Queue,
-              const QByteArray &Body, AnswerHandler OnAnswer);
-  void state(const JobId &Id, const AnswerHandler &OnAnswer);
-  void cancel(const JobId &Id, AnswerHandler OnAnswer);
+              const AccountId &Account, const QByteArray &Body,
+              AnswerHandler OnAnswer);
+  /// The account is that of the caller; empty where no key is needed.
+  void state(const JobId &Id, const AccountId &Account,
+             const AnswerHandler &OnAnswer);
+  void cancel(const JobId &Id, const AccountId &Account,
+              AnswerHandler OnAnswer);
   void queued(const schedule::QueueId &Queue, const AnswerHandler &OnAnswer);
 
   /// Evacuates workers: starts no run on them for a time. The caller repeats
--- a/src/entry/rows.cc
+++ b/src/entry/rows.cc
@@ -84,12 +84,14 @@
 }
 
 std::string encodeJob(const JobRow &J) {
-  return encodeObject(
-      {{"queue", toQString(J.Queue_.str())},
-       {"body", QString::fromUtf8(J.Body_)},
-       {"accepted",
-        static_cast<qint64>(J.Accepted_.time_since_epoch().count())},
-       {"epoch", static_cast<qint64>(J.Epoch_.value())}});
+  QJsonObject O{
+      {"queue", toQString(J.Queue_.str())},
+      {"body", QString::fromUtf8(J.Body_)},
+      {"accepted", static_cast<qint64>(J.Accepted_.time_since_epoch().count())},
+      {"epoch", static_cast<qint64>(J.Epoch_.value())}};
+  if (!J.Account_.empty())
+    O["account"] = toQString(J.Account_.str());
+  return encodeObject(O);
 }
 
 std::optional<JobRow> decodeJob(const std::string &Text) {
@@ -102,7 +104,8 @@
     return std::nullopt;
   return JobRow{schedule::QueueId(O->value("queue").toString().toStdString()),
                 O->value("body").toString().toUtf8(),
-                schedule::WallTime(Millis(*Accepted)), Epoch(*HolderEpoch)};
+                schedule::WallTime(Millis(*Accepted)), Epoch(*HolderEpoch),
+                AccountId(O->value("account").toString().toStdString())};
 }
 
 std::string encodeRoster(const Roster &R) {
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -26,6 +26,8 @@
   schedule::WallTime Accepted_;
   /// The epoch of the holder that accepted it.
   Epoch Epoch_;
+  /// The account that submitted it; empty if it has none.
+  AccountId Account_ = {};
 };
 
 std::string encodeJob(const JobRow &J);
--- a/src/schedule/configuration.h
+++ b/src/schedule/configuration.h
@@ -1,10 +1,12 @@
 // The operators' configuration: queues, pools and limits.
 #pragma once
 
+#include "accounts/account.h"
 #include "schedule/model.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,8 @@
   std::string Prefix_;
   QueueSettings Settings_;
   Millis Timeout_{0};
+  /// Calls need no key, and jobs have no account.
+  bool Public_ = false;
 };
 
 struct PoolSettings {
@@ -32,6 +36,8 @@
   std::vector<Route> Routes_;
   std::vector<PoolSettings> Pools_;
   std::uint64_t MaxBodyBytes_ = 0;
+  /// Without it no call needs a key and jobs have no account.
+  std::optional<accounts::AccountDirectory> Accounts_;
 
   /// Returns the route of a request, or null.
   const Route *route(std::string_view Host, std::string_view Path) const;
--- a/src/schedule/job.cc
+++ b/src/schedule/job.cc
@@ -211,9 +211,11 @@
   return std::ranges::any_of(Steps_, &StepSpec::LongRunning_);
 }
 
-Job::Job(JobId Id, QueueId Queue, JobSpec Spec, Instant Accepted)
-    : Id_(std::move(Id)), Queue_(std::move(Queue)), Spec_(std::move(Spec)),
-      Accepted_(Accepted), Occurrences_(Spec_.Steps_, Spec_.occurrences()),
+Job::Job(JobId Id, QueueId Queue, JobSpec Spec, Instant Accepted,
+         AccountId Account)
+    : Id_(std::move(Id)), Queue_(std::move(Queue)),
+      Account_(std::move(Account)), Spec_(std::move(Spec)), Accepted_(Accepted),
+      Occurrences_(Spec_.Steps_, Spec_.occurrences()),
       Waiting_(static_cast<std::uint32_t>(Spec_.taskCount())) {
   updateRemaining();
   Work_ = RemainingWork_;
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -39,10 +39,13 @@
 /// what is running.
 class Job {
 public:
-  Job(JobId Id, QueueId Queue, JobSpec Spec, Instant Accepted);
+  Job(JobId Id, QueueId Queue, JobSpec Spec, Instant Accepted,
+      AccountId Account = {});
 
   const JobId &id() const { return Id_; }
   const QueueId &queue() const { return Queue_; }
+  /// The account that submitted the job; empty if it has none.
+  const AccountId &account() const { return Account_; }
   const JobSpec &spec() const { return Spec_; }
   Instant accepted() const { return Accepted_; }
   JobState state() const { return State_; }
@@ -107,6 +110,7 @@
 
   JobId Id_;
   QueueId Queue_;
+  AccountId Account_;
   JobSpec Spec_;
   Instant Accepted_;
   JobState State_ = JobState::Queued;
--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "heathercross/ids.h"
+#include "heathercross/resources.h"
 #include "heathercross/units.h"
 
 #include <chrono>
@@ -26,32 +27,6 @@
 /// Time of day; the clocks of entry instances may differ.
 using WallTime = std::chrono::sys_time<Millis>;
 
-/// The resources that a task needs or a worker has.
-struct Resources {
-  /// Thousandths of a core.
-  std::int64_t CpuMilli_ = 0;
-  std::int64_t MemoryMb_ = 0;
-  std::int64_t Gpus_ = 0;
-
-  bool fits(const Resources &Free) const {
-    return CpuMilli_ <= Free.CpuMilli_ && MemoryMb_ <= Free.MemoryMb_ &&
-           Gpus_ <= Free.Gpus_;
-  }
-  Resources &operator+=(const Resources &Other) {
-    CpuMilli_ += Other.CpuMilli_;
-    MemoryMb_ += Other.MemoryMb_;
-    Gpus_ += Other.Gpus_;
-    return *this;
-  }
-  Resources &operator-=(const Resources &Other) {
-    CpuMilli_ -= Other.CpuMilli_;
-    MemoryMb_ -= Other.MemoryMb_;
-    Gpus_ -= Other.Gpus_;
-    return *this;
-  }
-  auto operator<=>(const Resources &) const = default;
-};
-
 /// A step of a job: a number of identical tasks.
 struct StepSpec {
   std::uint32_t Count_ = 0;
--- a/test/entry/peer-calls-test.cc
+++ b/test/entry/peer-calls-test.cc
@@ -23,6 +23,15 @@
     const auto Call = parseJobCall(R);
     CPPUNIT_ASSERT(Call && Call->Epoch_ == Epoch(7));
   });
+  section("the account of its caller, if it has one", [&] {
+    CPPUNIT_ASSERT(parseJobCall(R)->Account_.empty());
+    QJsonObject Body = QJsonDocument::fromJson(R.Body_).object();
+    Body["account"] = "mill";
+    http::Request Owned = R;
+    Owned.Body_ = QJsonDocument(Body).toJson();
+    const auto Call = parseJobCall(Owned);
+    CPPUNIT_ASSERT(Call && Call->Account_ == AccountId("mill"));
+  });
   section("in a call without one it is 0, and no such epoch exists", [&] {
     R.Body_.replace(R"("epoch":7,)", "").replace("\"epoch\": 7,", "");
     const auto Call = parseJobCall(R);
--- a/test/entry/rows-test.cc
+++ b/test/entry/rows-test.cc
@@ -61,6 +61,11 @@
   const auto Read = decodeJob(encodeJob(J));
   CPPUNIT_ASSERT(Read && Read->Body_ == J.Body_ &&
                  Read->Accepted_ == J.Accepted_ && Read->Epoch_ == J.Epoch_);
+  CPPUNIT_ASSERT(Read->Account_.empty());
+  JobRow Owned = J;
+  Owned.Account_ = AccountId("mill");
+  const auto ReadOwned = decodeJob(encodeJob(Owned));
+  CPPUNIT_ASSERT(ReadOwned && ReadOwned->Account_ == AccountId("mill"));
   CPPUNIT_ASSERT(!decodeJob("[]"));
   const Roster R{
       {InstanceId("i-1"), {"10.0.0.2:80", std::nullopt}},
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -51,6 +51,49 @@
   });
 }
 
+// Guards against accounts that are read in part: their keys would be refused,
+// or their limits not kept.
+HEATHERCROSS_STORY(Accounts, "the accounts are read with keys and limits") {
+  const auto With = [](const std::string &Accounts) {
+    return parseConfiguration(
+        R"({"version":8,"routes":[{"name":"r1","host":"a.example",)"
+        R"("prefix":"/q/","service":"s1","public":true}],"tenants":)" +
+        Accounts + "}");
+  };
+  section("without any, none is needed", [] {
+    const auto C = parseConfiguration(Configuration);
+    CPPUNIT_ASSERT(!C->Accounts_ && !C->Routes_[0].Public_);
+  });
+  section("with some, each has keys, a weight and a limit", [&] {
+    const auto C = With(R"([{"name":"mill","keys":["k1","k2"],"prio":1,
+      "weight":119,"max_count":{"cpu":7569268,"mem_mb":15610782,"gpus":0}},
+      {"name":"farm","keys":[]}])");
+    CPPUNIT_ASSERT(C && C->Accounts_ && C->Routes_[0].Public_);
+    const accounts::Account *Mill = C->Accounts_->findByKey("k2");
+    CPPUNIT_ASSERT(Mill && Mill->Id_ == AccountId("mill"));
+    CPPUNIT_ASSERT_EQUAL(119U, Mill->Weight_);
+    CPPUNIT_ASSERT((Mill->Limit_ == Resources{7569268, 15610782, 0}));
+    CPPUNIT_ASSERT(!C->Accounts_->find(AccountId("farm"))->hasLimit());
+  });
+  section("an empty list needs keys, and there are none", [&] {
+    const auto C = With("[]");
+    CPPUNIT_ASSERT(C && C->Accounts_ && !C->Accounts_->findByKey("k1"));
+  });
+  section("one that can't be read is left out", [&] {
+    for (const char *Odd :
+         {"3", R"({"name":"mill"})", R"({"name":"mill","keys":[3]})",
+          R"({"name":"mill","keys":["k1"],"weight":-1})",
+          R"({"name":"mill","keys":["k1"],"max_count":{"cpu":-1}})"}) {
+      const auto C = With("[" + std::string(Odd) + "]");
+      CPPUNIT_ASSERT(C && C->Accounts_ && C->Accounts_->accounts().empty());
+    }
+  });
+  section("without a list the configuration isn't used", [&] {
+    for (const char *Odd : {"3", "{}", "null"})
+      CPPUNIT_ASSERT(!With(Odd));
+  });
+}
+
 HEATHERCROSS_STORY(Registrations, "only valid registrations name a worker") {
   const auto W = parseWorker("i-1", Worker);
   CPPUNIT_ASSERT(W && W->Rack_ == RackId("r1-2") && !W->Draining_);
--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -89,14 +89,16 @@
   /// Sends a client's call to an entry instance. Status 0 means that no reply
   /// arrived.
   Answer call(std::size_t I, const char *Method, const std::string &Job,
-              const QByteArray &Body = {},
-              const std::string &Route = "quotes") {
+              const QByteArray &Body = {}, const std::string &Route = "quotes",
+              const std::string &Key = "") {
     http::Call C;
     C.Method_ = Method;
     C.Url_ = "http://" + loopbackAddress(Entries_[I].FrontPort_) + "/" + Route +
              "/" + Job;
     C.Headers_ = {"Host: trade.example", "Content-Type: application/json",
                   "Heathercross-Deadline-Ms: 3000"};
+    if (!Key.empty())
+      C.Headers_.push_back("Heathercross-Key: " + Key);
     C.Body_ = Body;
     C.Timeout_ = Millis(4000);
     return send(std::move(C));
@@ -132,6 +134,10 @@
 
   std::size_t size() const { return Entries_.size(); }
 
+  /// Sets the accounts of the configurations to come, as the operators write
+  /// them.
+  void setAccounts(std::string Text) { Accounts_ = std::move(Text); }
+
   /// Writes a configuration with these routes to the pool "quoting".
   void configure(int Version, const std::vector<std::string> &Routes,
                  int Attempts = 2) {
@@ -146,7 +152,10 @@
       Separator = ",";
     }
     Text << R"(],"services":[{"name":"quoting","standby":false}],)"
-            R"("limits":{"max_body_bytes":65536}})";
+            R"("limits":{"max_body_bytes":65536})";
+    if (!Accounts_.empty())
+      Text << R"(,"tenants":)" << Accounts_;
+    Text << "}";
     waitFor([&] { return writeRow({"op", "", "config"}, Text.str()); });
   }
 
@@ -311,6 +320,7 @@
   }
 
   DeploymentOptions Options_;
+  std::string Accounts_;
   http::Client Http_;
   QTemporaryDir Folder_;
   quint16 StorePort_ = freePort();
