Admission counts the rate at which the holder starts tasks

Cause: a holder with 0.12 of a core starts 150 to 550 tasks a second, and admission counted the pool's cores alone, so jobs were accepted that began 25 s later or never, with most of the pool free.

Change: StartRate estimates the start rate from the answers to start orders while the limit of unanswered orders holds others back. The tasks ahead of a job and its own, divided by that rate, are a second wait; a job that couldn't end in time after it is rejected at once, with Retry-After from that wait. Without such a limit there is no estimate and no effect.

--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -55,6 +55,8 @@
     F["cause"] = Cause;
     F["cores"] = std::round(Scheduler_.cores());
     F["work_ahead_core_s"] = std::round(WorkAhead);
+    F["start_wait_ms"] =
+        static_cast<qint64>(toMillis(startWait(J, Now)).count());
     F["store_away_ms"] = static_cast<qint64>(
         Journal_.failingSince()
             ? toMillis(Now - *Journal_.failingSince()).count()
@@ -75,6 +77,13 @@
   if (!schedule::worthAccepting(J, Scheduler_.settings(Queue), WorkAhead,
                                 Scheduler_.cores()))
     return Reject("too-much-ahead", RetryAfterBurst);
+  if (const Micros Wait = startWait(J, Now);
+      !schedule::endsInTime(J, Scheduler_.settings(Queue), Wait)) {
+    Context_.Metrics_.add("heathercross_jobs_beyond_start_rate_total",
+                          "Jobs turned away because this entry couldn't start "
+                          "them in time.");
+    return Reject("start-rate", schedule::retryAfterStarts(Wait));
+  }
   Submission S;
   S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_, Account};
   std::string Row = encodeJob(S.Row_);
@@ -106,6 +115,14 @@
   scheduleRound();
 }
 
+Micros PoolHolder::startWait(const Job &J, Instant Now) const {
+  if (!StartRate_.tasksPerSecond(Now))
+    return Micros(0);
+  const std::uint32_t Ahead =
+      Scheduler_.tasksAhead(J, Now, Context_.Clock_.wall());
+  return StartRate_.startWait(Ahead + J.waitingTasks(), Now);
+}
+
 void PoolHolder::state(const JobId &Id, const AccountId &Account,
                        const AnswerHandler &OnAnswer) {
   using Kind = JobAnswer::Kind;
--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -324,6 +324,8 @@
           return;
         const StartAnswer A = Reply.Answer_;
         const Instant AnsweredAt = Context_.Clock_.now();
+        if (A != StartAnswer::Unknown)
+          StartRate_.startAnswered(AnsweredAt);
         Context_.Metrics_.add("heathercross_starts_total",
                               "Orders to start a task.");
         const auto MakeFields = [&] {
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -192,6 +192,7 @@
     if (!HandingOver_ && mayGiveOrders())
       sendOrders(
           Scheduler_.step(Context_.Clock_.now(), Context_.Clock_.wall()));
+    StartRate_.roundEnded(heldBack(), Context_.Clock_.now());
     askAdvice();
     storeChanges();
     logDecisions();
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -7,6 +7,7 @@
 #include "schedule/configuration.h"
 #include "schedule/job-memory.h"
 #include "schedule/pool-scheduler.h"
+#include "schedule/start-rate.h"
 #include "schedule/worker-clock.h"
 
 #include <QObject>
@@ -105,6 +106,15 @@
   /// OnDone.
   void handOver(std::function<void()> OnDone);
 
+  /// Whether ready tasks with room for them wait for answers to earlier start
+  /// orders.
+  bool heldBack() const {
+    return Ready_ && !HandingOver_ && mayGiveOrders() && Scheduler_.heldBack();
+  }
+  bool handingOver() const { return HandingOver_; }
+  /// The event loop's delay, which grows with the processor's load.
+  Micros lag() const { return Lag_; }
+
   const PoolId &pool() const { return Pool_; }
   const schedule::HolderRow &self() const { return Journal_.self(); }
   QJsonObject dump() const;
@@ -148,6 +158,10 @@
   std::map<std::string, std::string> takeLoaded(const std::string &Table,
                                                 schedule::RowKind Kind);
 
+  /// How long this entry takes to start the tasks ahead of a job and the job's
+  /// own; 0 unless it is limited by itself.
+  Micros startWait(const schedule::Job &J, Instant Now) const;
+
   void scheduleRound();
   void measureLag();
   void runRound();
@@ -265,10 +279,13 @@
   /// The row that gives the duty back is on its way. The next holder relies on
   /// it that no lease is granted from then on.
   bool GivingBack_ = false;
+  /// When the handover stops waiting for changes to be stored.
+  Instant FlushUntil_;
   /// The placement service accepts one call of an entry at a time.
   bool AskingAdvice_ = false;
   Instant NextAdvice_;
   std::function<void()> OnHandedOver_;
+  schedule::StartRate StartRate_;
   /// Moving average of the event loop's delay, which grows with the
   /// processor's load.
   Micros Lag_{0};
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -61,6 +61,7 @@
   void setPhase(const TaskKey &Key, TaskPhase Phase);
   /// Whether any task is waiting.
   bool hasWaiting() const { return Waiting_ > 0; }
+  std::uint32_t waitingTasks() const { return Waiting_; }
   const Occurrences &occurrences() const { return Occurrences_; }
   /// The state of a step, until the next change of the job.
   const StepState &step(std::uint32_t OccurrenceIndex,
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -234,6 +234,9 @@
   double coresFor(const Resources &R) const;
   /// Core-seconds of unfinished work that is ranked ahead of a job.
   double workAhead(const Job &J, Instant Now, WallTime Wall) const;
+  /// Number of tasks that haven't started, of jobs that are ranked ahead of a
+  /// job.
+  std::uint32_t tasksAhead(const Job &J, Instant Now, WallTime Wall) const;
   /// Whether a task of the step fits into the maximum capacity of all workers
   /// seen so far, or no worker has been seen yet.
   bool fitsKnownCapacity(const StepSpec &S) const;
--- a/src/schedule/ranking.cc
+++ b/src/schedule/ranking.cc
@@ -83,6 +83,12 @@
   return EndMs <= static_cast<double>(objective(J, Q).count()) * LateFactor;
 }
 
+bool endsInTime(const Job &J, const QueueSettings &Q, Micros Wait) {
+  if (J.spec().longRunning() || J.spec().Repeats_ > 0)
+    return true;
+  return Wait + J.remainingCriticalPath() <= objective(J, Q) * LateFactor;
+}
+
 Millis retryAfterOutage(Micros OutageDuration) {
   return std::clamp(toMillis(OutageDuration), MinRetryAfter, MaxRetryAfter);
 }
--- a/src/schedule/ranking.h
+++ b/src/schedule/ranking.h
@@ -56,6 +56,10 @@
 bool worthAccepting(const Job &J, const QueueSettings &Q,
                     double CoreSecondsAhead, double Cores);
 
+/// Whether a job that waits this long before it starts can finish while its
+/// result still has value. True for long-running and scheduled jobs.
+bool endsInTime(const Job &J, const QueueSettings &Q, Micros Wait);
+
 /// Returns the delay before a caller that was rejected during an outage may
 /// retry: the duration of the outage so far, because short outages are the most
 /// frequent and a caller has few retries.
