A small, loaded entry hands its duty to a larger one

Change: calls between entries carry the sender's name and processor share. A holder that holds back start orders for most of 2 s and has seen an entry with at least twice its share, also counting the duties of both, gives the duty back as in a graceful stop, and claims it 3 s later than others would. An entry with less than the usual processor time that restarts releases the pool duties of its former process instead of claiming them. Larger entries claim released duties between polls, and a call that a former holder answers with not-holder has the holder rows read at once. A handover waits for 0.6 s at most for changes to be stored.

--- a/src/entry/cluster-state.cc
+++ b/src/entry/cluster-state.cc
@@ -46,7 +46,10 @@
 ClusterState::ClusterState(Context &C, Handlers H)
     : Context_(C), Handlers_(std::move(H)),
       Duties_(C.Incarnation_,
-              ReferenceCpuShare / std::max(MinCpuShare, C.Settings_.CpuShare_)),
+              ReferenceCpuShare / std::max(MinCpuShare, C.Settings_.CpuShare_),
+              // A released fleet duty has to name the machines that were
+              // ordered lately, which a new process doesn't know.
+              {FleetDuty}),
       OperatorFollower_(
           C, {platform_api::OperatorTable, OperatorWait, OperatorPause},
           {singlePartition,
--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -13,10 +13,16 @@
 using platform_api::StoreReply;
 
 constexpr Millis ClaimTimeout{1500};
+/// How often the load of the held duties is observed.
+constexpr int PlacementIntervalMs = 100;
 
 } // namespace
 
-Duties::Duties(Context &C, ClusterState &K) : Context_(C), ClusterState_(K) {}
+Duties::Duties(Context &C, ClusterState &K) : Context_(C), ClusterState_(K) {
+  connect(&PlacementTimer_, &QTimer::timeout, this,
+          [this] { checkPlacement(); });
+  PlacementTimer_.start(PlacementIntervalMs);
+}
 Duties::~Duties() = default;
 
 std::size_t Duties::heldCount() const {
@@ -48,10 +54,15 @@
     const auto Known = ClusterState_.duties().holder(P);
     const bool Running =
         P == FleetDuty ? Fleet_ != nullptr : Holders_.contains(P);
-    if (Known && Known->Row_.Holder_ == Context_.Incarnation_ && !Running)
+    if (Known && Known->Row_.Holder_ == Context_.Incarnation_ && !Running &&
+        !ClusterState_.duties().justHandedOver(P, Context_.Clock_.now()))
       beginDuty(P, {Known->Row_, Known->Version_, schedule::NeverRenewed},
                 schedule::ClaimCause::Unresponsive);
   }
+  PoolId Released;
+  if (const auto Former =
+          ClusterState_.duties().nextRelease(Released, Context_.Clock_.now()))
+    return writeRelease(Released, *Former);
   if (const auto C =
           ClusterState_.duties().nextClaim(heldCount(), Context_.Clock_.now()))
     claim(*C);
@@ -102,6 +113,7 @@
              {"epoch", static_cast<qint64>(C.Epoch_.value())},
              {"row_version", static_cast<qint64>(C.Version_.value())},
              {"cause", schedule::causeName(C.Cause_)},
+             {"cpu_share", Context_.Settings_.CpuShare_},
              {"outcome", platform_api::outcomeName(R.Outcome_)}});
         const Instant Now = Context_.Clock_.now();
         if (R.Outcome_ == StoreOutcome::Conflict) {
@@ -136,6 +148,9 @@
         [this](const PoolId &P) { return holder(P); }, OnLost);
     return;
   }
+  const bool Returned =
+      Cause == schedule::ClaimCause::Vacant && Epoch(1) < Duty.Self_.Epoch_;
+  Places_[Pool].begun(Returned, Context_.Clock_.now());
   auto H = std::make_unique<PoolHolder>(Context_, Pool, Duty, OnLost);
   H->setConfiguration(*ClusterState_.configuration());
   H->setWorkers(ClusterState_.workers());
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -78,6 +78,7 @@
   State.start();
   Log.write("start", {{"entry", Context_->Incarnation_.str().c_str()},
                       {"zone", Settings_.Zone_.str().c_str()},
+                      {"cpu_share", Settings_.CpuShare_},
                       {"front", Settings_.Front_.str().c_str()},
                       {"store", Settings_.Store_.str().c_str()}});
 }
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -301,6 +301,8 @@
   C->AskedEpoch_.reset();
   switch (R.Kind_) {
   case PeerReply::Kind::Answered:
+    if (R.Answer_.Kind_ == AnswerKind::NotHolder)
+      Duties_.notHeld();
     return handleAnswer(C, R.Answer_, E);
   case PeerReply::Kind::Unknown:
     return retryLater(C);
@@ -426,6 +428,7 @@
     Responder->respond(NotFoundResponse);
     return;
   }
+  Duties_.entrySeen(Job->Entry_, Job->CpuMilli_);
   PoolHolder *H = Duties_.holder(Job->Pool_);
   if (!H || H->self().Epoch_ != Job->Epoch_) {
     Responder->respond(jobAnswerResponse(AnswerKind::NotHolder));
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -7,7 +7,9 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace heathercross::entry {
 
@@ -118,6 +120,11 @@
   return P;
 }
 
+int cpuMilli(const Context &C) {
+  constexpr double MilliPerCore = 1000;
+  return static_cast<int>(std::lround(C.Settings_.CpuShare_ * MilliPerCore));
+}
+
 http::Response jsonResponse(const QJsonObject &Body) {
   http::Response R;
   R.Status_ = Ok;
@@ -135,6 +142,8 @@
                    {"queue", toQString(Call.Queue_.str())},
                    {"job", toQString(Call.Job_.str())},
                    {"epoch", static_cast<qint64>(Call.Epoch_.value())},
+                   {"entry", toQString(C.Settings_.Name_.str())},
+                   {"cpu_milli", cpuMilli(C)},
                    {"body", QString::fromUtf8(Call.Body_)}};
   if (!Call.Account_.empty())
     Body["account"] = toQString(Call.Account_.str());
@@ -163,13 +172,16 @@
   const auto HolderEpoch = O ? optionalCount(O->value("epoch")) : std::nullopt;
   if (!Kind || !HolderEpoch)
     return std::nullopt;
-  return JobCall{static_cast<JobCall::Kind>(*Kind),
-                 PoolId(toStdString(O->value("pool"))),
-                 schedule::QueueId(toStdString(O->value("queue"))),
-                 JobId(toStdString(O->value("job"))),
-                 O->value("body").toString().toUtf8(),
-                 Epoch(*HolderEpoch),
-                 AccountId(toStdString(O->value("account")))};
+  return JobCall{
+      static_cast<JobCall::Kind>(*Kind),
+      PoolId(toStdString(O->value("pool"))),
+      schedule::QueueId(toStdString(O->value("queue"))),
+      JobId(toStdString(O->value("job"))),
+      O->value("body").toString().toUtf8(),
+      Epoch(*HolderEpoch),
+      AccountId(toStdString(O->value("account"))),
+      EntryId(toStdString(O->value("entry"))),
+      static_cast<std::uint32_t>(std::max(0, O->value("cpu_milli").toInt()))};
 }
 
 http::Response jobAnswerResponse(const JobAnswer &A) {
--- a/src/entry/peer-calls.h
+++ b/src/entry/peer-calls.h
@@ -27,6 +27,10 @@
   Epoch Epoch_;
   /// The account whose key the caller has; empty where no key is needed.
   AccountId Account_ = {};
+  /// Name and processor share, in thousandths of a core, of the entry that
+  /// passes the call on; earlier versions send neither.
+  EntryId Entry_ = {};
+  std::uint32_t CpuMilli_ = 0;
 };
 
 /// The outcome of a call to another entry.
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -147,6 +147,7 @@
   Context_.Log_.write("duty-loaded",
                       {{"pool", toQString(Pool_.str())},
                        {"epoch", static_cast<qint64>(self().Epoch_.value())},
+                       {"cpu_share", Context_.Settings_.CpuShare_},
                        {"jobs", static_cast<qint64>(Jobs.size())},
                        {"open", static_cast<qint64>(OpenJobs)},
                        {"awaited", static_cast<qint64>(Awaited.size())},
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -41,6 +41,11 @@
 /// least this much longer. Within this time the report must arrive and an order
 /// for the worker's machine must be carried out.
 constexpr Millis EvacuationMargin{900};
+/// A handover waits this long for changes to be stored. On a loaded entry new
+/// ones may always wait. Ends that aren't stored aren't acknowledged either, so
+/// workers report them to the next holder; submissions are repeated by callers'
+/// entries.
+constexpr Millis MaxFlush{600};
 constexpr Millis PurgeInterval{5000};
 /// Ended jobs are kept this much longer than their state must be available.
 constexpr Millis PurgeMargin{5000};
@@ -216,9 +221,13 @@
   const auto Took = toMillis(Context_.Clock_.now() - RoundStart).count();
   RoundPauseMs_ = static_cast<int>(
       std::min<std::int64_t>(Took * RoundPauseFactor, MaxRoundPauseMs));
-  Writer_.sendNextBatch();
-  if (HandingOver_ && !Journal_.inFlight() && Journal_.waiting() == 0 &&
-      OnHandedOver_)
+  const bool Flushed =
+      HandingOver_ && !Journal_.hasUnsettledBatch() &&
+      (Journal_.waiting() == 0 || Context_.Clock_.now() > FlushUntil_);
+  // A batch must not overtake the row that gives the duty back.
+  if (!Flushed && !GivingBack_)
+    Writer_.sendNextBatch();
+  if (Flushed && OnHandedOver_)
     std::exchange(OnHandedOver_, nullptr)();
 }
 
@@ -352,6 +361,7 @@
 
 void PoolHolder::handOver(std::function<void()> OnDone) {
   HandingOver_ = true;
+  FlushUntil_ = Context_.Clock_.now() + MaxFlush;
   OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
     GivingBack_ = true;
     Writer_.giveBack(guarded(this, [this, OnDone] {
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -23,6 +23,14 @@
 /// Range of the pseudo-random delay that separates entries with equal delays.
 constexpr std::uint64_t SpreadMs = 200;
 
+/// Additional delay of the entry that handed a duty over; it is the successor
+/// only if the others don't claim.
+constexpr Millis HandoverDelay{3000};
+/// That delay applies to claims within this time.
+constexpr Micros HandoverMemory{Seconds(10)};
+/// Time for the store to show that the duty was given back.
+constexpr Micros HandoverShown{Seconds(1)};
+
 /// The entry's name without the id of its process start.
 std::string entryName(const EntryId &Id) {
   return Id.str().substr(0, Id.str().find('/'));
@@ -44,8 +52,9 @@
   return "unknown";
 }
 
-DutyWatch::DutyWatch(EntryId Self, double DelayFactor)
-    : Self_(std::move(Self)), DelayFactor_(DelayFactor) {}
+DutyWatch::DutyWatch(EntryId Self, double DelayFactor, std::set<PoolId> Kept)
+    : Self_(std::move(Self)), DelayFactor_(DelayFactor),
+      Kept_(std::move(Kept)) {}
 
 void DutyWatch::addPools(const std::set<PoolId> &Pools, Instant Now) {
   for (const PoolId &P : Pools)
@@ -65,6 +74,8 @@
   const Epoch Known = W.Stored_ ? W.Stored_->Row_.Epoch_ : Epoch(1);
   if (Known < Holder.Row_.Epoch_)
     W.EarlierActUntil_ = Now + MaxRenewalAge;
+  if (!Holder.Row_.Holder_.empty() && Holder.Row_.Holder_ != Self_)
+    W.HandedOverAt_.reset();
   W.Stored_ = Holder;
   W.UnchangedSince_ = Now;
   W.Unreachable_ = false;
@@ -120,18 +131,35 @@
   return Millis(static_cast<std::int64_t>(Delay * DelayFactor_ + ExtraDelay));
 }
 
-std::optional<Claim> DutyWatch::nextClaim(std::size_t Held, Instant Now) {
+bool DutyWatch::mustRelease(const PoolId &Pool, const Watch &W) const {
+  return DelayFactor_ > 1 && !Kept_.contains(Pool) && W.Stored_ &&
+         W.Stored_->Row_.Holder_ != Self_ &&
+         unchangedLimit(W).second == ClaimCause::OwnRestart;
+}
+
+Millis DutyWatch::handoverDelay(const Watch &W, Instant Now) {
+  return W.HandedOverAt_ && Now - *W.HandedOverAt_ < HandoverMemory
+             ? HandoverDelay
+             : Millis(0);
+}
+
+template <class Predicate>
+std::optional<Claim> DutyWatch::mostOverdue(std::size_t Held, Instant Now,
+                                            Predicate Selected) {
   if (LastPoll_ == Instant() || Now - LastPoll_ > MaxPollGap)
     return std::nullopt;
   std::optional<Claim> Best;
   Micros BestOverdue{0};
   for (const PoolId &P : Pools_) {
     const Watch &W = Watches_[P];
-    if (W.Stored_ && W.Stored_->Row_.Holder_ == Self_)
+    if ((W.Stored_ && W.Stored_->Row_.Holder_ == Self_) || mustRelease(P, W) ||
+        !Selected(W))
       continue;
     const auto [Timeout, Cause] = unchangedLimit(W);
     const bool OwnRestart = Cause == ClaimCause::OwnRestart;
-    const Micros Limit = OwnRestart ? Millis(0) : Timeout + claimDelay(P, Held);
+    const Micros Limit =
+        OwnRestart ? Millis(0)
+                   : Timeout + claimDelay(P, Held) + handoverDelay(W, Now);
     const Micros Overdue = Now - W.UnchangedSince_ - Limit;
     if (Overdue < Micros(0) || (Best && Overdue <= BestOverdue))
       continue;
@@ -143,6 +171,41 @@
   return Best;
 }
 
+std::optional<Claim> DutyWatch::nextClaim(std::size_t Held, Instant Now) {
+  return mostOverdue(Held, Now, [](const Watch &) { return true; });
+}
+
+std::optional<Claim> DutyWatch::nextReleasedClaim(std::size_t Held,
+                                                  Instant Now) {
+  if (DelayFactor_ >= 1)
+    return std::nullopt;
+  return mostOverdue(Held, Now, [](const Watch &W) {
+    return W.Stored_ && W.Stored_->Row_.Holder_.empty();
+  });
+}
+
+std::optional<StoredHolder> DutyWatch::nextRelease(PoolId &Pool,
+                                                   Instant Now) const {
+  if (LastPoll_ == Instant() || Now - LastPoll_ > MaxPollGap)
+    return std::nullopt;
+  for (const auto &[P, W] : Watches_)
+    if (mustRelease(P, W)) {
+      Pool = P;
+      return W.Stored_;
+    }
+  return std::nullopt;
+}
+
+void DutyWatch::handedOver(const PoolId &Pool, Instant Now) {
+  Watches_[Pool].HandedOverAt_ = Now;
+}
+
+bool DutyWatch::justHandedOver(const PoolId &Pool, Instant Now) const {
+  const auto It = Watches_.find(Pool);
+  return It != Watches_.end() && It->second.HandedOverAt_ &&
+         Now - *It->second.HandedOverAt_ < HandoverShown;
+}
+
 std::optional<StoredHolder> DutyWatch::holder(const PoolId &Pool) const {
   const auto It = Watches_.find(Pool);
   if (It == Watches_.end() || !It->second.Stored_ ||
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -53,7 +53,9 @@
   /// Self is the entry's name, a slash and an id of this process start.
   /// DelayFactor is the usual processor time divided by that of this entry:
   /// above 1 the entry waits longer before a claim, below 1 less long.
-  DutyWatch(EntryId Self, double DelayFactor);
+  /// Kept are duties that this entry claims at once after a restart whatever
+  /// its processor time.
+  DutyWatch(EntryId Self, double DelayFactor, std::set<PoolId> Kept = {});
 
   /// Adds pools whose duties need a holder.
   void addPools(const std::set<PoolId> &Pools, Instant Now);
@@ -74,6 +76,21 @@
   /// spread.
   std::optional<Claim> nextClaim(std::size_t Held, Instant Now);
 
+  /// Returns a duty to release now, if any: an earlier process of this entry
+  /// held it, and this entry has less processor time than usual. Entries with
+  /// more then claim it first.
+  std::optional<StoredHolder> nextRelease(PoolId &Pool, Instant Now) const;
+  /// Returns the vacant duty that was released and is to be claimed now by an
+  /// entry with more processor time than usual, also between polls.
+  std::optional<Claim> nextReleasedClaim(std::size_t Held, Instant Now);
+
+  /// Records that this entry handed a duty over because of its load. It claims
+  /// the duty again only if nobody else does for a while.
+  void handedOver(const PoolId &Pool, Instant Now);
+  /// Whether this entry handed the duty over less than a second ago. The row
+  /// may still name this entry meanwhile.
+  bool justHandedOver(const PoolId &Pool, Instant Now) const;
+
   /// Returns the holder of a duty, or nothing if it is vacant or unknown.
   std::optional<StoredHolder> holder(const PoolId &Pool) const;
   const std::set<PoolId> &pools() const { return Pools_; }
@@ -89,8 +106,20 @@
     /// The latest time at which a holder of an earlier epoch may have granted a
     /// lease.
     Instant EarlierActUntil_;
+    /// When this entry handed the duty over, unless another entry has held it
+    /// since.
+    std::optional<Instant> HandedOverAt_;
   };
 
+  /// The claim that is most overdue, of those that Selected admits.
+  template <class Predicate>
+  std::optional<Claim> mostOverdue(std::size_t Held, Instant Now,
+                                   Predicate Selected);
+  /// Whether the row names an earlier process of this entry and is to be
+  /// released.
+  bool mustRelease(const PoolId &Pool, const Watch &W) const;
+  /// Additional delay of a duty that this entry handed over.
+  static Millis handoverDelay(const Watch &W, Instant Now);
   Millis claimDelay(const PoolId &Pool, std::size_t Held) const;
   /// How long the row must be unchanged before the duty may be claimed, and the
   /// cause of such a claim.
@@ -101,6 +130,7 @@
 
   EntryId Self_;
   double DelayFactor_;
+  std::set<PoolId> Kept_;
   std::set<PoolId> Pools_;
   std::map<PoolId, Watch> Watches_;
   Instant LastPoll_;
--- a/src/schedule/pool-journal.h
+++ b/src/schedule/pool-journal.h
@@ -126,6 +126,8 @@
   Ticket last() const { return Last_; }
   bool lost() const { return Lost_; }
   bool inFlight() const { return InFlight_; }
+  /// Whether a batch has been sent and isn't known to be stored.
+  bool hasUnsettledBatch() const { return Current_.has_value(); }
   /// The batch in flight may already be applied.
   bool uncertain() const { return Uncertain_; }
   /// When the current run of failed attempts began.
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -191,3 +191,116 @@
                               RowVersion(11)}) >= FirstActsUntil);
   });
 }
+
+// Guards against a small entry that holds the duty again after a loss of all
+// power: it started 150 to 550 tasks a second while larger entries were idle.
+HEATHERCROSS_STORY(SmallEntryRestart,
+                   "a small entry that restarts lets larger ones go first") {
+  const StoredHolder Former{{EntryId("e1/1"), "", Epoch(3), 7}, RowVersion(9)};
+  const StoredHolder Vacant{{EntryId(), "", Epoch(3), 8}, RowVersion(10)};
+  const double SmallFactor = 0.25 / 0.12;
+  const Millis Longest(10'000);
+  Instant Now(Seconds(10));
+  DutyWatch Small(EntryId("e1/2"), SmallFactor);
+  Small.holderRead(Quotes, Former, Now);
+  PoolId Released;
+  section("it releases the duty before the first claim", [&] {
+    CPPUNIT_ASSERT(!Small.nextRelease(Released, Now));
+    CPPUNIT_ASSERT(!poll(Small, Now, Seconds(2)));
+    const auto Row = Small.nextRelease(Released, Now);
+    CPPUNIT_ASSERT(Row && Released == Quotes && Row->Version_ == RowVersion(9));
+  });
+  const Instant ReleasedAt = Now;
+  section("a larger one claims it within 0.5 s", [&] {
+    for (const char *Id : {"e5/1", "e6/1", "e7/1"}) {
+      DutyWatch Large(EntryId(Id), 0.5);
+      Large.holderRead(Quotes, Former, ReleasedAt - Millis(300));
+      Large.polled(ReleasedAt);
+      Large.holderRead(Quotes, Vacant, ReleasedAt);
+      CPPUNIT_ASSERT(Large.nextReleasedClaim(0, ReleasedAt + Millis(100)));
+    }
+  });
+  section("without a larger one it claims within 1.7 s", [&] {
+    Small.holderRead(Quotes, Vacant, Now);
+    CPPUNIT_ASSERT(!Small.nextRelease(Released, Now));
+    CPPUNIT_ASSERT(!poll(Small, Now, Millis(800)));
+    const auto Claimed = poll(Small, Now, Millis(900));
+    CPPUNIT_ASSERT(Claimed && Claimed->Epoch_ == Epoch(4) &&
+                   Claimed->Version_ == RowVersion(10));
+    HeldDuty D;
+    D.FormerActsUntil_ = Claimed->FormerActsUntil_;
+    CPPUNIT_ASSERT(D.formerLeasesEnd(Now, Longest) >= ReleasedAt + Longest);
+  });
+  section("an entry of the usual size claims at once, as before", [&] {
+    DutyWatch Usual(EntryId("e1/2"), 1);
+    Usual.holderRead(Quotes, Former, Now);
+    CPPUNIT_ASSERT(poll(Usual, Now, Millis(400)).has_value());
+    CPPUNIT_ASSERT(!Usual.nextRelease(Released, Now));
+  });
+  section("so does a small one, for a duty that it must keep", [&] {
+    DutyWatch Keeping(EntryId("e1/2"), SmallFactor, {Quotes});
+    Keeping.holderRead(Quotes, Former, Now);
+    CPPUNIT_ASSERT(poll(Keeping, Now, Millis(400)).has_value());
+    CPPUNIT_ASSERT(!Keeping.nextRelease(Released, Now));
+  });
+}
+
+// Guards against a task that runs twice after a small entry released the duty
+// of its former process: the holder before that one may still grant leases.
+HEATHERCROSS_STORY(ReleasedDutyLeases,
+                   "a release hides no earlier holder's leases") {
+  Instant Now(Seconds(10));
+  DutyWatch W(EntryId("e4/1"), 0.5);
+  W.holderRead(Quotes, {{EntryId("e2/1"), "", Epoch(1), 7}, RowVersion(9)},
+               Now);
+  Now += Millis(1800);
+  // The row of e1 with epoch 2 wasn't seen, only its release.
+  W.polled(Now);
+  W.holderRead(Quotes, {{EntryId(), "", Epoch(2), 1}, RowVersion(11)}, Now);
+  const auto Claimed = W.nextReleasedClaim(0, Now + Millis(100));
+  CPPUNIT_ASSERT(Claimed && Claimed->FormerActsUntil_ >= Now + MaxRenewalAge);
+}
+
+// Guards against a duty that returns at once to the loaded entry that handed it
+// over.
+HEATHERCROSS_STORY(HandedOverDuty,
+                   "an entry that handed a duty over claims it last") {
+  const StoredHolder Vacant{{EntryId(), "", Epoch(3), 8}, RowVersion(10)};
+  Instant Now(Seconds(10));
+  DutyWatch W(EntryId("e1/1"), 1);
+  W.holderRead(Quotes, {{EntryId("e1/1"), "", Epoch(3), 7}, RowVersion(9)},
+               Now);
+  W.handedOver(Quotes, Now);
+  CPPUNIT_ASSERT(W.justHandedOver(Quotes, Now + Millis(900)));
+  CPPUNIT_ASSERT(!W.justHandedOver(Quotes, Now + Millis(1100)));
+  W.holderRead(Quotes, Vacant, Now);
+  section("it leaves it to the others for 3 s",
+          [&] { CPPUNIT_ASSERT(!poll(W, Now, Millis(2900))); });
+  section("but claims if nobody else does",
+          [&] { CPPUNIT_ASSERT(poll(W, Now, Millis(1500)).has_value()); });
+  section("once another entry has held it, it claims like any other", [&] {
+    W.handedOver(Quotes, Now);
+    W.holderRead(Quotes, {{EntryId("e2/1"), "", Epoch(4), 0}, RowVersion(11)},
+                 Now);
+    W.holderRead(Quotes, {{EntryId(), "", Epoch(4), 1}, RowVersion(12)}, Now);
+    CPPUNIT_ASSERT(poll(W, Now, Millis(800)).has_value());
+  });
+}
+
+// Guards against vacant duties that the entries of a deployment with equal
+// shares claim sooner than before, and so spread less evenly.
+HEATHERCROSS_STORY(EarlyClaims, "only larger entries claim between polls") {
+  const Instant Now(Seconds(10));
+  for (const double Factor : {1.0, 2.0}) {
+    DutyWatch W(EntryId("e1/1"), Factor);
+    W.polled(Now);
+    W.holderRead(Quotes, {{EntryId(), "", Epoch(4), 1}, RowVersion(12)}, Now);
+    CPPUNIT_ASSERT(!W.nextReleasedClaim(0, Now + Millis(900)));
+  }
+  DutyWatch Large(EntryId("e1/1"), 0.5);
+  Large.polled(Now);
+  Large.addPools({Quotes}, Now);
+  Large.holderRead(PoolId("held"),
+                   {{EntryId("e2/1"), "", Epoch(4), 1}, RowVersion(12)}, Now);
+  CPPUNIT_ASSERT(!Large.nextReleasedClaim(0, Now + Millis(900)));
+}
