Tests of duties between entries with different processor shares

The model workers can delay their answers to start orders, and a deployment can give its entries different processor shares and start some of them later.

--- a/test/entry/peer-calls-test.cc
+++ b/test/entry/peer-calls-test.cc
@@ -32,6 +32,20 @@
     const auto Call = parseJobCall(Owned);
     CPPUNIT_ASSERT(Call && Call->Account_ == AccountId("mill"));
   });
+  section("the name and share of the entry that passes it on, unless it is of "
+          "an earlier version",
+          [&] {
+            CPPUNIT_ASSERT(parseJobCall(R)->Entry_.empty());
+            CPPUNIT_ASSERT_EQUAL(0U, parseJobCall(R)->CpuMilli_);
+            QJsonObject Body = QJsonDocument::fromJson(R.Body_).object();
+            Body["entry"] = "entry-3";
+            Body["cpu_milli"] = 120;
+            http::Request Named = R;
+            Named.Body_ = QJsonDocument(Body).toJson();
+            const auto Call = parseJobCall(Named);
+            CPPUNIT_ASSERT(Call && Call->Entry_ == EntryId("entry-3"));
+            CPPUNIT_ASSERT_EQUAL(120U, Call->CpuMilli_);
+          });
   section("in a call without one it is 0, and no such epoch exists", [&] {
     R.Body_.replace(R"("epoch":7,)", "").replace("\"epoch\": 7,", "");
     const auto Call = parseJobCall(R);
--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -46,6 +46,10 @@
   quint16 MachinesPort_ = 0;
   /// How long the state of an ended job can be queried.
   int StatusKeptSeconds_ = 120;
+  /// Processor shares of the instances in cores; the rest get 0.25.
+  std::vector<double> CpuShares_ = {};
+  /// Number of the last instances that aren't started at first.
+  std::size_t Absent_ = 0;
 };
 
 /// A stand-in for the platform's store and several entry instances, each in its
@@ -66,13 +70,14 @@
     StoreProcess_ = startProcess(
         "standin-platform", {"--port", QString::number(StorePort_)}, "store");
     configure(3, {"quotes"});
-    for (std::size_t I = 0; I < Entries_.size(); ++I)
+    for (std::size_t I = 0; I + Options_.Absent_ < Entries_.size(); ++I)
       startEntry(I);
   }
 
   ~Deployment() {
     for (Entry &E : Entries_)
-      terminate(*E.Process_);
+      if (E.Process_)
+        terminate(*E.Process_);
     terminate(*StoreProcess_);
   }
 
@@ -124,6 +129,9 @@
     startEntry(I);
   }
 
+  /// Starts an entry instance that was absent.
+  void startAbsent(std::size_t I) { startEntry(I); }
+
   /// Kills all entry instances at once, and starts them again.
   void killAll() {
     for (std::size_t I = 0; I < Entries_.size(); ++I)
@@ -296,8 +304,9 @@
     Entry &E = Entries_[I];
     const std::string Name = "entry-" + std::to_string(I);
     std::ofstream(pathInFolder(Name + ".ini"))
-        << "[entry]\nname = " << Name << "\nzone = z" << I
-        << "\ncpu_share = 0.25\n"
+        << "[entry]\nname = " << Name << "\nzone = z" << I << "\ncpu_share = "
+        << (I < Options_.CpuShares_.size() ? Options_.CpuShares_[I] : 0.25)
+        << '\n'
         << Options_.EntryKeys_
         << "[listen]\nfront = " << loopbackAddress(E.FrontPort_)
         << "\nready = " << loopbackAddress(E.ReadyPort_)
--- a/test/standin/common/task-workers.cc
+++ b/test/standin/common/task-workers.cc
@@ -148,7 +148,11 @@
     }
     QTimer::singleShot(Duration, Qt::PreciseTimer, this,
                        [this, Number, How] { end(Number, How); });
-    To(jsonObjectResponse({{"clock_ms", clockMs()}}));
+    if (All_.AnswerDelay_.count() == 0)
+      return To(jsonObjectResponse({{"clock_ms", clockMs()}}));
+    QTimer::singleShot(All_.AnswerDelay_, Qt::PreciseTimer, this, [this, To] {
+      To(jsonObjectResponse({{"clock_ms", clockMs()}}));
+    });
   }
 
   void end(std::uint64_t Number, const char *How) {
--- a/test/standin/common/task-workers.h
+++ b/test/standin/common/task-workers.h
@@ -47,6 +47,8 @@
   const WorkerCalls &calls() const { return Calls_; }
   /// Lets the next runs that are started end as failed.
   void failRuns(int Count) { RunsToFail_ = Count; }
+  /// Delays the answers to start orders, as on an entry whose orders take long.
+  void setAnswerDelay(std::chrono::milliseconds Delay) { AnswerDelay_ = Delay; }
   /// When the first task of a job was started; absent before.
   std::optional<std::chrono::steady_clock::time_point>
   firstStart(const std::string &Job) const;
@@ -71,6 +73,7 @@
   LeaseMode Leases_;
   WorkerCalls Calls_;
   int RunsToFail_ = 0;
+  std::chrono::milliseconds AnswerDelay_{0};
   std::map<std::string, std::chrono::steady_clock::time_point> FirstStarts_;
   std::map<QString, int> RunsOfTask_;
   int MostRunsOfTask_ = 0;
