Guaranteed work ranks first, and excess is admitted behind it

Cause: in a full pool jobs of an account that exceeds its rate were ranked and admitted like those of accounts within theirs.

Change: a job carries its share of the rate.

--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -1,6 +1,7 @@
 // An accepted job and the progress of its tasks.
 #pragma once
 
+#include "accounts/account-rate.h"
 #include "schedule/task-progress.h"
 
 #include <string>
@@ -46,6 +47,10 @@
   const QueueId &queue() const { return Queue_; }
   /// The account that submitted the job; empty if it has none.
   const AccountId &account() const { return Account_; }
+  /// Whether the job is within the guaranteed rate of its account. It isn't
+  /// stored: a restored job counts as guaranteed.
+  accounts::RateShare share() const { return Share_; }
+  void setShare(accounts::RateShare S) { Share_ = S; }
   const JobSpec &spec() const { return Spec_; }
   Instant accepted() const { return Accepted_; }
   JobState state() const { return State_; }
@@ -111,6 +116,7 @@
   JobId Id_;
   QueueId Queue_;
   AccountId Account_;
+  accounts::RateShare Share_ = accounts::RateShare::Guaranteed;
   JobSpec Spec_;
   Instant Accepted_;
   JobState State_ = JobState::Queued;
--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -15,8 +15,11 @@
 }
 
 void PoolScheduler::recordArrival(const Job &J, Instant Now) {
-  if (!J.spec().longRunning() && J.spec().Repeats_ == 0)
-    Arrivals_[J.queue()].recordArrival(J.remainingWork(), Now);
+  if (J.spec().longRunning() || J.spec().Repeats_ > 0)
+    return;
+  Arrivals_[J.queue()].recordArrival(J.remainingWork(), Now);
+  if (J.share() == accounts::RateShare::Guaranteed)
+    GuaranteedArrivals_[J.queue()].recordArrival(J.remainingWork(), Now);
 }
 
 double PoolScheduler::cores() const {
@@ -85,4 +88,12 @@
   return Work;
 }
 
+PoolLoad PoolScheduler::loadAhead(const Job &J, Instant Now,
+                                  WallTime Wall) const {
+  PoolLoad L{cores(), workAhead(J, Now, Wall), 0};
+  for (const auto &[Queue, Rate] : GuaranteedArrivals_)
+    L.GuaranteedArriving_ += Rate.cores(Now);
+  return L;
+}
+
 } // namespace heathercross::schedule
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -50,9 +50,9 @@
   const StepSpec &S = J.spec().Steps_[Step];
   const QueueSettings &Q = settings(J.queue());
   if (S.BestEffort_)
-    return {Urgency::BestEffort, Q.Priority_, 0};
+    return {Urgency::BestEffort, J.share(), Q.Priority_, 0};
   if (S.LongRunning_)
-    return {Urgency::LongRunning, Q.Priority_, 0};
+    return {Urgency::LongRunning, J.share(), Q.Priority_, 0};
   return timedRank(J, OccurrenceIndex, Now, Wall);
 }
 
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -4,6 +4,7 @@
 #include "schedule/arrival-rate.h"
 #include "schedule/job.h"
 #include "schedule/ranking.h"
+#include "schedule/share-admission.h"
 #include "schedule/task-placement.h"
 #include "schedule/worker.h"
 
@@ -234,6 +235,8 @@
   double coresFor(const Resources &R) const;
   /// Core-seconds of unfinished work that is ranked ahead of a job.
   double workAhead(const Job &J, Instant Now, WallTime Wall) const;
+  /// The load that a job meets if it is accepted now.
+  PoolLoad loadAhead(const Job &J, Instant Now, WallTime Wall) const;
   /// Whether a task of the step fits into the maximum capacity of all workers
   /// seen so far, or no worker has been seen yet.
   bool fitsKnownCapacity(const StepSpec &S) const;
@@ -382,6 +385,8 @@
   /// so that a worker which registers again never gets an earlier one.
   FenceGeneration Fence_;
   std::map<QueueId, ArrivalRate> Arrivals_;
+  /// Arrivals of jobs within the guaranteed rates of their accounts.
+  std::map<QueueId, ArrivalRate> GuaranteedArrivals_;
   std::size_t OrderLimit_ = ~std::size_t{0};
   /// Unanswered start orders at the beginning of the last step.
   std::size_t Unanswered_ = 0;
--- a/src/schedule/ranking.cc
+++ b/src/schedule/ranking.cc
@@ -57,7 +57,7 @@
   const double Mean = MeanWork > 0 ? MeanWork : J.work();
   const double Value = FixedValue * Mean + ProportionalValue * J.work();
   const double Probability = probabilityInTime(J, Q, Age);
-  Rank R{Urgency::Overdue, Q.Priority_, J.remainingWork()};
+  Rank R{Urgency::Overdue, J.share(), Q.Priority_, J.remainingWork()};
   if (Value > 0)
     R.Cost_ /= Value;
   if (Probability >= MinProbability) {
--- a/src/schedule/ranking.h
+++ b/src/schedule/ranking.h
@@ -32,6 +32,9 @@
 /// Sort key of waiting work: smaller ranks go first.
 struct Rank {
   Urgency Urgency_ = Urgency::InTime;
+  /// At saturation, what an account sends beyond its guaranteed rate follows
+  /// the guaranteed work of all queues.
+  accounts::RateShare Share_ = accounts::RateShare::Guaranteed;
   std::uint32_t Priority_ = 0;
   /// Remaining core-seconds per unit of expected value.
   double Cost_ = 0;
