Pools exchange account rates and reject excess when full

Cause: a pool saw its own arrivals only, and a job rejected for the work ahead of it got a fixed Retry-After of 4 s.

The holder of a pool counts submissions against the guaranteed rates and rejects a job beyond them with the cause over-share if it doesn't fit behind guaranteed work. Retry-After follows from the account's rate or the work ahead. Logs and metrics show when accounts exceed their rates.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -373,15 +373,25 @@
   return Loads;
 }
 
+accounts::ArrivalRates FleetController::otherPoolsOf(const PoolId &P) const {
+  accounts::ArrivalRates Sum;
+  for (const auto &[Pool, Dated] : Snapshots_)
+    if (Pool != P)
+      accounts::addRates(Sum, Dated.Snapshot_.AccountRates_);
+  return Sum;
+}
+
 void FleetController::pollHolders() {
   // Pools without machines are polled, too, as they may need some.
   for (const PoolId &P : ClusterState_.duties().pools()) {
     if (P == FleetDuty)
       continue;
     const std::set<InstanceId> &Workers = Evacuating_[P];
+    const accounts::ArrivalRates OtherPools = otherPoolsOf(P);
     if (PoolHolder *H = FindLocalHolder_(P)) {
       if (!Workers.empty())
         H->evacuate(Workers, EvacuationDuration);
+      H->setOtherPools(OtherPools);
       if (auto Snapshot = H->snapshot())
         Snapshots_[P] = {std::move(*Snapshot), Context_.Clock_.now()};
       continue;
@@ -392,7 +402,7 @@
     AskedPools_.insert(P);
     const Instant AskedAt = Context_.Clock_.now();
     callEvacuate(
-        Context_, Known->Row_.Address_, P, Workers, CallTimeout,
+        Context_, Known->Row_.Address_, {P, Workers, OtherPools}, CallTimeout,
         guarded(this, [this, P, AskedAt](std::optional<PoolSnapshot> Snapshot) {
           AskedPools_.erase(P);
           if (Snapshot)
--- a/src/entry/fleet-controller.h
+++ b/src/entry/fleet-controller.h
@@ -110,6 +110,8 @@
     Instant TakenAt_;
   };
   void dropOldSnapshots();
+  /// Arrival rates of accounts in all pools but one.
+  accounts::ArrivalRates otherPoolsOf(const PoolId &P) const;
   std::map<PoolId, DatedSnapshot> Snapshots_;
   /// Pools whose holder has an unanswered request.
   std::set<PoolId> AskedPools_;
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -404,6 +404,8 @@
     PoolHolder *H = Duties_.holder(Evacuate->Pool_);
     if (H && !Evacuate->Workers_.empty())
       H->evacuate(Evacuate->Workers_, EvacuationDuration);
+    if (H)
+      H->setOtherPools(Evacuate->OtherPools_);
     const auto Snapshot = H ? H->snapshot() : std::nullopt;
     http::Response NotFoundResponse;
     NotFoundResponse.Status_ = NotFound;
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -20,6 +20,8 @@
 constexpr std::string_view EvacuatePath = "/vacate";
 constexpr std::string_view PingPath = "/ping";
 constexpr std::string_view ClusterStatePath = "/knowledge";
+/// Field of arrival rates by account, in jobs per second.
+constexpr const char *RatesField = "account_rates";
 constexpr std::array<const char *, 4> KindNames{"submit", "state", "cancel",
                                                 "queued"};
 constexpr std::array<const char *, 7> AnswerNames{
@@ -96,26 +98,28 @@
   return K;
 }
 
-std::optional<PoolSnapshot> parseSnapshot(const QByteArray &Body) {
-  const auto O = parseObject(Body);
-  if (!O || !O->value("loads").isObject())
-    return std::nullopt;
-  PoolSnapshot P;
-  P.Demand_ = {O->value("running").toDouble(),
-               O->value("waiting_in_time").toDouble(),
-               O->value("waiting_late").toDouble(),
-               O->value("lasting").toDouble(),
-               static_cast<std::uint32_t>(O->value("min_workers").toInt()),
-               O->value("arriving").toDouble()};
-  P.Cores_ = O->value("cores").toDouble();
-  const QJsonObject Loads = O->value("loads").toObject();
-  for (auto It = Loads.begin(); It != Loads.end(); ++It) {
-    const QJsonArray A = It.value().toArray();
-    P.Loads_[InstanceId(It.key().toStdString())] = {
-        static_cast<std::uint32_t>(A.at(0).toInt()),
-        static_cast<std::uint32_t>(A.at(1).toInt()), A.at(2).toBool()};
+/// Adds arrival rates to a message. Without any the field is left out, so that
+/// messages don't change where there are no accounts.
+void putRates(QJsonObject &Body, const accounts::ArrivalRates &Rates) {
+  if (Rates.empty())
+    return;
+  QJsonObject Fields;
+  for (const auto &[Id, Rate] : Rates) {
+    if (Fields.size() == static_cast<qsizetype>(accounts::MaxReportedAccounts))
+      break;
+    Fields[toQString(Id.str())] = Rate;
   }
-  return P;
+  Body[RatesField] = Fields;
+}
+
+accounts::ArrivalRates parseRates(const QJsonObject &Body) {
+  accounts::ArrivalRates Rates;
+  const QJsonObject Fields = Body.value(RatesField).toObject();
+  for (auto It = Fields.begin(); It != Fields.end(); ++It)
+    if (It.value().toDouble() > 0 &&
+        Rates.size() < accounts::MaxReportedAccounts)
+      Rates[AccountId(It.key().toStdString())] = It.value().toDouble();
+  return Rates;
 }
 
 http::Response jsonResponse(const QJsonObject &Body) {
@@ -182,20 +186,25 @@
        {"cause", toQString(A.Cause_)}});
 }
 
-void callEvacuate(Context &C, const std::string &Address, const PoolId &Pool,
-                  const std::set<InstanceId> &Workers, Millis Timeout,
-                  std::function<void(std::optional<PoolSnapshot>)> OnDone) {
+QJsonObject evacuateBody(const EvacuateCall &Call) {
   QJsonArray Ids;
-  for (const InstanceId &Id : Workers)
+  for (const InstanceId &Id : Call.Workers_)
     Ids.append(toQString(Id.str()));
-  C.Peers_.send(
-      makePost(Address, EvacuatePath,
-               {{"pool", toQString(Pool.str())}, {"workers", Ids}}, Timeout),
-      [OnDone = std::move(OnDone)](const http::Reply &R) {
-        const bool Succeeded =
-            R.Delivery_ == http::Delivery::Answered && R.Status_ == Ok;
-        OnDone(Succeeded ? parseSnapshot(R.Body_) : std::nullopt);
-      });
+  QJsonObject Body{{"pool", toQString(Call.Pool_.str())}, {"workers", Ids}};
+  putRates(Body, Call.OtherPools_);
+  return Body;
+}
+
+void callEvacuate(Context &C, const std::string &Address,
+                  const EvacuateCall &Call, Millis Timeout,
+                  std::function<void(std::optional<PoolSnapshot>)> OnDone) {
+  C.Peers_.send(makePost(Address, EvacuatePath, evacuateBody(Call), Timeout),
+                [OnDone = std::move(OnDone)](const http::Reply &R) {
+                  const bool Succeeded =
+                      R.Delivery_ == http::Delivery::Answered &&
+                      R.Status_ == Ok;
+                  OnDone(Succeeded ? parseSnapshot(R.Body_) : std::nullopt);
+                });
 }
 
 void ping(Context &C, const std::string &Address, Millis Timeout,
@@ -259,6 +268,7 @@
   Call.Pool_ = PoolId(toStdString(O->value("pool")));
   for (const auto V : O->value("workers").toArray())
     Call.Workers_.insert(InstanceId(toStdString(V)));
+  Call.OtherPools_ = parseRates(*O);
   return Call;
 }
 
@@ -268,14 +278,39 @@
     Loads[toQString(Id.str())] =
         QJsonArray{static_cast<int>(L.Runs_), static_cast<int>(L.LongRunning_),
                    L.Evacuating_};
-  return jsonResponse({{"running", P.Demand_.Running_},
-                       {"waiting_in_time", P.Demand_.WaitingInTime_},
-                       {"waiting_late", P.Demand_.WaitingLate_},
-                       {"lasting", P.Demand_.LongRunning_},
-                       {"min_workers", static_cast<int>(P.Demand_.MinWorkers_)},
-                       {"arriving", P.Demand_.Arriving_},
-                       {"cores", P.Cores_},
-                       {"loads", Loads}});
+  QJsonObject Body{{"running", P.Demand_.Running_},
+                   {"waiting_in_time", P.Demand_.WaitingInTime_},
+                   {"waiting_late", P.Demand_.WaitingLate_},
+                   {"lasting", P.Demand_.LongRunning_},
+                   {"min_workers", static_cast<int>(P.Demand_.MinWorkers_)},
+                   {"arriving", P.Demand_.Arriving_},
+                   {"cores", P.Cores_},
+                   {"loads", Loads}};
+  putRates(Body, P.AccountRates_);
+  return jsonResponse(Body);
+}
+
+std::optional<PoolSnapshot> parseSnapshot(const QByteArray &Body) {
+  const auto O = parseObject(Body);
+  if (!O || !O->value("loads").isObject())
+    return std::nullopt;
+  PoolSnapshot P;
+  P.Demand_ = {O->value("running").toDouble(),
+               O->value("waiting_in_time").toDouble(),
+               O->value("waiting_late").toDouble(),
+               O->value("lasting").toDouble(),
+               static_cast<std::uint32_t>(O->value("min_workers").toInt()),
+               O->value("arriving").toDouble()};
+  P.Cores_ = O->value("cores").toDouble();
+  P.AccountRates_ = parseRates(*O);
+  const QJsonObject Loads = O->value("loads").toObject();
+  for (auto It = Loads.begin(); It != Loads.end(); ++It) {
+    const QJsonArray A = It.value().toArray();
+    P.Loads_[InstanceId(It.key().toStdString())] = {
+        static_cast<std::uint32_t>(A.at(0).toInt()),
+        static_cast<std::uint32_t>(A.at(1).toInt()), A.at(2).toBool()};
+  }
+  return P;
 }
 
 } // namespace heathercross::entry
--- a/src/entry/peer-calls.h
+++ b/src/entry/peer-calls.h
@@ -7,6 +7,8 @@
 #include "http/http-server.h"
 #include "schedule/duty-watch.h"
 
+#include <QJsonObject>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -78,17 +80,22 @@
 /// needed.
 inline constexpr Millis EvacuationDuration{1500};
 
-/// Asks the holder of a pool to evacuate workers and for a snapshot of the
-/// pool.
-void callEvacuate(Context &C, const std::string &Address, const PoolId &Pool,
-                  const std::set<InstanceId> &Workers, Millis Timeout,
-                  std::function<void(std::optional<PoolSnapshot>)> OnDone);
-
 struct EvacuateCall {
   PoolId Pool_;
   std::set<InstanceId> Workers_;
+  /// Arrival rates of accounts in all other pools.
+  accounts::ArrivalRates OtherPools_ = {};
 };
+
+/// Asks the holder of a pool to evacuate workers and for a snapshot of the
+/// pool.
+void callEvacuate(Context &C, const std::string &Address,
+                  const EvacuateCall &Call, Millis Timeout,
+                  std::function<void(std::optional<PoolSnapshot>)> OnDone);
+/// The body of such a call.
+QJsonObject evacuateBody(const EvacuateCall &Call);
 std::optional<EvacuateCall> parseEvacuateCall(const http::Request &R);
 http::Response snapshotResponse(const PoolSnapshot &P);
+std::optional<PoolSnapshot> parseSnapshot(const QByteArray &Body);
 
 } // namespace heathercross::entry
--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -42,8 +42,11 @@
   if (!Spec)
     return OnAnswer(Kind::Malformed);
   const Instant Now = Context_.Clock_.now();
-  const Job J(Id, Queue, *Spec, Now, Account);
-  const double WorkAhead = Scheduler_.workAhead(J, Now, Context_.Clock_.wall());
+  Job J(Id, Queue, *Spec, Now, Account);
+  J.setShare(shareOf(J, Now));
+  const bool OverShare = J.share() == accounts::RateShare::OverShare;
+  const schedule::PoolLoad Load =
+      Scheduler_.loadAhead(J, Now, Context_.Clock_.wall());
   const auto Reject = [&](const char *Cause, Millis RetryAfter) {
     JobAnswer A{Kind::Rejected};
     A.RetryAfter_ = RetryAfter;
@@ -53,8 +56,9 @@
     if (!Account.empty())
       F["account"] = toQString(Account.str());
     F["cause"] = Cause;
-    F["cores"] = std::round(Scheduler_.cores());
-    F["work_ahead_core_s"] = std::round(WorkAhead);
+    F["cores"] = std::round(Load.Cores_);
+    F["work_ahead_core_s"] = std::round(Load.WorkAhead_);
+    F["arriving_cores"] = std::round(Load.GuaranteedArriving_);
     F["store_away_ms"] = static_cast<qint64>(
         Journal_.failingSince()
             ? toMillis(Now - *Journal_.failingSince()).count()
@@ -62,6 +66,10 @@
     Context_.Log_.write("job-rejected", F);
     Context_.Metrics_.add("heathercross_jobs_rejected_total",
                           "Jobs that were turned away.");
+    if (OverShare)
+      Context_.Metrics_.add("heathercross_over_share_jobs_rejected_total",
+                            "Jobs beyond their account's guaranteed rate that "
+                            "were turned away.");
     OnAnswer(A);
   };
   if (Journal_.failingSince() &&
@@ -72,9 +80,12 @@
         return Scheduler_.fitsKnownCapacity(S);
       }))
     return Reject("larger-than-any-worker", RetryAfterBurst);
-  if (!schedule::worthAccepting(J, Scheduler_.settings(Queue), WorkAhead,
-                                Scheduler_.cores()))
-    return Reject("too-much-ahead", RetryAfterBurst);
+  const schedule::QueueSettings &Settings = Scheduler_.settings(Queue);
+  if (OverShare && !schedule::fitsBehindGuaranteed(J, Settings, Load))
+    return Reject("over-share", AccountRates_.retryAfter(Account, Now));
+  if (!schedule::worthAccepting(J, Settings, Load.WorkAhead_, Load.Cores_))
+    return Reject("too-much-ahead",
+                  schedule::retryAfterBacklog(J, Settings, Load));
   Submission S;
   S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_, Account};
   std::string Row = encodeJob(S.Row_);
@@ -95,6 +106,7 @@
     return Reject("memory-full", RetryAfterBurst);
   JobMemory_.add(Id, Memory);
   S.Spec_ = std::move(*Spec);
+  S.Share_ = J.share();
   S.ReceivedAt_ = Now;
   S.Handlers_.push_back(std::move(OnAnswer));
   // Batches are applied in order, so that the settings are stored with the job
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -86,6 +86,8 @@
   Configuration_ = C;
   Scheduler_.setQueues(C.queuesOf(Pool_));
   JobMemory_.setLimit(jobMemoryBase(), C.Pools_.size());
+  AccountRates_.setAccounts(C.Accounts_.value_or(accounts::AccountDirectory()),
+                            Context_.Clock_.now());
   if (Ready_ && !Lost_)
     updateQueues();
   scheduleRound();
@@ -155,6 +157,7 @@
   PoolSnapshot P;
   P.Demand_ = Scheduler_.demand(Context_.Clock_.now(), Context_.Clock_.wall());
   P.Cores_ = Scheduler_.cores();
+  P.AccountRates_ = AccountRates_.arrivalRates(Context_.Clock_.now());
   for (const auto &[Id, W] : Scheduler_.workers()) {
     // The runs of a worker that hasn't responded yet are unknown.
     if (!W.hasReported())
@@ -195,6 +198,7 @@
     askAdvice();
     storeChanges();
     logDecisions();
+    logAccountShares();
     updateRoster();
     purgeEndedJobs();
     // Every known worker has a link, so there are more links only if a worker
@@ -287,14 +291,21 @@
     Context_.Log_.writeRoutine("job-stored", [&] {
       QJsonObject F = jobFields(Node.key());
       F["queue"] = toQString(S.Row_.Queue_.str());
+      if (S.Share_ == accounts::RateShare::OverShare)
+        F["over_share"] = true;
       F["stored_ms"] =
           static_cast<qint64>(toMillis(Now - S.ReceivedAt_).count());
       return F;
     });
     Context_.Metrics_.add("heathercross_jobs_accepted_total",
                           "Jobs that were stored and accepted.");
+    if (S.Share_ == accounts::RateShare::OverShare)
+      Context_.Metrics_.add("heathercross_over_share_jobs_accepted_total",
+                            "Jobs beyond their account's guaranteed rate that "
+                            "were stored and accepted.");
     Job J(Node.key(), S.Row_.Queue_, std::move(S.Spec_), S.ReceivedAt_,
           S.Row_.Account_);
+    J.setShare(S.Share_);
     Scheduler_.recordArrival(J, S.ReceivedAt_);
     Scheduler_.admit(std::move(J));
     for (const AnswerHandler &Handler : S.Handlers_)
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -1,6 +1,7 @@
 // Runs the scheduler of one pool while this entry holds the pool's duty.
 #pragma once
 
+#include "accounts/account-rate.h"
 #include "entry/context.h"
 #include "entry/journal-writer.h"
 #include "entry/rows.h"
@@ -69,6 +70,8 @@
     bool Evacuating_ = false;
   };
   std::map<InstanceId, Load> Loads_;
+  /// Arrival rates of the accounts that have a guaranteed rate.
+  accounts::ArrivalRates AccountRates_ = {};
 };
 
 /// Loads the stored jobs of a pool, then schedules them: sends orders to the
@@ -98,6 +101,8 @@
   /// Evacuates workers: starts no run on them for a time. The caller repeats
   /// the call for as long as it needs them empty.
   void evacuate(const std::set<InstanceId> &Workers, Millis Duration);
+  /// Sets the arrival rates of accounts in all other pools.
+  void setOtherPools(const accounts::ArrivalRates &Rates);
   /// Returns nothing until the stored jobs are loaded.
   std::optional<PoolSnapshot> snapshot() const;
 
@@ -134,6 +139,7 @@
   struct Submission {
     JobRow Row_;
     schedule::JobSpec Spec_;
+    accounts::RateShare Share_ = accounts::RateShare::Guaranteed;
     schedule::PoolJournal::Ticket Ticket_ = 0;
     Instant ReceivedAt_;
     std::vector<AnswerHandler> Handlers_;
@@ -203,6 +209,10 @@
                   Instant SentAt, Millis Answered);
   platform_api::WorkerAddress addressOf(const InstanceId &Id) const;
   void logDecisions();
+  /// Whether a submitted job is within its account's guaranteed rate; counts
+  /// the submission.
+  accounts::RateShare shareOf(const schedule::Job &J, Instant Now);
+  void logAccountShares();
   QJsonObject jobFields(const JobId &Id) const;
   Millis runLease() const;
   /// Time between lease renewals of a worker that has runs.
@@ -227,6 +237,7 @@
   schedule::PoolScheduler Scheduler_;
   schedule::Configuration Configuration_;
   schedule::JobMemory JobMemory_;
+  accounts::AccountRates AccountRates_;
   std::map<InstanceId, Link> Links_;
   /// Instances that are still registered though another instance answers at
   /// their address, with that address.
--- a/test/entry/peer-calls-test.cc
+++ b/test/entry/peer-calls-test.cc
@@ -9,6 +9,18 @@
 using namespace heathercross::entry;
 using heathercross::test::section;
 
+namespace {
+
+/// A call to evacuate workers as its receiver gets it.
+http::Request evacuateRequest(const EvacuateCall &Call) {
+  http::Request R;
+  R.Path_ = "/vacate";
+  R.Body_ = QJsonDocument(evacuateBody(Call)).toJson();
+  return R;
+}
+
+} // namespace
+
 HEATHERCROSS_STORY(CallForAnEpoch, "a call is meant for one epoch of a duty") {
   http::Request R;
   R.Path_ = "/call";
@@ -38,3 +50,44 @@
     CPPUNIT_ASSERT(Call && Call->Epoch_ == Epoch(0));
   });
 }
+
+// Guards against account rates that get lost between a pool's holder and the
+// fleet's, and against messages that change where there are no accounts.
+HEATHERCROSS_STORY(AccountRatesInCalls,
+                   "account rates travel with snapshots and evacuations") {
+  const accounts::ArrivalRates Rates{{AccountId("mill"), 12.0},
+                                     {AccountId("farm"), 2.5}};
+  section("in a pool's snapshot", [&] {
+    PoolSnapshot P;
+    P.Cores_ = 48;
+    P.AccountRates_ = Rates;
+    const auto Read = parseSnapshot(snapshotResponse(P).Body_);
+    CPPUNIT_ASSERT(Read && Read->Cores_ == 48);
+    CPPUNIT_ASSERT(Read->AccountRates_ == Rates);
+  });
+  section("in the call to a pool's holder", [&] {
+    const auto Read = parseEvacuateCall(
+        evacuateRequest({PoolId("quotes"), {InstanceId("w1")}, Rates}));
+    CPPUNIT_ASSERT(Read && Read->Pool_ == PoolId("quotes"));
+    CPPUNIT_ASSERT(Read->Workers_ == std::set{InstanceId("w1")});
+    CPPUNIT_ASSERT(Read->OtherPools_ == Rates);
+  });
+  section("without accounts neither message has such a field", [] {
+    CPPUNIT_ASSERT(!snapshotResponse({}).Body_.contains("account"));
+    const auto R = evacuateRequest({PoolId("quotes"), {}, {}});
+    CPPUNIT_ASSERT(!R.Body_.contains("account"));
+    CPPUNIT_ASSERT(parseEvacuateCall(R)->OtherPools_.empty());
+  });
+  section("a bounded number of accounts, and no negative rates", [] {
+    accounts::ArrivalRates Many;
+    for (std::size_t I = 0; I < 2 * accounts::MaxReportedAccounts; ++I)
+      Many[AccountId("a" + std::to_string(I))] = 1;
+    const auto Read =
+        parseEvacuateCall(evacuateRequest({PoolId("quotes"), {}, Many}));
+    CPPUNIT_ASSERT_EQUAL(accounts::MaxReportedAccounts,
+                         Read->OtherPools_.size());
+    const auto Negative = parseEvacuateCall(
+        evacuateRequest({PoolId("quotes"), {}, {{AccountId("mill"), -3.0}}}));
+    CPPUNIT_ASSERT(Negative->OtherPools_.empty());
+  });
+}
