--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -15,8 +15,11 @@
 }
 
 void PoolScheduler::recordArrival(const Job &J, Instant Now) {
-  if (!J.spec().longRunning() && J.spec().Repeats_ == 0)
-    Arrivals_[J.queue()].recordArrival(J.remainingWork(), Now);
+  if (J.spec().longRunning() || J.spec().Repeats_ > 0)
+    return;
+  Arrivals_[J.queue()].recordArrival(J.remainingWork(), Now);
+  if (J.share() == accounts::RateShare::Guaranteed)
+    GuaranteedArrivals_[J.queue()].recordArrival(J.remainingWork(), Now);
 }
 
 double PoolScheduler::cores() const {
@@ -85,4 +88,21 @@
   return Work;
 }
 
+PoolLoad PoolScheduler::loadAhead(const Job &J, Instant Now,
+                                  WallTime Wall) const {
+  PoolLoad L;
+  L.Cores_ = cores();
+  L.WorkAhead_ = workAhead(J, Now, Wall);
+  for (const auto &[Queue, Rate] : GuaranteedArrivals_)
+    L.GuaranteedArriving_ += Rate.steadyCores(Now);
+  for (const StepSpec &S : J.spec().Steps_)
+    L.NeededCores_ =
+        std::max(L.NeededCores_, S.Count_ * coresFor(S.reserved()));
+  if (J.share() == accounts::RateShare::Guaranteed)
+    return L;
+  const Demand D = demand(Now, Wall);
+  L.IdleCores_ = L.Cores_ - D.Running_ - D.LongRunning_ - D.WaitingInTime_;
+  return L;
+}
+
 } // namespace heathercross::schedule
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -4,6 +4,7 @@
 #include "schedule/arrival-rate.h"
 #include "schedule/job.h"
 #include "schedule/ranking.h"
+#include "schedule/share-admission.h"
 #include "schedule/task-placement.h"
 #include "schedule/worker.h"
 
@@ -237,6 +238,8 @@
   /// Number of tasks that haven't started, of jobs that are ranked ahead of a
   /// job.
   std::uint32_t tasksAhead(const Job &J, Instant Now, WallTime Wall) const;
+  /// The load that a job meets if it is accepted now.
+  PoolLoad loadAhead(const Job &J, Instant Now, WallTime Wall) const;
   /// Whether a task of the step fits into the maximum capacity of all workers
   /// seen so far, or no worker has been seen yet.
   bool fitsKnownCapacity(const StepSpec &S) const;
@@ -385,6 +388,8 @@
   /// so that a worker which registers again never gets an earlier one.
   FenceGeneration Fence_;
   std::map<QueueId, ArrivalRate> Arrivals_;
+  /// Arrivals of jobs within the guaranteed rates of their accounts.
+  std::map<QueueId, ArrivalRate> GuaranteedArrivals_;
   std::size_t OrderLimit_ = ~std::size_t{0};
   /// Unanswered start orders at the beginning of the last step.
   std::size_t Unanswered_ = 0;
