Steps name the image that their tasks run

Cause: placement is to know which tasks behave alike, and the field `image` of a step was ignored. Change: `StepSpec::Image_`, at most 200 bytes; a longer or wrong one counts as absent, so that no job is rejected for it.

--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -59,6 +59,9 @@
   std::uint32_t MaxUnavailable_ = 0;
   /// The latency that a long-running task must provide to its own users.
   Millis LatencyGoal_{0};
+  /// Names what the tasks run; tasks of one image behave alike. Empty if the
+  /// submitter doesn't say.
+  std::string Image_;
 
   /// The part of a worker's capacity that a task of the step reserves.
   Resources reserved() const {
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -297,6 +297,23 @@
     CPPUNIT_ASSERT(!parseJob(Bad));
 }
 
+// Guards against a job that is rejected, or takes much memory, because of the
+// name of an image.
+HEATHERCROSS_STORY(StepImages, "the image of a step is read if it isn't long") {
+  const auto ImageOf = [](const std::string &Value) {
+    const auto J = parseJob(QByteArray::fromStdString(
+        R"({"phases":[{"count":1,"image":)" + Value + "}]}"));
+    CPPUNIT_ASSERT(J && J->Steps_.size() == 1);
+    return J->Steps_[0].Image_;
+  };
+  const std::string Longest(200, 'i');
+  CPPUNIT_ASSERT_EQUAL(std::string("scan:4"), ImageOf(R"("scan:4")"));
+  CPPUNIT_ASSERT_EQUAL(Longest, ImageOf('"' + Longest + '"'));
+  CPPUNIT_ASSERT_EQUAL(std::string(), ImageOf('"' + Longest + "i\""));
+  CPPUNIT_ASSERT_EQUAL(std::string(), ImageOf("7"));
+  CPPUNIT_ASSERT_EQUAL(std::string(), ImageOf("null"));
+}
+
 // Guards against a job that takes more memory than an entry has: each holder
 // that read it would end.
 HEATHERCROSS_STORY(LargeSubmissions, "the tasks of all occurrences count") {
