Tasks that slow each other down are kept apart where there is room

Cause: fillers of some images raise the tail latency of some serving images above its goal. Throttling answers each time anew: the tail exceeds the goal, the filler is stopped, speeds up, and the tail exceeds the goal again. Change: the scheduler learns from worker reports which images raise the tail of which serving images (`Interference`), by the activity of each image during the half second that a figure covers. Workers with a known interference are chosen after others, best-effort tasks go where there is least, and those that would be throttled to 0 leave the room to others that wait. No worker is excluded. Pairs are shown in the holder's dump, the log and metrics. Ruled out: blaming all images that are present alike.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -167,6 +167,13 @@
     std::exchange(OnStopped_, nullptr)();
 }
 
+std::size_t Duties::interferingPairs() const {
+  std::size_t Count = 0;
+  for (const auto &[Pool, H] : Holders_)
+    Count += H->interferingPairs();
+  return Count;
+}
+
 QJsonObject Duties::dump() const {
   QJsonObject Pools;
   for (const auto &[Pool, H] : Holders_)
--- a/src/entry/duties.h
+++ b/src/entry/duties.h
@@ -35,6 +35,9 @@
   /// Gives all duties back and claims no more, then calls OnDone.
   void stop(std::function<void()> OnDone);
   QJsonObject dump() const;
+  /// The number of pairs of images in all pools that are known to slow each
+  /// other down.
+  std::size_t interferingPairs() const;
 
 private:
   void claim(const schedule::Claim &C);
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -139,6 +139,9 @@
   const auto &C = Kernel_.find<ClusterState>("knowledge").configuration();
   M.set("heathercross_configuration_version", "The configuration in force.",
         C ? static_cast<double>(C->Version_) : 0);
+  M.set("heathercross_interfering_pairs",
+        "Pairs of images that are known to slow each other down.",
+        static_cast<double>(Kernel_.find<Duties>("duties").interferingPairs()));
   return M.text();
 }
 
--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -390,6 +390,7 @@
 }
 
 void PoolHolder::logDecisions() {
+  countInterference();
   for (const schedule::Decision &D : Scheduler_.takeDecisions()) {
     const auto MakeFields = [&] {
       QJsonObject F{{"pool", toQString(Pool_.str())},
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -375,6 +375,7 @@
           {"ready", Ready_},
           {"jobs", static_cast<qint64>(Scheduler_.jobs().size())},
           {"unstored", static_cast<qint64>(Journal_.waiting())},
+          {"interference", interferenceDump()},
           {"workers", Workers}};
 }
 
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -9,6 +9,7 @@
 #include "schedule/pool-scheduler.h"
 #include "schedule/worker-clock.h"
 
+#include <QJsonArray>
 #include <QObject>
 #include <QTimer>
 
@@ -108,6 +109,8 @@
   const PoolId &pool() const { return Pool_; }
   const schedule::HolderRow &self() const { return Journal_.self(); }
   QJsonObject dump() const;
+  /// The number of pairs of images that are known to slow each other down.
+  std::size_t interferingPairs() const;
 
 private:
   /// State of the calls to one worker.
@@ -203,6 +206,10 @@
                   Instant SentAt, Millis Answered);
   platform_api::WorkerAddress addressOf(const InstanceId &Id) const;
   void logDecisions();
+  /// Adds the starts that interference affected to the metrics.
+  void countInterference();
+  /// The known pairs; the tails are shares of the latency goal.
+  QJsonArray interferenceDump() const;
   QJsonObject jobFields(const JobId &Id) const;
   Millis runLease() const;
   /// Time between lease renewals of a worker that has runs.
--- a/src/schedule/pool-scheduler-reports.cc
+++ b/src/schedule/pool-scheduler-reports.cc
@@ -70,6 +70,7 @@
   if (R.Ended_.size() < MaxListedEndedRuns && W->fenceConfirmed())
     releaseUnlisted(*W, R, SentAt, Fence);
   stopStuckRuns(*W, Now);
+  observeInterference(*W, Now);
   Awaited_.erase(Id);
 }
 
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -129,7 +129,8 @@
     if (!Needed.fits(W->free()) ||
         (ValidAdvice && !ValidAdvice->Tickets_.contains(W->info().Id_)))
       continue;
-    Candidate C{W, 0, Spec.LongRunning_ ? W->longRunningRuns() : 0};
+    Candidate C{W, 0, Spec.LongRunning_ ? W->longRunningRuns() : 0,
+                interferenceOn(*W, Spec)};
     if (Spec.MaxPerWorker_ > 0) {
       const auto First =
           W->runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
@@ -162,6 +163,7 @@
   R.LongRunning_ = S.LongRunning_;
   R.BestEffort_ = S.BestEffort_;
   R.LatencyGoal_ = S.LatencyGoal_;
+  R.Image_ = S.Image_;
   return R;
 }
 
@@ -237,12 +239,17 @@
   }
 }
 
-void PoolScheduler::startTasks(const ReadyStep &S,
+bool PoolScheduler::startTasks(const ReadyStep &S,
                                const std::vector<Worker *> &Available,
-                               Instant Now, Orders &Out) {
+                               StallingPlaces Stalling, Instant Now,
+                               Orders &Out) {
   std::vector<Candidate> Places = candidates(*S.Job_, S, Available, Now);
+  const bool LeftOut = Stalling == StallingPlaces::LeaveOut &&
+                       std::erase_if(Places, [](const Candidate &C) {
+                         return C.Interference_.Stalls_;
+                       }) > 0;
   if (Places.empty())
-    return;
+    return LeftOut;
   Job &J = *findJob(S.Job_->id());
   const std::uint32_t Count = J.spec().Steps_[S.Step_].Count_;
   for (std::uint32_t I = 0; I < Count; ++I) {
@@ -251,13 +258,13 @@
       continue;
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
     if (HeldBack_)
-      return;
+      return LeftOut;
     const PlacementRequest Request = request(J, S, T, Now);
     Worker *W = choose(Places, Request);
     if (!W && !Request.Required_.empty())
       continue;
     if (!W)
-      return;
+      return LeftOut;
     // Workers start an attempt once, so that the same attempt can't run twice
     // if an unresolved order for it is carried out, too.
     const bool Again = !Request.Required_.empty() &&
@@ -266,8 +273,11 @@
     orderStart(J, {J.id(), S.Occurrence_, S.Step_, I}, *W,
                Again ? T.Attempt_ : T.nextAttempt(J.attemptFloor()), Now, Out);
     const auto Place = std::ranges::find(Places, W, &Candidate::Worker_);
+    countStart(Places, *Place, J.spec().Steps_[S.Step_], LeftOut);
     ++Place->SameStep_;
+    Place->Interference_ = interferenceOn(*W, J.spec().Steps_[S.Step_]);
   }
+  return LeftOut;
 }
 
 void PoolScheduler::startGang(const ReadyStep &S,
@@ -342,15 +352,21 @@
   const std::vector<Worker *> Available = workersWithRoom(Ready, Now);
   if (Available.empty())
     return;
+  // Best-effort tasks that would be throttled to 0 leave the room to all others
+  // that wait.
+  std::vector<const ReadyStep *> Stalling;
   for (const ReadyStep &S : Ready) {
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
     if (HeldBack_)
       return;
     if (S.Job_->spec().Steps_[S.Step_].Gang_)
       startGang(S, Available, Now, Out);
-    else
-      startTasks(S, Available, Now, Out);
+    else if (startTasks(S, Available, StallingPlaces::LeaveOut, Now, Out))
+      Stalling.push_back(&S);
   }
+  for (const ReadyStep *S : Stalling)
+    if (!HeldBack_)
+      startTasks(*S, Available, StallingPlaces::Use, Now, Out);
 }
 
 const PoolScheduler::Advice *
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -36,6 +36,7 @@
   moveLongRunning(Now);
   orderStops(Now, Out);
   orderThrottles(Now, Out);
+  updateInterference(Now);
   repeatStarts(Now, Out);
   orderStarts(Now, Wall, Out);
   return Out;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "schedule/arrival-rate.h"
+#include "schedule/interference.h"
 #include "schedule/job.h"
 #include "schedule/ranking.h"
 #include "schedule/task-placement.h"
@@ -223,6 +224,12 @@
   /// Returns and clears the set of jobs whose progress changed.
   std::set<JobId> takeChanged() { return std::exchange(Changed_, {}); }
   bool anyChanged() const { return !Changed_.empty(); }
+  /// Which images are known to slow each other down.
+  const Interference &interference() const { return Interference_; }
+  /// Returns and clears the numbers of starts that interference affected.
+  InterferenceStarts takeInterferenceStarts() {
+    return std::exchange(Interference_.Starts_, {});
+  }
   std::vector<Decision> takeDecisions() { return std::exchange(Log_, {}); }
   /// The number of accepted jobs of a queue of which no task has started.
   std::uint32_t queuedJobs(const QueueId &Queue) const;
@@ -312,8 +319,11 @@
   void moveLongRunning(Instant Now);
   void orderThrottles(Instant Now, Orders &Out);
   void orderStarts(Instant Now, WallTime Wall, Orders &Out);
-  void startTasks(const ReadyStep &S, const std::vector<Worker *> &Available,
-                  Instant Now, Orders &Out);
+  /// Whether best-effort tasks may start where they would be throttled to 0.
+  enum class StallingPlaces : std::uint8_t { LeaveOut, Use };
+  /// Starts tasks of a step. Returns whether places were left out.
+  bool startTasks(const ReadyStep &S, const std::vector<Worker *> &Available,
+                  StallingPlaces Stalling, Instant Now, Orders &Out);
   void startGang(const ReadyStep &S, const std::vector<Worker *> &Available,
                  Instant Now, Orders &Out);
   void orderStart(Job &J, const TaskKey &Key, Worker &W, Attempt A, Instant Now,
@@ -339,6 +349,16 @@
   std::vector<Candidate> candidates(const Job &J, const ReadyStep &S,
                                     const std::vector<Worker *> &Available,
                                     Instant Now) const;
+  /// Learns from the figures that a worker has reported now.
+  void observeInterference(const Worker &W, Instant Now);
+  /// Drops old knowledge of interference, and logs what has changed.
+  void updateInterference(Instant Now);
+  /// The known interference of a task of the step with those on the worker:
+  /// its extent for best-effort tasks, at most 1 percent for others.
+  InterferenceCost interferenceOn(const Worker &W, const StepSpec &S) const;
+  /// Counts a start that avoids interference, or goes next to it.
+  void countStart(const std::vector<Candidate> &Places, const Candidate &Chosen,
+                  const StepSpec &S, bool StallingLeftOut);
   bool acceptsTasks(const Worker &W, Instant Now) const;
   /// The valid placement advice for a step, or null.
   const Advice *adviceFor(const Job &J, const ReadyStep &S, Instant Now) const;
@@ -382,6 +402,8 @@
   /// so that a worker which registers again never gets an earlier one.
   FenceGeneration Fence_;
   std::map<QueueId, ArrivalRate> Arrivals_;
+  Interference Interference_;
+  std::map<InstanceId, ActivityHistory> Activity_;
   std::size_t OrderLimit_ = ~std::size_t{0};
   /// Unanswered start orders at the beginning of the last step.
   std::size_t Unanswered_ = 0;
--- a/src/schedule/task-placement.h
+++ b/src/schedule/task-placement.h
@@ -1,6 +1,7 @@
 // Selects the worker for a task.
 #pragma once
 
+#include "schedule/interference.h"
 #include "schedule/worker.h"
 
 #include <functional>
@@ -33,12 +34,15 @@
   std::uint32_t SameStep_ = 0;
   /// Number of long-running tasks on the worker; 0 for other requests.
   std::uint32_t LongRunning_ = 0;
+  /// The known interference between the task and those on the worker.
+  InterferenceCost Interference_;
 };
 
 /// Returns the best candidate, or null if none has room. Best fit: the least
 /// free capacity is left over, so that large tasks find room and idle workers
 /// stay idle; long-running tasks are packed on as few workers as their limits
-/// allow.
+/// allow. Workers on which the task is known to interfere with others come
+/// after the rest, those with less interference first.
 Worker *choose(const std::vector<Candidate> &Candidates,
                const PlacementRequest &Request);
 
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -30,6 +30,7 @@
   bool LongRunning_ = false;
   bool BestEffort_ = false;
   Millis LatencyGoal_{0};
+  std::string Image_;
   RunPhase Phase_ = RunPhase::Ordered;
   /// When an answer or a report first confirmed the run.
   Instant ConfirmedAt_;
@@ -110,6 +111,8 @@
   /// The numbers of long-running and of best-effort runs.
   std::uint32_t longRunningRuns() const { return LongRunningRuns_; }
   std::uint32_t bestEffortRuns() const { return BestEffortRuns_; }
+  /// The number of runs of each image; runs without an image aren't counted.
+  const std::map<std::string, std::uint32_t> &images() const { return Images_; }
 
   Run *find(const TaskKey &Key) {
     const auto It = Runs_.find(Key);
@@ -121,6 +124,8 @@
     LongRunningRuns_ += R.LongRunning_ ? 1 : 0;
     BestEffortRuns_ += R.BestEffort_ ? 1 : 0;
     Unsettled_ = Unsettled_ || R.unsettled();
+    if (!R.Image_.empty())
+      ++Images_[R.Image_];
     return Runs_[Key] = R;
   }
   void remove(const TaskKey &Key) {
@@ -130,6 +135,9 @@
     Used_ -= It->second.Reserved_;
     LongRunningRuns_ -= It->second.LongRunning_ ? 1 : 0;
     BestEffortRuns_ -= It->second.BestEffort_ ? 1 : 0;
+    if (const auto Image = Images_.find(It->second.Image_);
+        Image != Images_.end() && --Image->second == 0)
+      Images_.erase(Image);
     Runs_.erase(It);
   }
 
@@ -265,6 +273,7 @@
   Resources Used_;
   std::uint32_t LongRunningRuns_ = 0;
   std::uint32_t BestEffortRuns_ = 0;
+  std::map<std::string, std::uint32_t> Images_;
   std::map<TaskKey, Run> Runs_;
 };
 
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -238,7 +238,7 @@
   }
 
   /// What a worker says of its runs.
-  WorkerReport reportOf(const ModelWorker &W) const {
+  virtual WorkerReport reportOf(const ModelWorker &W) const {
     WorkerReport R;
     R.Incarnation_ = W.Incarnation_;
     R.Ended_ = W.Ended_;
