A configuration is checked before it is sent

Cause: entries of a configuration that can't be read are left out, and routes that another one hides never apply. Operators saw this only afterwards. Change: `heathercross config check NEW.json` lists problems, and with `--current` what differs from the version in force; keys are only counted.

--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -62,9 +62,9 @@
 
 CommandList collectCommands() {
   CommandList All;
-  for (const auto &Group :
-       {ticketCommands(), fleetCommands(), waveCommands(), jobCommands(),
-        processCommands(), tokenCommands(), explainCommands()})
+  for (const auto &Group : {ticketCommands(), fleetCommands(), waveCommands(),
+                            jobCommands(), processCommands(), tokenCommands(),
+                            explainCommands(), configCommands()})
     std::ranges::copy(Group, std::back_inserter(All));
   return All;
 }
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -39,6 +39,7 @@
 CommandList processCommands();
 CommandList tokenCommands();
 CommandList explainCommands();
+CommandList configCommands();
 
 /// Returns all commands in the order in which --help shows them.
 const CommandList &commands();
--- a/src/cli/flags.cc
+++ b/src/cli/flags.cc
@@ -24,6 +24,9 @@
 DEFINE_uint32(cores, 1, "declared cores");
 DEFINE_uint32(memory_mb, 0, "declared memory, in MB");
 DEFINE_string(state, "", "only jobs in this state");
+DEFINE_string(current, "", "file with the configuration in force");
+DEFINE_string(largest_task, "",
+              "what the largest task needs: CPU_MILLI,MEM_MB,GPUS");
 
 namespace heathercross::cli {
 
@@ -31,10 +34,10 @@
 
 constexpr std::array<std::string_view, 4> GlobalFlags{"address", "token_file",
                                                       "json", "timeout_ms"};
-constexpr std::array<std::string_view, 11> AllFlags{
-    "address", "addresses",  "token_file",     "json",
-    "ticket",  "timeout_ms", "drain_limit_ms", "work_ms",
-    "cores",   "memory_mb",  "state"};
+constexpr std::array<std::string_view, 13> AllFlags{
+    "address",    "addresses",      "token_file",  "json",  "ticket",
+    "timeout_ms", "drain_limit_ms", "work_ms",     "cores", "memory_mb",
+    "state",      "current",        "largest_task"};
 
 /// The column at which --help shows the descriptions of flags.
 constexpr std::size_t DescriptionColumn = 20;
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -19,6 +19,8 @@
 DECLARE_uint32(cores);
 DECLARE_uint32(memory_mb);
 DECLARE_string(state);
+DECLARE_string(current);
+DECLARE_string(largest_task);
 
 namespace heathercross::cli {
 
