--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -11,6 +11,7 @@
 #include "schedule/start-rate.h"
 #include "schedule/worker-clock.h"
 
+#include <QJsonArray>
 #include <QObject>
 #include <QTimer>
 
@@ -123,6 +124,8 @@
   const PoolId &pool() const { return Pool_; }
   const schedule::HolderRow &self() const { return Journal_.self(); }
   QJsonObject dump() const;
+  /// The number of pairs of images that are known to slow each other down.
+  std::size_t interferingPairs() const;
 
 private:
   /// State of the calls to one worker.
@@ -227,6 +230,10 @@
   /// the submission.
   accounts::RateShare shareOf(const schedule::Job &J, Instant Now);
   void logAccountShares();
+  /// Adds the starts that interference affected to the metrics.
+  void countInterference();
+  /// The known pairs; the tails are shares of the latency goal.
+  QJsonArray interferenceDump() const;
   QJsonObject jobFields(const JobId &Id) const;
   Millis runLease() const;
   /// Time between lease renewals of a worker that has runs.
