A pool's scheduler keeps accounts within their allowance

Cause: the scheduler placed waiting tasks by rank and room only, whoever owned them.

Change: workers sum what their runs need by account, including unanswered, void, unresolved and unwanted ones; a round adds those sums, and after a takeover what workers may run that have not reported. A start that exceeds the allowance is withheld and the next job is tried; a gang counts as a whole. Such tasks ask for no placement advice and are no demand for workers.

--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -58,9 +58,10 @@
                      S.MaxPerWorker_ > 0
                          ? (S.Count_ + S.MaxPerWorker_ - 1) / S.MaxPerWorker_
                          : 1);
+  std::map<AccountId, Resources> AccountUsed;
   for (const ReadyStep &S : readySteps(Now, Wall)) {
     const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
-    const auto Waiting = S.Job_->step(S.Occurrence_, S.Step_).waitingCount();
+    const std::uint32_t Waiting = reachableTasks(S, AccountUsed);
     const double Cores =
         static_cast<double>(Waiting) * coresFor(Spec.reserved());
     (S.Rank_.Urgency_ <= Urgency::InTime ? D.WaitingInTime_ : D.WaitingLate_) +=
--- a/src/schedule/pool-scheduler-reports.cc
+++ b/src/schedule/pool-scheduler-reports.cc
@@ -225,7 +225,7 @@
   Job *J = findJob(R.Task_.Job_);
   Run NewRun;
   if (J && J->has(R.Task_))
-    NewRun = plannedRun(J->spec().Steps_[R.Task_.Step_]);
+    NewRun = plannedRun(*J, R.Task_.Step_);
   else
     NewRun.Reserved_ = W.info().Capacity_;
   NewRun.Attempt_ = R.Attempt_;
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -156,9 +156,12 @@
   return R;
 }
 
-Run PoolScheduler::plannedRun(const StepSpec &S) {
+Run PoolScheduler::plannedRun(const Job &J, std::uint32_t Step) {
+  const StepSpec &S = J.spec().Steps_[Step];
   Run R;
   R.Reserved_ = S.reserved();
+  R.Account_ = J.account();
+  R.AccountNeeds_ = S.Needs_;
   R.LongRunning_ = S.LongRunning_;
   R.BestEffort_ = S.BestEffort_;
   R.LatencyGoal_ = S.LatencyGoal_;
@@ -173,7 +176,8 @@
   T.Worker_ = W.info().Id_;
   T.OrderedAt_ = Now;
   T.ReleaseCause_ = "";
-  Run R = plannedRun(J.spec().Steps_[Key.Step_]);
+  Run R = plannedRun(J, Key.Step_);
+  Accounts_.start(J.account(), R.AccountNeeds_);
   R.Attempt_ = A;
   R.OrderedAt_ = Now;
   R.Fence_ = W.Fence_;
@@ -250,7 +254,7 @@
     if (T.Phase_ != TaskPhase::Waiting || T.UnwantedRuns_ > 0)
       continue;
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
-    if (HeldBack_)
+    if (HeldBack_ || !accountPermits(J, J.spec().Steps_[S.Step_]))
       return;
     const PlacementRequest Request = request(J, S, T, Now);
     Worker *W = choose(Places, Request);
@@ -304,7 +308,7 @@
       Worker *W = choose(Places, R);
       if (!W)
         return std::vector<InstanceId>();
-      W->add(KeyOf(I), plannedRun(Spec));
+      W->add(KeyOf(I), plannedRun(J, S.Step_));
       ++std::ranges::find(Places, W, &Candidate::Worker_)->SameStep_;
       Chosen.push_back(W->info().Id_);
     }
@@ -339,6 +343,7 @@
 void PoolScheduler::orderStarts(Instant Now, WallTime Wall, Orders &Out) {
   HeldBack_ = false;
   const std::vector<ReadyStep> Ready = readySteps(Now, Wall);
+  countAccounts(Ready, Now, Wall);
   const std::vector<Worker *> Available = workersWithRoom(Ready, Now);
   if (Available.empty())
     return;
@@ -346,7 +351,10 @@
     HeldBack_ = Unanswered_ + Out.Starts_.size() >= OrderLimit_;
     if (HeldBack_)
       return;
-    if (S.Job_->spec().Steps_[S.Step_].Gang_)
+    const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
+    if (!accountPermits(*S.Job_, Spec))
+      continue;
+    if (Spec.Gang_)
       startGang(S, Available, Now, Out);
     else
       startTasks(S, Available, Now, Out);
@@ -382,7 +390,8 @@
     return std::nullopt;
   for (const ReadyStep &S : readySteps(Now, Wall)) {
     const Job &J = *S.Job_;
-    if (!settings(J.queue()).NeedsAdvice_ || adviceFor(J, S, Now))
+    if (!settings(J.queue()).NeedsAdvice_ || adviceFor(J, S, Now) ||
+        !accountPermits(J, J.spec().Steps_[S.Step_]))
       continue;
     // Workers with the most free cores first: only MaxAdvisedWorkers fit into a
     // query.
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -1,6 +1,7 @@
 // Assigns the tasks of one pool to its workers.
 #pragma once
 
+#include "schedule/account-usage.h"
 #include "schedule/arrival-rate.h"
 #include "schedule/job.h"
 #include "schedule/ranking.h"
@@ -127,6 +128,15 @@
   /// Whether the last step held back orders because of that limit.
   bool heldBack() const { return HeldBack_; }
 
+  /// Sets what the accounts with a limit may use in this pool.
+  void setAllowances(std::map<AccountId, accounts::Allowance> Allowances) {
+    Accounts_.setAllowances(std::move(Allowances));
+  }
+  /// What the accounts with a limit used and needed in the last step.
+  const AccountUsage::AccountNeeds &accountNeeds() const {
+    return Accounts_.needs();
+  }
+
   /// Records that this holder had the duty at this time, as the store has
   /// shown. A later holder may renew leases, so only those that ended before
   /// then are known to have ended.
@@ -316,6 +326,17 @@
                   Instant Now, Orders &Out);
   void startGang(const ReadyStep &S, const std::vector<Worker *> &Available,
                  Instant Now, Orders &Out);
+  /// Counts what accounts with a limit use and need.
+  void countAccounts(const std::vector<ReadyStep> &Ready, Instant Now,
+                     WallTime Wall);
+  /// What workers that have not reported may run of restored jobs, by account.
+  std::map<AccountId, Resources> awaitedUsage(Instant Now, WallTime Wall) const;
+  /// Whether the account's limit permits a start of the step.
+  bool accountPermits(const Job &J, const StepSpec &S);
+  /// How many waiting tasks of a step the account's limit can permit, beside
+  /// what is used. Adds them to Used.
+  std::uint32_t reachableTasks(const ReadyStep &S,
+                               std::map<AccountId, Resources> &Used) const;
   void orderStart(Job &J, const TaskKey &Key, Worker &W, Attempt A, Instant Now,
                   Orders &Out);
   StartOrder startOrder(const Job &J, const TaskKey &Key, const Worker &W,
@@ -328,8 +349,8 @@
                  WallTime Wall) const;
   Rank rank(const Job &J, std::uint32_t OccurrenceIndex, std::uint32_t Step,
             Instant Now, WallTime Wall) const;
-  /// Returns a new run with the reservations of a task of the step.
-  static Run plannedRun(const StepSpec &S);
+  /// Returns a new run with the reservations of a task of a step.
+  static Run plannedRun(const Job &J, std::uint32_t Step);
   /// The workers that accept new tasks now, ordered by id.
   std::vector<Worker *> availableWorkers(Instant Now);
   /// The available workers that have room for a task of at least one step.
@@ -381,6 +402,7 @@
   /// The last fence that was given to a worker. Fences are unique in the pool,
   /// so that a worker which registers again never gets an earlier one.
   FenceGeneration Fence_;
+  AccountUsage Accounts_;
   std::map<QueueId, ArrivalRate> Arrivals_;
   std::size_t OrderLimit_ = ~std::size_t{0};
   /// Unanswered start orders at the beginning of the last step.
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -26,6 +26,9 @@
 struct Run {
   Attempt Attempt_ = 0;
   Resources Reserved_;
+  /// The account of the job, and what the run counts towards its limit.
+  AccountId Account_;
+  Resources AccountNeeds_;
   /// Copied from the step's specification.
   bool LongRunning_ = false;
   bool BestEffort_ = false;
@@ -105,6 +108,10 @@
     return Free -= Used_;
   }
   const Resources &used() const { return Used_; }
+  /// What runs count towards the limits of their accounts.
+  const std::map<AccountId, Resources> &accountUsage() const {
+    return AccountUsage_;
+  }
   const std::map<TaskKey, Run> &runs() const { return Runs_; }
   std::map<TaskKey, Run> &runs() { return Runs_; }
   /// The numbers of long-running and of best-effort runs.
@@ -118,6 +125,8 @@
   Run &add(const TaskKey &Key, Run R) {
     remove(Key);
     Used_ += R.Reserved_;
+    if (!R.Account_.empty())
+      AccountUsage_[R.Account_] += R.AccountNeeds_;
     LongRunningRuns_ += R.LongRunning_ ? 1 : 0;
     BestEffortRuns_ += R.BestEffort_ ? 1 : 0;
     Unsettled_ = Unsettled_ || R.unsettled();
@@ -128,6 +137,7 @@
     if (It == Runs_.end())
       return;
     Used_ -= It->second.Reserved_;
+    removeAccountUsage(It->second);
     LongRunningRuns_ -= It->second.LongRunning_ ? 1 : 0;
     BestEffortRuns_ -= It->second.BestEffort_ ? 1 : 0;
     Runs_.erase(It);
@@ -261,8 +271,16 @@
   bool Unsettled_ = false;
 
 private:
+  void removeAccountUsage(const Run &R) {
+    const auto It = AccountUsage_.find(R.Account_);
+    if (It != AccountUsage_.end() &&
+        (It->second -= R.AccountNeeds_) == Resources())
+      AccountUsage_.erase(It);
+  }
+
   WorkerInfo Info_;
   Resources Used_;
+  std::map<AccountId, Resources> AccountUsage_;
   std::uint32_t LongRunningRuns_ = 0;
   std::uint32_t BestEffortRuns_ = 0;
   std::map<TaskKey, Run> Runs_;
