Holders store their pools' shares of account limits

Cause: the scheduler's allowances had no source.

Change: AccountShares writes the epoch of the pool's holder, then reads the rows of table account-shares, and changes an account's row by transactions conditional on both rows. Until then accounts with a limit start nothing. A release without an answer counts until the row's version shows that it is void. Shares that nothing uses are given back with the duty. Without limits in the configuration the store isn't called.

--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -62,7 +62,8 @@
                                          scheduleRound();
                                        },
                                        [this] { loseDuty("row-taken"); }}),
-      Journal_(Writer_.journal()) {
+      Journal_(Writer_.journal()),
+      Shares_(C, Pool_, Duty_.Self_.Epoch_, [this] { scheduleRound(); }) {
   NextRound_.setSingleShot(true);
   NextRound_.setTimerType(Qt::PreciseTimer);
   connect(&NextRound_, &QTimer::timeout, this, [this] { runRound(); });
@@ -85,6 +86,7 @@
 void PoolHolder::setConfiguration(const schedule::Configuration &C) {
   Configuration_ = C;
   Scheduler_.setQueues(C.queuesOf(Pool_));
+  Shares_.setConfiguration(C);
   JobMemory_.setLimit(jobMemoryBase(), C.Pools_.size());
   if (Ready_ && !Lost_)
     updateQueues();
@@ -189,9 +191,12 @@
   const Instant RoundStart = Context_.Clock_.now();
   if (Ready_) {
     Scheduler_.dutyHeldAt(Journal_.renewedAt());
+    Scheduler_.setAllowances(Shares_.allowances());
     if (!HandingOver_ && mayGiveOrders())
       sendOrders(
           Scheduler_.step(Context_.Clock_.now(), Context_.Clock_.wall()));
+    if (!HandingOver_)
+      Shares_.update(Scheduler_.accountNeeds());
     askAdvice();
     storeChanges();
     logDecisions();
@@ -353,6 +358,7 @@
   HandingOver_ = true;
   OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
     GivingBack_ = true;
+    Shares_.release();
     Writer_.giveBack(guarded(this, [this, OnDone] {
       loseDuty("handed-over");
       OnDone();
@@ -375,6 +381,7 @@
           {"ready", Ready_},
           {"jobs", static_cast<qint64>(Scheduler_.jobs().size())},
           {"unstored", static_cast<qint64>(Journal_.waiting())},
+          {"account_shares", Shares_.dump()},
           {"workers", Workers}};
 }
 
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -1,6 +1,7 @@
 // Runs the scheduler of one pool while this entry holds the pool's duty.
 #pragma once
 
+#include "entry/account-shares.h"
 #include "entry/context.h"
 #include "entry/journal-writer.h"
 #include "entry/rows.h"
@@ -224,6 +225,7 @@
   schedule::HeldDuty Duty_;
   JournalWriter Writer_;
   schedule::PoolJournal &Journal_;
+  AccountShares Shares_;
   schedule::PoolScheduler Scheduler_;
   schedule::Configuration Configuration_;
   schedule::JobMemory JobMemory_;
