--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -141,18 +141,40 @@
   /// Writes a configuration with these routes to the pool "quoting".
   void configure(int Version, const std::vector<std::string> &Routes,
                  int Attempts = 2) {
+    configure(Version, Routes, {"quoting"}, Attempts,
+              [](const std::string &) { return std::string("quoting"); });
+  }
+
+  /// Writes a configuration with these pools, each of which has a route of its
+  /// name.
+  void configurePools(int Version, const std::vector<std::string> &Pools) {
+    constexpr int Attempts = 2;
+    configure(Version, Pools, Pools, Attempts,
+              [](const std::string &Route) { return Route; });
+  }
+
+  template <class PoolOf>
+  void configure(int Version, const std::vector<std::string> &Routes,
+                 const std::vector<std::string> &Pools, int Attempts,
+                 PoolOf Pool) {
     std::ostringstream Text;
     Text << R"({"version":)" << Version << R"(,"routes":[)";
     const char *Separator = "";
     for (const std::string &R : Routes) {
       Text << Separator << R"({"name":"r-)" << R
            << R"(","host":"trade.example","prefix":"/)" << R
-           << R"(/","service":"quoting","slo_ms":600,"prio":0,"attempts":)"
-           << Attempts << R"(,"slo_factor":1.6,"timeout_ms":3000})";
+           << R"(/","service":")" << Pool(R)
+           << R"(","slo_ms":600,"prio":0,"attempts":)" << Attempts
+           << R"(,"slo_factor":1.6,"timeout_ms":3000})";
+      Separator = ",";
+    }
+    Text << R"(],"services":[)";
+    Separator = "";
+    for (const std::string &P : Pools) {
+      Text << Separator << R"({"name":")" << P << R"(","standby":false})";
       Separator = ",";
     }
-    Text << R"(],"services":[{"name":"quoting","standby":false}],)"
-            R"("limits":{"max_body_bytes":65536})";
+    Text << R"(],"limits":{"max_body_bytes":65536})";
     if (!Accounts_.empty())
       Text << R"(,"tenants":)" << Accounts_;
     Text << "}";
