--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "accounts/account-rate.h"
+#include "entry/account-shares.h"
 #include "entry/context.h"
 #include "entry/journal-writer.h"
 #include "entry/rows.h"
@@ -255,6 +256,7 @@
   schedule::HeldDuty Duty_;
   JournalWriter Writer_;
   schedule::PoolJournal &Journal_;
+  AccountShares Shares_;
   schedule::PoolScheduler Scheduler_;
   schedule::Configuration Configuration_;
   schedule::JobMemory JobMemory_;
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -26,6 +26,9 @@
 struct Run {
   Attempt Attempt_ = 0;
   Resources Reserved_;
+  /// The account of the job, and what the run counts towards its limit.
+  AccountId Account_;
+  Resources AccountNeeds_;
   /// Copied from the step's specification.
   bool LongRunning_ = false;
   bool BestEffort_ = false;
@@ -106,6 +109,10 @@
     return Free -= Used_;
   }
   const Resources &used() const { return Used_; }
+  /// What runs count towards the limits of their accounts.
+  const std::map<AccountId, Resources> &accountUsage() const {
+    return AccountUsage_;
+  }
   const std::map<TaskKey, Run> &runs() const { return Runs_; }
   std::map<TaskKey, Run> &runs() { return Runs_; }
   /// The numbers of long-running and of best-effort runs.
@@ -121,6 +128,8 @@
   Run &add(const TaskKey &Key, Run R) {
     remove(Key);
     Used_ += R.Reserved_;
+    if (!R.Account_.empty())
+      AccountUsage_[R.Account_] += R.AccountNeeds_;
     LongRunningRuns_ += R.LongRunning_ ? 1 : 0;
     BestEffortRuns_ += R.BestEffort_ ? 1 : 0;
     Unsettled_ = Unsettled_ || R.unsettled();
@@ -133,6 +142,7 @@
     if (It == Runs_.end())
       return;
     Used_ -= It->second.Reserved_;
+    removeAccountUsage(It->second);
     LongRunningRuns_ -= It->second.LongRunning_ ? 1 : 0;
     BestEffortRuns_ -= It->second.BestEffort_ ? 1 : 0;
     if (const auto Image = Images_.find(It->second.Image_);
@@ -269,8 +279,16 @@
   bool Unsettled_ = false;
 
 private:
+  void removeAccountUsage(const Run &R) {
+    const auto It = AccountUsage_.find(R.Account_);
+    if (It != AccountUsage_.end() &&
+        (It->second -= R.AccountNeeds_) == Resources())
+      AccountUsage_.erase(It);
+  }
+
   WorkerInfo Info_;
   Resources Used_;
+  std::map<AccountId, Resources> AccountUsage_;
   std::uint32_t LongRunningRuns_ = 0;
   std::uint32_t BestEffortRuns_ = 0;
   std::map<std::string, std::uint32_t> Images_;
