--- a/src/request/run-time-estimate.cc
+++ b/src/core/run-time-estimate.cc
@@ -1,16 +1,14 @@
-// Estimates the run time of a pool's requests from past ones.
-#include "request/run-time-estimate.h"
+// Estimates the run time of requests or tasks from past ones.
+#include "core/run-time-estimate.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace heathercross::request {
+namespace heathercross {
 
 namespace {
 /// Step size of a quantile tracker, as a fraction of its value.
 constexpr double StepFraction = 0.05;
-/// Number of observations before the measured values are used.
-constexpr std::uint64_t MinSamples = 8;
 /// Factor by which declared run times may be wrong, in either direction.
 constexpr double DeclaredError = 4.0;
 /// Factor that a refusal applies to the estimates.
@@ -82,4 +80,4 @@
   MeasuredPerDeclared_.scale(RefusalFactor);
 }
 
-} // namespace heathercross::request
+} // namespace heathercross
--- a/src/request/run-time-estimate.h
+++ b/src/core/run-time-estimate.h
@@ -1,11 +1,11 @@
-// Estimates the run time of a pool's requests from past ones.
+// Estimates the run time of requests or tasks from past ones.
 #pragma once
 
 #include "heathercross/units.h"
 
 #include <cstdint>
 
-namespace heathercross::request {
+namespace heathercross {
 
 /// Tracks one quantile of a stream of values in constant space. Each value
 /// above the estimate raises it by a step and each value below lowers it; the
@@ -45,6 +45,11 @@
 
   std::uint64_t samples() const { return Samples_; }
 
+  /// Number of observations before the measured values are used.
+  static constexpr std::uint64_t MinSamples = 8;
+  /// Whether the estimate rests on measured run times.
+  bool measured() const { return Samples_ >= MinSamples; }
+
 private:
   std::uint64_t Samples_ = 0;
   QuantileTracker Percentile10_{0.1};
@@ -53,4 +58,4 @@
   QuantileTracker MeasuredPerDeclared_{0.5};
 };
 
-} // namespace heathercross::request
+} // namespace heathercross
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -8,7 +8,7 @@
 #include "request/fair-queue.h"
 #include "request/placement.h"
 #include "request/retry-budget.h"
-#include "request/run-time-estimate.h"
+#include "core/run-time-estimate.h"
 #include "request/worker-health.h"
 #include "request/worker-registry.h"
 
--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -59,6 +59,11 @@
   std::uint32_t MaxUnavailable_ = 0;
   /// The latency that a long-running task must provide to its own users.
   Millis LatencyGoal_{0};
+  /// The program that the tasks run; empty if unknown. Run times are learned
+  /// per image.
+  std::string Image_;
+  /// A second run of a task may be started while the first one is working.
+  bool Speculative_ = false;
 
   /// The part of a worker's capacity that a task of the step reserves.
   Resources reserved() const {
--- a/test/request/admission-test.cc
+++ b/test/request/admission-test.cc
@@ -2,7 +2,7 @@
 #include "request/fair-queue.h"
 #include "request/fixture.h"
 #include "request/retry-budget.h"
-#include "request/run-time-estimate.h"
+#include "core/run-time-estimate.h"
 #include "request/slot-share.h"
 #include "support/story.h"
 
