Tasks that take far too long get a second run

Cause: 3% of the work runs seven times as long as the rest, and a job misses its objective for one such task, although its step allows speculative copies.

Change: the ends of runs that this holder saw start are learned. A task of a speculative step gets one copy on another worker once its run takes longer than learned and its progress says that a fresh run would end first; without known progress, after twice the conservative estimate. Copies take room that no waiting task can use, are at most a tenth of the runs, and start only if the job survives a failure of both runs. The first end done completes the task; if a run ends otherwise, the other one is the task's run. A new holder adopts two listed runs.

--- a/src/schedule/pool-scheduler-reports.cc
+++ b/src/schedule/pool-scheduler-reports.cc
@@ -78,8 +78,10 @@
   if (Gang)
     for (std::uint32_t I = 0; I < J.spec().Steps_[Key.Step_].Count_; ++I)
       J.finishTask({Key.Job_, Key.Occurrence_, Key.Step_, I});
-  else
+  else {
+    stopOtherRuns(J, Key);
     J.finishTask(Key);
+  }
   Changed_.insert(J.id());
   if (J.state() == JobState::Complete) {
     Open_.erase(J.id());
@@ -91,7 +93,10 @@
 void PoolScheduler::handleFailure(Worker &W, Job &J, const TaskKey &Key,
                                   Attempt A, Instant Now) {
   TaskState *T = J.openTask(Key);
-  if (T)
+  // The task may go on elsewhere if its step allows copies.
+  const bool GoesOn = T && T->Phase_ == TaskPhase::Placed &&
+                      J.spec().Steps_[Key.Step_].Speculative_;
+  if (T && !GoesOn)
     T->Worker_ = W.info().Id_;
   if (W.LastFailedJob_ != J.id())
     ++W.ConsecutiveFailures_;
@@ -158,8 +163,12 @@
   switch (E.End_) {
   case RunEnd::Done:
     W.ConsecutiveFailures_ = 0;
-    if (Present)
+    if (Present) {
+      learnRunTime(W, *J, E.Task_, *R, Now);
       removeRun(W, E.Task_);
+    }
+    if (J->task(E.Task_).CopyAttempt_ == E.Attempt_)
+      logDecision("copy-won", E.Task_, E.Attempt_, W.info().Id_, "");
     if (J->spec().Steps_[E.Task_.Step_].LongRunning_) {
       if (J->task(E.Task_).Phase_ == TaskPhase::Placed && Present)
         J->setPhase(E.Task_, TaskPhase::Waiting);
@@ -255,6 +264,14 @@
       logDecision("run-adopted", R.Task_, R.Attempt_, W.info().Id_, "");
       return;
     }
+    if (T && adoptsCopy(*J, R.Task_, W, Now)) {
+      T->CopyWorker_ = W.info().Id_;
+      T->CopyAttempt_ = R.Attempt_;
+      T->Copied_ = true;
+      W.add(R.Task_, NewRun);
+      logDecision("run-adopted", R.Task_, R.Attempt_, W.info().Id_, "copy");
+      return;
+    }
   }
   stopRun(W, NewRun);
   if (TaskState *T = J && J->has(R.Task_) ? J->openTask(R.Task_) : nullptr) {
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -176,6 +176,7 @@
   Run R = plannedRun(J.spec().Steps_[Key.Step_]);
   R.Attempt_ = A;
   R.OrderedAt_ = Now;
+  R.StartSeen_ = T.Checkpoint_.empty();
   R.Fence_ = W.Fence_;
   W.add(Key, R);
   Out.Starts_.push_back(startOrder(J, Key, W, A));
@@ -228,6 +229,7 @@
         continue;
       }
       R.Phase_ = RunPhase::Ordered;
+      R.StartSeen_ = false;
       R.OrderedAt_ = Now;
       R.Fence_ = W.Fence_;
       Out.Starts_.push_back(startOrder(*find(Key.Job_), Key, W, R.Attempt_));
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -38,6 +38,7 @@
   orderThrottles(Now, Out);
   repeatStarts(Now, Out);
   orderStarts(Now, Wall, Out);
+  orderCopies(Now, Wall, Out);
   return Out;
 }
 
@@ -85,7 +86,7 @@
     Run &R = *W.find(Key);
     stopRun(W, R);
     W.PausedUntil_ = Now + StuckPause;
-    if (TaskState *T = findJob(Key.Job_)->openTask(Key))
+    if (TaskState *T = findJob(Key.Job_)->openTask(Key); T && !T->CopyAttempt_)
       T->Worker_ = W.info().Id_;
     logDecision("run-stuck", Key, R.Attempt_, W.info().Id_,
                 "percent=" + std::to_string(R.Percent_));
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -118,6 +118,9 @@
 void PoolScheduler::admit(Job J) {
   const JobId Id = J.id();
   Job &Added = Jobs_.insert_or_assign(Id, std::move(J)).first->second;
+  AnySpeculative_ =
+      AnySpeculative_ ||
+      std::ranges::any_of(Added.spec().Steps_, &StepSpec::Speculative_);
   Open_.erase(Id);
   if (!isFinal(Added.state()))
     Open_.emplace(Id, &Added);
@@ -253,9 +256,10 @@
   if (!R)
     return;
   const Attempt A = R->Attempt_;
+  const bool Began = R->Phase_ == RunPhase::Working;
   removeRun(W, Key);
   Job *J = findJob(Key.Job_);
-  if (!J || !J->has(Key))
+  if (!J || !J->has(Key) || releaseOneOfTwo(*J, Key, W, A, Began, Cause))
     return;
   const TaskState &T = J->task(Key);
   if (T.Phase_ != TaskPhase::Placed || T.RunAttempt_ != A)
@@ -352,6 +356,7 @@
     // A stop could be late, too, and end the run when it is at work. A raised
     // fence only prevents a start.
     R->Phase_ = RunPhase::Unresolved;
+    R->StartSeen_ = false;
     raiseFence(*W, R->Fence_);
     logDecision("start-unanswered", Key, A, O.Worker_, "");
     return;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -4,6 +4,7 @@
 #include "schedule/arrival-rate.h"
 #include "schedule/job.h"
 #include "schedule/ranking.h"
+#include "schedule/run-times.h"
 #include "schedule/task-placement.h"
 #include "schedule/worker.h"
 
@@ -318,6 +319,38 @@
                  Instant Now, Orders &Out);
   void orderStart(Job &J, const TaskKey &Key, Worker &W, Attempt A, Instant Now,
                   Orders &Out);
+  /// A run of a speculative step's task that takes far longer than expected.
+  struct Straggler {
+    Rank Rank_;
+    TaskKey Task_;
+    /// How long the run is working.
+    Micros Age_{0};
+  };
+  /// Takes the run time of a run that ended `Done` into the estimates.
+  void learnRunTime(Worker &W, const Job &J, const TaskKey &Key, const Run &R,
+                    Instant Now);
+  /// Orders copies of stragglers on capacity that waiting tasks left.
+  void orderCopies(Instant Now, WallTime Wall, Orders &Out);
+  /// The stragglers of which a copy may start, the most urgent ones first. At
+  /// most as many as the bound on the pool's copies allows.
+  std::vector<Straggler> stragglers(Instant Now, WallTime Wall) const;
+  /// Whether another run of the task may work next to the current one.
+  bool allowsCopy(const Job &J, const TaskKey &Key, Instant Now) const;
+  /// Whether a fresh run is likely to end before this one.
+  bool isOvertaken(const Job &J, const TaskKey &Key, const Run &R,
+                   Instant Now) const;
+  /// Whether a listed run that isn't the current one of its task becomes its
+  /// copy.
+  bool adoptsCopy(const Job &J, const TaskKey &Key, const Worker &W,
+                  Instant Now) const;
+  void orderCopy(Job &J, const TaskKey &Key, Worker &W, Instant Now,
+                 Orders &Out);
+  /// Takes in that a run was released while its task has two: the other one
+  /// becomes the task's only run. False if the task has no copy.
+  bool releaseOneOfTwo(Job &J, const TaskKey &Key, const Worker &W, Attempt A,
+                       bool Began, const char *Cause);
+  /// Stops what still runs of a speculative step's task that is done.
+  void stopOtherRuns(const Job &J, const TaskKey &Key);
   StartOrder startOrder(const Job &J, const TaskKey &Key, const Worker &W,
                         Attempt A) const;
   /// Mean core-seconds of a queue's jobs; 0 before the first one.
@@ -386,6 +419,10 @@
   /// Unanswered start orders at the beginning of the last step.
   std::size_t Unanswered_ = 0;
   bool HeldBack_ = false;
+  RunTimes RunTimes_;
+  /// Whether any job that this holder knew has a speculative step.
+  bool AnySpeculative_ = false;
+  Instant NextCopyRound_;
 };
 
 } // namespace heathercross::schedule
--- a/src/schedule/task-progress.h
+++ b/src/schedule/task-progress.h
@@ -43,6 +43,12 @@
   /// The worker of the current run, or of the last failed one.
   InstanceId Worker_;
   std::string Checkpoint_;
+  /// The second run of a task of a speculative step; its attempt is 0 if there
+  /// is none.
+  InstanceId CopyWorker_;
+  Attempt CopyAttempt_ = 0;
+  /// Whether a copy was started, or one of an earlier holder was found.
+  bool Copied_ = false;
   /// Number of runs of the task that are being stopped. None starts meanwhile.
   std::uint32_t UnwantedRuns_ = 0;
   /// The last order that was given up without a clear answer.
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -33,6 +33,9 @@
   RunPhase Phase_ = RunPhase::Ordered;
   /// When an answer or a report first confirmed the run.
   Instant ConfirmedAt_;
+  /// The task began from its start at ConfirmedAt_, as far as the answers to
+  /// this holder's orders show.
+  bool StartSeen_ = false;
   /// Whether the run belongs to the incarnation on whose clock leases are
   /// counted.
   bool LeaseKnown_ = false;
