--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -94,13 +94,15 @@
   const char *Help_;
 };
 
-constexpr std::array<DecisionMetric, 7> DecisionMetrics{{
+constexpr std::array<DecisionMetric, 8> DecisionMetrics{{
     {"copy-started", "heathercross_copies_started_total",
      "Second runs of tasks that took far longer than expected."},
     {"copy-won", "heathercross_copies_won_total",
      "Tasks that their second run completed first."},
     {"copy-stopped", "heathercross_copies_stopped_total",
      "Runs that were stopped because the task's other run was done."},
+    {"worker-slow", "heathercross_slow_workers_total",
+     "Workers on which tasks began to take far longer than on others."},
     {"worker-restarted", "heathercross_worker_restarts_total",
      "Workers that started again under their id."},
     {"start-unanswered", "heathercross_starts_unanswered_total",
--- a/src/schedule/pool-scheduler-copies.cc
+++ b/src/schedule/pool-scheduler-copies.cc
@@ -107,7 +107,7 @@
     const ReadyStep Step{S.Rank_, &J, S.Task_.Occurrence_, S.Task_.Step_};
     std::vector<Candidate> Places = candidates(J, Step, Available, Now);
     std::erase_if(Places, [&](const Candidate &C) {
-      return C.Worker_->find(S.Task_) != nullptr;
+      return C.Slow_ || C.Worker_->find(S.Task_) != nullptr;
     });
     Worker *W = choose(Places, request(J, Step, J.task(S.Task_), Now));
     if (!W)
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -129,7 +129,8 @@
     if (!Needed.fits(W->free()) ||
         (ValidAdvice && !ValidAdvice->Tickets_.contains(W->info().Id_)))
       continue;
-    Candidate C{W, 0, Spec.LongRunning_ ? W->longRunningRuns() : 0};
+    Candidate C{W, 0, Spec.LongRunning_ ? W->longRunningRuns() : 0,
+                W->Speed_.isSlow(Now)};
     if (Spec.MaxPerWorker_ > 0) {
       const auto First =
           W->runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
--- a/src/schedule/task-placement.h
+++ b/src/schedule/task-placement.h
@@ -33,6 +33,8 @@
   std::uint32_t SameStep_ = 0;
   /// Number of long-running tasks on the worker; 0 for other requests.
   std::uint32_t LongRunning_ = 0;
+  /// Whether the worker's tasks take far longer than elsewhere.
+  bool Slow_ = false;
 };
 
 /// Returns the best candidate, or null if none has room. Best fit: the least
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "schedule/model.h"
+#include "schedule/worker-speed.h"
 
 #include <algorithm>
 #include <map>
@@ -259,6 +260,8 @@
   bool AnswerOverdue_ = false;
   /// The worker is being evacuated: no task starts on it until then.
   Instant EvacuateUntil_;
+  /// How its run times compare with those of other workers.
+  WorkerSpeed Speed_;
   /// Whether any run may be unsettled. Most workers have none, so a scheduling
   /// round needn't look at their runs.
   bool Unsettled_ = false;
--- a/test/schedule/run-times-test.cc
+++ b/test/schedule/run-times-test.cc
@@ -1,6 +1,7 @@
-// Tests of learned run times.
+// Tests of learned run times and of the speed of workers.
 #include "schedule/model-worker.h"
 #include "schedule/run-times.h"
+#include "schedule/worker-speed.h"
 #include "support/story.h"
 
 #include <string>
@@ -56,3 +57,16 @@
   CPPUNIT_ASSERT(Times.find(Queue, stepOf("short")));
   CPPUNIT_ASSERT(!Times.find(Queue, stepOf("long")));
 }
+
+// Guards against a worker that is avoided for a single long task, or for ever.
+HEATHERCROSS_STORY(SlowWorker, "a worker is slow while most tasks are long") {
+  WorkerSpeed Speed;
+  Instant Now{Seconds(100)};
+  for (const double Ratio : {1.0, 7.0, 1.1, 0.9, 1.0})
+    Speed.record(Ratio, Now);
+  CPPUNIT_ASSERT(!Speed.isSlow(Now));
+  for (int I = 0; I < 6; ++I)
+    Speed.record(3, Now);
+  CPPUNIT_ASSERT(Speed.isSlow(Now));
+  CPPUNIT_ASSERT(!Speed.isSlow(Now + Seconds(10)));
+}
