--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -62,6 +62,8 @@
   /// Names what the tasks run; tasks of one image behave alike. Empty if the
   /// submitter doesn't say.
   std::string Image_;
+  /// A second run of a task may be started while the first one is working.
+  bool Speculative_ = false;
 
   /// The part of a worker's capacity that a task of the step reserves.
   Resources reserved() const {
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -130,7 +130,7 @@
         (ValidAdvice && !ValidAdvice->Tickets_.contains(W->info().Id_)))
       continue;
     Candidate C{W, 0, Spec.LongRunning_ ? W->longRunningRuns() : 0,
-                interferenceOn(*W, Spec)};
+                interferenceOn(*W, Spec), W->Speed_.isSlow(Now)};
     if (Spec.MaxPerWorker_ > 0) {
       const auto First =
           W->runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
@@ -182,6 +182,7 @@
   Accounts_.start(J.account(), R.AccountNeeds_);
   R.Attempt_ = A;
   R.OrderedAt_ = Now;
+  R.StartSeen_ = T.Checkpoint_.empty();
   R.Fence_ = W.Fence_;
   W.add(Key, R);
   Out.Starts_.push_back(startOrder(J, Key, W, A));
@@ -234,6 +235,7 @@
         continue;
       }
       R.Phase_ = RunPhase::Ordered;
+      R.StartSeen_ = false;
       R.OrderedAt_ = Now;
       R.Fence_ = W.Fence_;
       Out.Starts_.push_back(startOrder(*find(Key.Job_), Key, W, R.Attempt_));
--- a/src/schedule/task-placement.h
+++ b/src/schedule/task-placement.h
@@ -36,6 +36,8 @@
   std::uint32_t LongRunning_ = 0;
   /// The known interference between the task and those on the worker.
   InterferenceCost Interference_;
+  /// Whether the worker's tasks take far longer than elsewhere.
+  bool Slow_ = false;
 };
 
 /// Returns the best candidate, or null if none has room. Best fit: the least
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "schedule/model.h"
+#include "schedule/worker-speed.h"
 
 #include <algorithm>
 #include <map>
@@ -37,6 +38,9 @@
   RunPhase Phase_ = RunPhase::Ordered;
   /// When an answer or a report first confirmed the run.
   Instant ConfirmedAt_;
+  /// The task began from its start at ConfirmedAt_, as far as the answers to
+  /// this holder's orders show.
+  bool StartSeen_ = false;
   /// Whether the run belongs to the incarnation on whose clock leases are
   /// counted.
   bool LeaseKnown_ = false;
@@ -274,6 +278,8 @@
   bool AnswerOverdue_ = false;
   /// The worker is being evacuated: no task starts on it until then.
   Instant EvacuateUntil_;
+  /// How its run times compare with those of other workers.
+  WorkerSpeed Speed_;
   /// Whether any run may be unsettled. Most workers have none, so a scheduling
   /// round needn't look at their runs.
   bool Unsettled_ = false;
