A handover ends once, and an event loop that is late counts as load

Cause: a graceful stop during a handover replaced the handover's callback, and a duty that another entry took meanwhile never called it, so that the stop waited for its whole grace. A holder without processor time may be late without reaching the limit of unanswered orders.

Change: all callers of a handover are called when the duty is lost, however that happens. An event loop more than 250 ms late counts as load; an observation stands for at most 1 s.

--- a/src/entry/duties-placement.cc
+++ b/src/entry/duties-placement.cc
@@ -20,6 +20,9 @@
 /// Minimum time between reads of the holder rows because of an entry that
 /// doesn't hold the duty it was asked for.
 constexpr Micros NotHeldInterval{Millis(150)};
+/// An event loop that is this late counts as loaded. Rounds of an entry with
+/// 0.12 of a core are late by up to 90 ms, as it gets its time each 100 ms.
+constexpr Micros LoadedLag{Millis(250)};
 constexpr double MilliPerCore = 1000;
 constexpr double Percent = 100;
 
@@ -85,7 +88,7 @@
 void Duties::observeLoad() {
   const Instant Now = Context_.Clock_.now();
   for (const auto &[Pool, H] : Holders_)
-    Places_[Pool].observe(H->heldBack(), Now);
+    Places_[Pool].observe(H->heldBack() || H->lag() > LoadedLag, Now);
 }
 
 void Duties::checkPlacement() {
@@ -124,8 +127,7 @@
        {"epoch", static_cast<qint64>(H.self().Epoch_.value())},
        {"cpu_share", Context_.Settings_.CpuShare_},
        {"duties", static_cast<qint64>(heldCount())},
-       {"held_back_percent",
-        std::round(Places_[Pool].loadedPart(Now) * Percent)},
+       {"loaded_percent", std::round(Places_[Pool].loadedPart(Now) * Percent)},
        {"lag_ms", static_cast<qint64>(toMillis(H.lag()).count())},
        {"stronger_entry", To.Entry_.str().c_str()},
        {"stronger_cpu_share", To.Cores_}});
--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -44,6 +44,7 @@
   const Instant Now = Context_.Clock_.now();
   const Job J(Id, Queue, *Spec, Now, Account);
   const double WorkAhead = Scheduler_.workAhead(J, Now, Context_.Clock_.wall());
+  const Micros StartWait = startWait(J, Now);
   const auto Reject = [&](const char *Cause, Millis RetryAfter) {
     JobAnswer A{Kind::Rejected};
     A.RetryAfter_ = RetryAfter;
@@ -55,8 +56,7 @@
     F["cause"] = Cause;
     F["cores"] = std::round(Scheduler_.cores());
     F["work_ahead_core_s"] = std::round(WorkAhead);
-    F["start_wait_ms"] =
-        static_cast<qint64>(toMillis(startWait(J, Now)).count());
+    F["start_wait_ms"] = static_cast<qint64>(toMillis(StartWait).count());
     F["store_away_ms"] = static_cast<qint64>(
         Journal_.failingSince()
             ? toMillis(Now - *Journal_.failingSince()).count()
@@ -77,12 +77,11 @@
   if (!schedule::worthAccepting(J, Scheduler_.settings(Queue), WorkAhead,
                                 Scheduler_.cores()))
     return Reject("too-much-ahead", RetryAfterBurst);
-  if (const Micros Wait = startWait(J, Now);
-      !schedule::endsInTime(J, Scheduler_.settings(Queue), Wait)) {
+  if (!schedule::endsInTime(J, Scheduler_.settings(Queue), StartWait)) {
     Context_.Metrics_.add("heathercross_jobs_beyond_start_rate_total",
                           "Jobs turned away because this entry couldn't start "
                           "them in time.");
-    return Reject("start-rate", schedule::retryAfterStarts(Wait));
+    return Reject("start-rate", schedule::retryAfterStarts(StartWait));
   }
   Submission S;
   S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_, Account};
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -227,8 +227,8 @@
   // A batch must not overtake the row that gives the duty back.
   if (!Flushed && !GivingBack_)
     Writer_.sendNextBatch();
-  if (Flushed && OnHandedOver_)
-    std::exchange(OnHandedOver_, nullptr)();
+  if (Flushed && !GivingBack_)
+    giveBack();
 }
 
 void PoolHolder::storeChanges() {
@@ -357,21 +357,25 @@
   Submissions_.clear();
   Waiters_.clear();
   OnLost_();
+  for (const auto &Handler : std::exchange(HandoverHandlers_, {}))
+    Handler();
 }
 
 void PoolHolder::handOver(std::function<void()> OnDone) {
-  HandingOver_ = true;
+  if (Lost_)
+    return OnDone();
+  HandoverHandlers_.push_back(std::move(OnDone));
+  if (std::exchange(HandingOver_, true))
+    return;
   FlushUntil_ = Context_.Clock_.now() + MaxFlush;
-  OnHandedOver_ = [this, OnDone = std::move(OnDone)] {
-    GivingBack_ = true;
-    Writer_.giveBack(guarded(this, [this, OnDone] {
-      loseDuty("handed-over");
-      OnDone();
-    }));
-  };
   scheduleRound();
 }
 
+void PoolHolder::giveBack() {
+  GivingBack_ = true;
+  Writer_.giveBack(guarded(this, [this] { loseDuty("handed-over"); }));
+}
+
 QJsonObject PoolHolder::dump() const {
   QJsonObject Workers;
   for (const auto &[Id, W] : Scheduler_.workers())
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -102,8 +102,8 @@
   /// Returns nothing until the stored jobs are loaded.
   std::optional<PoolSnapshot> snapshot() const;
 
-  /// Gives the duty back once all pending changes are stored, then calls
-  /// OnDone.
+  /// Gives the duty back once pending changes are stored, then calls OnDone,
+  /// also if another entry takes the duty meanwhile.
   void handOver(std::function<void()> OnDone);
 
   /// Whether ready tasks with room for them wait for answers to earlier start
@@ -167,6 +167,7 @@
   void runRound();
   void afterCommit();
   void loseDuty(const char *Cause);
+  void giveBack();
   void putProgress(const JobId &Id, bool Urgent);
   void storeChanges();
   void updateRoster();
@@ -284,7 +285,8 @@
   /// The placement service accepts one call of an entry at a time.
   bool AskingAdvice_ = false;
   Instant NextAdvice_;
-  std::function<void()> OnHandedOver_;
+  /// Called once the duty is lost, if it is being handed over.
+  std::vector<std::function<void()>> HandoverHandlers_;
   schedule::StartRate StartRate_;
   /// Moving average of the event loop's delay, which grows with the
   /// processor's load.
--- a/src/schedule/duty-place.cc
+++ b/src/schedule/duty-place.cc
@@ -16,8 +16,9 @@
 /// loaded.
 constexpr Micros LoadWindow{Seconds(2)};
 constexpr double LoadedPart = 0.6;
-/// Longest time that one observation stands for.
-constexpr Micros MaxObservation{Millis(400)};
+/// Longest time that one observation stands for. It is short of LoadedPart, so
+/// that a process that was suspended doesn't count as loaded.
+constexpr Micros MaxObservation{Seconds(1)};
 /// A new holder first adopts what runs, which takes about a second.
 constexpr Millis MinHold{3000};
 /// A duty that was given back and came to an entry with little processor time
@@ -74,10 +75,10 @@
   NotBefore_ = Now + (Returned ? MinHoldReturned : MinHold);
 }
 
-void DutyPlace::observe(bool HeldBack, Instant Now) {
+void DutyPlace::observe(bool Loaded, Instant Now) {
   const Micros Gap =
       Observations_.empty() ? Micros(0) : Now - Observations_.back().At_;
-  Observations_.push_back({Now, std::min(Gap, MaxObservation), HeldBack});
+  Observations_.push_back({Now, std::min(Gap, MaxObservation), Loaded});
   while (Now - Observations_.front().At_ > LoadWindow)
     Observations_.pop_front();
 }
@@ -88,11 +89,11 @@
 }
 
 double DutyPlace::loadedPart(Instant Now) const {
-  Micros Loaded{0};
+  Micros Sum{0};
   for (const Observation &O : Observations_)
-    if (O.HeldBack_ && Now - O.At_ <= LoadWindow)
-      Loaded += O.Duration_;
-  return std::chrono::duration<double>(Loaded) / LoadWindow;
+    if (O.Loaded_ && Now - O.At_ <= LoadWindow)
+      Sum += O.Duration_;
+  return std::chrono::duration<double>(Sum) / LoadWindow;
 }
 
 bool DutyPlace::wantsHandover(Instant Now) const {
--- a/src/schedule/duty-place.h
+++ b/src/schedule/duty-place.h
@@ -46,14 +46,14 @@
   /// Records that this entry took the duty. Returned says that a holder had
   /// given the duty back.
   void begun(bool Returned, Instant Now);
-  /// Records whether the holder's last round left ready tasks waiting for which
-  /// there is room, because of its limit of unanswered orders. To be called
-  /// every 0.1 s or so.
-  void observe(bool HeldBack, Instant Now);
+  /// Records whether the holder is loaded: its last round left ready tasks
+  /// waiting for which there is room, because of its limit of unanswered
+  /// orders, or its event loop is late. To be called every 0.1 s or so.
+  void observe(bool Loaded, Instant Now);
   /// Records that a handover to an entry with more processor time has begun.
   void handedOver(Instant Now);
 
-  /// The part of the last 2 s in which the holder held back orders.
+  /// The part of the last 2 s in which the holder was loaded.
   double loadedPart(Instant Now) const;
   /// Whether the duty is to be handed over if there is an entry for it.
   bool wantsHandover(Instant Now) const;
@@ -61,9 +61,9 @@
 private:
   struct Observation {
     Instant At_;
-    /// Time since the observation before, and whether orders were held back.
+    /// Time since the observation before.
     Micros Duration_{0};
-    bool HeldBack_ = false;
+    bool Loaded_ = false;
   };
   std::deque<Observation> Observations_;
   Instant NotBefore_;
