--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -47,6 +47,7 @@
   const bool OverShare = J.share() == accounts::RateShare::OverShare;
   const schedule::PoolLoad Load =
       Scheduler_.loadAhead(J, Now, Context_.Clock_.wall());
+  const Micros StartWait = startWait(J, Now);
   const auto Reject = [&](const char *Cause, Millis RetryAfter) {
     JobAnswer A{Kind::Rejected};
     A.RetryAfter_ = RetryAfter;
@@ -59,8 +60,7 @@
     F["cores"] = std::round(Load.Cores_);
     F["work_ahead_core_s"] = std::round(Load.WorkAhead_);
     F["arriving_cores"] = std::round(Load.GuaranteedArriving_);
-    F["start_wait_ms"] =
-        static_cast<qint64>(toMillis(startWait(J, Now)).count());
+    F["start_wait_ms"] = static_cast<qint64>(toMillis(StartWait).count());
     F["store_away_ms"] = static_cast<qint64>(
         Journal_.failingSince()
             ? toMillis(Now - *Journal_.failingSince()).count()
@@ -88,12 +88,11 @@
   if (!schedule::worthAccepting(J, Settings, Load.WorkAhead_, Load.Cores_))
     return Reject("too-much-ahead",
                   schedule::retryAfterBacklog(J, Settings, Load));
-  if (const Micros Wait = startWait(J, Now);
-      !schedule::endsInTime(J, Settings, Wait)) {
+  if (!schedule::endsInTime(J, Settings, StartWait)) {
     Context_.Metrics_.add("heathercross_jobs_beyond_start_rate_total",
                           "Jobs turned away because this entry couldn't start "
                           "them in time.");
-    return Reject("start-rate", schedule::retryAfterStarts(Wait));
+    return Reject("start-rate", schedule::retryAfterStarts(StartWait));
   }
   Submission S;
   S.Row_ = {Queue, Body, Context_.Clock_.wall(), self().Epoch_, Account};
