The replay of interference prints nothing, and a bound is explained right

Cause: the comment on the bound named a quarter where the standard error is a fifth of it, and the test printed figures that belong into commits.

--- a/src/schedule/interference.cc
+++ b/src/schedule/interference.cc
@@ -31,8 +31,8 @@
 constexpr double MaxWeight = 40;
 /// The least difference that makes a pair known, as a share of the goal.
 constexpr double MinDifference = 0.25;
-/// The difference must exceed the scatter of the figures by this factor. By
-/// chance, means of MinWeight figures differ by 1 / 4 of that.
+/// The difference must exceed the scatter of the figures by this factor. The
+/// standard error of the difference is a fifth of that bound at MinWeight.
 constexpr double ScatterFactor = 1.5;
 /// A known pair ceases to interfere below this part of both bounds.
 constexpr double CeaseFactor = 0.5;
--- a/test/schedule/interference-load-test.cc
+++ b/test/schedule/interference-load-test.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
-#include <iostream>
 #include <random>
 
 using namespace heathercross;
@@ -229,9 +228,6 @@
   SharedPool With(Images::Named);
   prepare(With);
   runFillers(With, Seconds(90));
-  std::cerr << "above goal, task-seconds: " << Without.AboveGoal_ << " before, "
-            << With.AboveGoal_ << " now; filler work " << Without.FillerWork_
-            << " and " << With.FillerWork_ << "\n";
   section("serving tasks are above their goal for half as long at most", [&] {
     CPPUNIT_ASSERT(Without.AboveGoal_ > 5);
     CPPUNIT_ASSERT(With.AboveGoal_ < Without.AboveGoal_ / 2);
