A round looks an account up once for each waiting step

Change: an account's allowance and need are one entry, and the smallest start is compared only when it differs.

--- a/src/schedule/account-usage.cc
+++ b/src/schedule/account-usage.cc
@@ -15,67 +15,103 @@
           std::max(A.MemoryMb_, B.MemoryMb_), std::max(A.Gpus_, B.Gpus_)};
 }
 
+void AccountUsage::setAllowances(
+    const std::map<AccountId, accounts::Allowance> &Allowances) {
+  std::erase_if(Entries_, [&](const auto &Known) {
+    return !Allowances.contains(Known.first);
+  });
+  for (const auto &[Id, A] : Allowances)
+    Entries_[Id].Allowance_ = A;
+}
+
 const accounts::Allowance *AccountUsage::allowance(const AccountId &Id) const {
-  const auto It = Allowances_.find(Id);
-  return It == Allowances_.end() ? nullptr : &It->second;
+  const auto It = Entries_.find(Id);
+  return It == Entries_.end() ? nullptr : &It->second.Allowance_;
+}
+
+accounts::AccountNeed *AccountUsage::counted(const AccountId &Id) {
+  const auto It = Entries_.find(Id);
+  return It == Entries_.end() || !It->second.Need_ ? nullptr
+                                                   : &*It->second.Need_;
 }
 
 void AccountUsage::clear() {
-  Needs_.clear();
-  for (const auto &[Id, A] : Allowances_)
-    Needs_[Id];
+  for (auto &[Id, E] : Entries_)
+    E.Need_.emplace();
 }
 
 void AccountUsage::addUsed(const AccountId &Id, const Resources &R) {
-  if (const auto It = Needs_.find(Id); It != Needs_.end())
-    It->second.Used_ += R;
+  if (accounts::AccountNeed *N = counted(Id))
+    N->Used_ += R;
 }
 
 void AccountUsage::addAwaited(const AccountId &Id, const Resources &R) {
-  if (const auto It = Needs_.find(Id); It != Needs_.end())
-    It->second.Awaited_ += R;
+  if (accounts::AccountNeed *N = counted(Id))
+    N->Awaited_ += R;
 }
 
 void AccountUsage::addWaiting(const AccountId &Id, const Resources &Needs,
                               std::uint32_t Count, bool Gang) {
-  const auto It = Needs_.find(Id);
-  const accounts::Allowance *A = allowance(Id);
-  if (It == Needs_.end() || !A || Count == 0)
+  const auto It = Entries_.find(Id);
+  if (It == Entries_.end() || !It->second.Need_ || Count == 0)
     return;
-  accounts::AccountNeed &N = It->second;
+  accounts::AccountNeed &N = *It->second.Need_;
+  const Resources &Limit = It->second.Allowance_.Limit_;
   N.Waiting_ += times(Needs, Count);
   const Resources One = Gang ? times(Needs, Count) : Needs;
-  if (!N.Least_ || accounts::shareFor(One, A->Limit_) <
-                       accounts::shareFor(*N.Least_, A->Limit_))
+  if (N.Least_ == One)
+    return;
+  if (!N.Least_ ||
+      accounts::shareFor(One, Limit) < accounts::shareFor(*N.Least_, Limit))
     N.Least_ = One;
 }
 
 void AccountUsage::limitWaiting(const Resources &Room) {
-  for (auto &[Id, N] : Needs_)
-    N.Waiting_ =
-        leastOf(N.Waiting_, mostOf(Room, N.Least_.value_or(Resources())));
+  for (auto &[Id, E] : Entries_)
+    if (E.Need_)
+      E.Need_->Waiting_ =
+          leastOf(E.Need_->Waiting_,
+                  mostOf(Room, E.Need_->Least_.value_or(Resources())));
 }
 
 bool AccountUsage::permits(const AccountId &Id, const Resources &Needs,
                            std::uint32_t Count) {
-  const accounts::Allowance *A = allowance(Id);
-  if (!A)
+  const auto It = Entries_.find(Id);
+  if (It == Entries_.end())
     return true;
-  accounts::AccountNeed &N = Needs_[Id];
+  // Nothing is known of what an account uses that hasn't been counted.
+  if (!It->second.Need_)
+    return false;
+  accounts::AccountNeed &N = *It->second.Need_;
   Resources Used = N.Used_;
   Used += N.Awaited_;
-  const bool Permitted = A->permits(Used, times(Needs, Count), Needs);
+  const bool Permitted =
+      It->second.Allowance_.permits(Used, times(Needs, Count), Needs);
   N.AtLimit_ = N.AtLimit_ || !Permitted;
   return Permitted;
 }
 
 void AccountUsage::start(const AccountId &Id, const Resources &Needs) {
-  const auto It = Needs_.find(Id);
-  if (It == Needs_.end())
+  accounts::AccountNeed *N = counted(Id);
+  if (!N)
     return;
-  It->second.Used_ += Needs;
-  It->second.Waiting_ -= Needs;
-  It->second.Waiting_ = mostOf(It->second.Waiting_, Resources());
+  N->Used_ += Needs;
+  N->Waiting_ -= Needs;
+  N->Waiting_ = mostOf(N->Waiting_, Resources());
+}
+
+AccountUsage::AccountNeeds AccountUsage::needs() const {
+  AccountNeeds Needs;
+  for (const auto &[Id, E] : Entries_)
+    if (E.Need_)
+      Needs.emplace(Id, *E.Need_);
+  return Needs;
+}
+
+Resources AccountUsage::used(const AccountId &Id) const {
+  const auto It = Entries_.find(Id);
+  return It == Entries_.end() || !It->second.Need_ ? Resources()
+                                                   : It->second.Need_->Used_;
 }
 
 } // namespace heathercross::schedule
--- a/src/schedule/account-usage.h
+++ b/src/schedule/account-usage.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace heathercross::schedule {
 
@@ -14,10 +15,9 @@
   using AccountNeeds = std::map<AccountId, accounts::AccountNeed>;
 
   /// Sets what the accounts with a limit may use. Others aren't counted.
-  void setAllowances(std::map<AccountId, accounts::Allowance> Allowances) {
-    Allowances_ = std::move(Allowances);
-  }
-  bool anyLimited() const { return !Allowances_.empty(); }
+  void
+  setAllowances(const std::map<AccountId, accounts::Allowance> &Allowances);
+  bool anyLimited() const { return !Entries_.empty(); }
   /// The allowance of an account, or null if it has no limit.
   const accounts::Allowance *allowance(const AccountId &Id) const;
 
@@ -39,12 +39,22 @@
   /// Records that a waiting task starts.
   void start(const AccountId &Id, const Resources &Needs);
 
-  /// The needs as of the last count.
-  const AccountNeeds &needs() const { return Needs_; }
+  /// The needs as of the last count, of the accounts that were counted.
+  AccountNeeds needs() const;
+  /// What runs of an account reserve, as of the last count.
+  Resources used(const AccountId &Id) const;
 
 private:
-  std::map<AccountId, accounts::Allowance> Allowances_;
-  AccountNeeds Needs_;
+  struct Entry {
+    accounts::Allowance Allowance_;
+    /// Absent until the first count.
+    std::optional<accounts::AccountNeed> Need_;
+  };
+
+  /// The need of an account that is being counted, or null.
+  accounts::AccountNeed *counted(const AccountId &Id);
+
+  std::map<AccountId, Entry> Entries_;
 };
 
 /// Returns the resources of Count tasks.
--- a/src/schedule/pool-scheduler-accounts.cc
+++ b/src/schedule/pool-scheduler-accounts.cc
@@ -114,10 +114,10 @@
   const accounts::Allowance *A = Accounts_.allowance(J.account());
   if (!A)
     return Waiting;
-  const auto Need = Accounts_.needs().find(J.account());
-  const Resources Now =
-      Need == Accounts_.needs().end() ? Resources() : Need->second.Used_;
-  Resources &Sum = Used.try_emplace(J.account(), Now).first->second;
+  auto It = Used.find(J.account());
+  if (It == Used.end())
+    It = Used.emplace(J.account(), Accounts_.used(J.account())).first;
+  Resources &Sum = It->second;
   const std::uint32_t Unit = Spec.Gang_ ? Waiting : 1;
   std::uint32_t Tasks = 0;
   while (Unit > 0 && Tasks + Unit <= Waiting &&
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -129,13 +129,12 @@
   bool heldBack() const { return HeldBack_; }
 
   /// Sets what the accounts with a limit may use in this pool.
-  void setAllowances(std::map<AccountId, accounts::Allowance> Allowances) {
-    Accounts_.setAllowances(std::move(Allowances));
+  void
+  setAllowances(const std::map<AccountId, accounts::Allowance> &Allowances) {
+    Accounts_.setAllowances(Allowances);
   }
   /// What the accounts with a limit used and needed in the last step.
-  const AccountUsage::AccountNeeds &accountNeeds() const {
-    return Accounts_.needs();
-  }
+  AccountUsage::AccountNeeds accountNeeds() const { return Accounts_.needs(); }
 
   /// Records that this holder had the duty at this time, as the store has
   /// shown. A later holder may renew leases, so only those that ended before
--- a/test/schedule/account-limit-test.cc
+++ b/test/schedule/account-limit-test.cc
@@ -89,7 +89,7 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, startsOf(O, "a"));
   CPPUNIT_ASSERT_EQUAL(std::size_t{4}, O.Starts_.size());
   section("but its tasks are a need of the pool", [&] {
-    const auto &N = P.Scheduler_.accountNeeds().at(Mill);
+    const auto N = P.Scheduler_.accountNeeds().at(Mill);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{3000}, N.Waiting_.CpuMilli_);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, N.Least_->CpuMilli_);
     CPPUNIT_ASSERT_EQUAL(
@@ -148,7 +148,7 @@
         There.push_back(O);
     P.report("w1", 1, running(There));
     CPPUNIT_ASSERT(P.step().Starts_.empty());
-    const auto &N = P.Scheduler_.accountNeeds().at(Mill);
+    const auto N = P.Scheduler_.accountNeeds().at(Mill);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{5000},
                          N.Used_.CpuMilli_ + N.Awaited_.CpuMilli_);
   });
