--- a/test/proof-deployment/account-limits-test.cc
+++ b/test/proof-deployment/account-limits-test.cc
@@ -69,6 +69,7 @@
       Observe();
       return MostOfPool[0] > 0 && MostOfPool[1] > 0;
     });
+    CPPUNIT_ASSERT(Most <= Limit);
   });
   section("each entry instance is killed in turn", [&] {
     for (const std::size_t I : {0, 1}) {
