--- a/src/accounts/limit-share.cc
+++ b/src/accounts/limit-share.cc
@@ -29,8 +29,15 @@
   return Needed == 0 ? 0 : Needed / Fraction + Least;
 }
 
+/// At most MaxWholes wholes, so that no product overflows.
 std::int64_t fieldShare(std::int64_t Part, std::int64_t Limit) {
-  return Limit > 0 ? (Part * WholeShare + Limit - 1) / Limit : 0;
+  constexpr std::int64_t MaxWholes = 1000;
+  if (Limit <= 0 || Part <= 0)
+    return 0;
+  if (Part / Limit >= MaxWholes)
+    return MaxWholes * WholeShare;
+  return Part / Limit * WholeShare +
+         (Part % Limit * WholeShare + Limit - 1) / Limit;
 }
 
 /// Whether Sum is within the share of the limit, in the fields that a start
--- a/test/accounts/limit-share-test.cc
+++ b/test/accounts/limit-share-test.cc
@@ -204,7 +204,7 @@
       *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(1, 30));
   Model M(4, 20'000);
   for (std::size_t I = 0; I < 4; ++I)
-    M.Holders_[I].Task_ = 500 * Sizes[I];
+    M.Holders_[I].Task_ = std::int64_t{500} * Sizes[I];
   std::size_t Calls = 0;
   const auto NextFate = [&] {
     const int F = Fates[Calls++ % Fates.size()];
--- a/test/proof-deployment/account-limits-test.cc
+++ b/test/proof-deployment/account-limits-test.cc
@@ -61,9 +61,9 @@
   };
   section("both pools run tasks of the account", [&] {
     for (const auto &[Pool, Job] : Jobs)
-      waitFor([&] {
+      waitFor([&, P = Pool, J = Job] {
         Observe();
-        return D.call(0, "POST", Job, Body, Pool, "mill-1").Status_ == Ok;
+        return D.call(0, "POST", J, Body, P, "mill-1").Status_ == Ok;
       });
     waitFor([&] {
       Observe();
--- a/test/schedule/account-limit-test.cc
+++ b/test/schedule/account-limit-test.cc
@@ -35,6 +35,7 @@
 
 std::vector<RunningReport> running(const std::vector<StartOrder> &Starts) {
   std::vector<RunningReport> Runs;
+  Runs.reserve(Starts.size());
   for (const StartOrder &O : Starts)
     Runs.push_back(heathercross::schedule::test::running(O));
   return Runs;
