--- a/src/entry/account-shares.cc
+++ b/src/entry/account-shares.cc
@@ -314,10 +314,11 @@
     return;
   NextWrite_ = Now + WritePause;
   S.NextWrite_ = Now + AccountWritePause;
-  write(Id, S, std::move(*Row));
+  write(Id, S, *Row);
 }
 
-void AccountShares::write(const AccountId &Id, State &S, LimitShares Row) {
+void AccountShares::write(const AccountId &Id, State &S,
+                          const LimitShares &Row) {
   const std::int64_t Share = Row.shareOf(Pool_);
   S.Pending_ = {S.Version_, S.mayShrink(Pool_)
                                 ? std::min(Share, S.Pending_->Share_)
@@ -387,7 +388,7 @@
       continue;
     LimitShares Row = S.Row_;
     Row.Pools_.erase(Pool_);
-    write(Id, S, std::move(Row));
+    write(Id, S, Row);
   }
 }
 
--- a/src/entry/account-shares.h
+++ b/src/entry/account-shares.h
@@ -91,7 +91,7 @@
   void pollIfDue(Instant Now);
   void poll(const std::string &From);
   void writeIfDue(const AccountId &Id, State &S, Instant Now);
-  void write(const AccountId &Id, State &S, accounts::LimitShares Row);
+  void write(const AccountId &Id, State &S, const accounts::LimitShares &Row);
   void written(const AccountId &Id, const accounts::LimitShares &Row,
                const platform_api::StoreReply &R);
   void logAtLimit(const AccountId &Id, State &S, Instant Now);
