--- a/test/proof-deployment/account-limits-test.cc
+++ b/test/proof-deployment/account-limits-test.cc
@@ -61,14 +61,15 @@
   };
   section("both pools run tasks of the account", [&] {
     for (const auto &[Pool, Job] : Jobs)
-      waitFor([&] {
+      waitFor([&, P = Pool, J = Job] {
         Observe();
-        return D.call(0, "POST", Job, Body, Pool, "mill-1").Status_ == Ok;
+        return D.call(0, "POST", J, Body, P, "mill-1").Status_ == Ok;
       });
     waitFor([&] {
       Observe();
       return MostOfPool[0] > 0 && MostOfPool[1] > 0;
     });
+    CPPUNIT_ASSERT(Most <= Limit);
   });
   section("each entry instance is killed in turn", [&] {
     for (const std::size_t I : {0, 1}) {
