Copies start as soon as the progress shows that a fresh run ends first

Cause: a copy after 1.25 times the estimate, found in rounds of 100 ms, ends after the objective of a job with one step (1.6 times its path and 0.6 s).

Change: 1.1 times the estimate, and a search every 50 ms. The storms with copies let 40% of the runs be long and check that there were second runs.

--- a/src/schedule/pool-scheduler-copies.cc
+++ b/src/schedule/pool-scheduler-copies.cc
@@ -14,7 +14,7 @@
 /// A run is a straggler after this part of the conservative estimate if its
 /// progress shows that a fresh run would end first. After twice the estimate a
 /// copy is too late for most objectives.
-constexpr int SlowProgressPercent = 125;
+constexpr int SlowProgressPercent = 110;
 /// The same for a run of which no progress is known.
 constexpr int NoProgressPercent = 200;
 /// Runs of the pool for each of which one copy may run. The 3% that take long
@@ -22,7 +22,7 @@
 constexpr std::size_t RunsPerCopy = 10;
 /// Time between two searches for stragglers: tasks take from 0.7 s, and a
 /// search visits all runs.
-constexpr Millis CopyRoundInterval{100};
+constexpr Millis CopyRoundInterval{50};
 constexpr int FullPercent = 100;
 
 } // namespace
