--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -1,6 +1,7 @@
 // The request logic of one entry instance: handles events and returns effects.
 #pragma once
 
+#include "core/run-time-estimate.h"
 #include "request/claim.h"
 #include "request/config.h"
 #include "request/counters.h"
@@ -8,7 +9,6 @@
 #include "request/fair-queue.h"
 #include "request/placement.h"
 #include "request/retry-budget.h"
-#include "core/run-time-estimate.h"
 #include "request/worker-health.h"
 #include "request/worker-registry.h"
 
--- a/src/schedule/task-placement.cc
+++ b/src/schedule/task-placement.cc
@@ -29,8 +29,8 @@
   const std::uint32_t Colocated = R.LongRunning_ ? C.LongRunning_ : 0;
   Resources Remaining = C.Worker_->free();
   Remaining -= R.Reserved_;
-  return std::tuple(C.Slow_, Avoided, OtherRack, -static_cast<std::int64_t>(Colocated),
-                    Remaining.CpuMilli_);
+  return std::tuple(C.Slow_, Avoided, OtherRack,
+                    -static_cast<std::int64_t>(Colocated), Remaining.CpuMilli_);
 }
 
 } // namespace
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -283,11 +283,15 @@
 
 HEATHERCROSS_STORY(Submissions, "a job is read, or turned away as malformed") {
   const auto J = parseJob(R"({"spec":"x","phases":[
-    {"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"data_rack":"r1-3"},
+    {"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"data_rack":"r1-3",
+     "image":"convert","speculative":true},
     {"count":2,"cpu":2000,"after":[0],"checkpoint":true,"service_mode":true,
      "lossy":1,"anti_affinity":1,"fills":true}],"new":1})");
   CPPUNIT_ASSERT(J && J->Steps_.size() == 2 && J->longRunning());
   CPPUNIT_ASSERT_EQUAL(1U, J->Steps_[1].MaxUnavailable_);
+  CPPUNIT_ASSERT(J->Steps_[0].Speculative_ && !J->Steps_[1].Speculative_);
+  CPPUNIT_ASSERT_EQUAL(std::string("convert"), J->Steps_[0].Image_);
+  CPPUNIT_ASSERT(J->Steps_[1].Image_.empty());
   CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, J->Steps_[1].reserved().CpuMilli_);
   for (const char *Bad :
        {"", "{}", R"({"spec":"x","phases":[]})", R"({"phases":[{"count":0}]})",
--- a/test/request/admission-test.cc
+++ b/test/request/admission-test.cc
@@ -1,8 +1,8 @@
 // Tests of the fair queue, the retry budget and the run time estimate.
+#include "core/run-time-estimate.h"
 #include "request/fair-queue.h"
 #include "request/fixture.h"
 #include "request/retry-budget.h"
-#include "core/run-time-estimate.h"
 #include "request/slot-share.h"
 #include "support/story.h"
 
