The search for stragglers looks at speculative steps only

Cause: it looked up the job and the task of every run 20 times a second.

Change: one look-up of a job for its runs on a worker, and none of the task unless the step allows copies.

--- a/src/schedule/pool-scheduler-copies.cc
+++ b/src/schedule/pool-scheduler-copies.cc
@@ -69,12 +69,17 @@
   std::size_t Runs = 0;
   std::size_t Copies = 0;
   std::vector<Straggler> Found;
+  const Job *J = nullptr;
   for (const auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs()) {
-      const Job *J = find(Key.Job_);
+      // A worker's runs are in the order of their jobs.
+      if (!J || J->id() != Key.Job_)
+        J = find(Key.Job_);
       if (!J || !J->has(Key) || !hasOwnRunTime(J->spec().Steps_[Key.Step_]))
         continue;
       ++Runs;
+      if (!J->spec().Steps_[Key.Step_].Speculative_)
+        continue;
       const TaskState &T = J->task(Key);
       Copies += T.CopyAttempt_ != 0 && T.CopyAttempt_ == R.Attempt_ ? 1 : 0;
       if (R.Phase_ != RunPhase::Working || R.StopWanted_ || T.Copied_ ||
