The replay of stragglers sums eight loads

Cause: one load shows differences of a few jobs, which another seed may hide.

Change: four seeds, estimates off by up to 0.5 and 0.9; the limits are tighter than before: 10% more of the jobs that allow copies in time, no extra work, and at most 5% if the work itself is long.

--- a/test/schedule/straggler-load-test.cc
+++ b/test/schedule/straggler-load-test.cc
@@ -11,14 +11,12 @@
 using namespace heathercross;
 using namespace heathercross::schedule;
 using namespace heathercross::schedule::test;
-using heathercross::test::section;
 
 namespace {
 
-constexpr std::uint64_t Seed = 7;
-
 /// Whether one run of a task takes seven times as long.
-bool isLong(const TaskKey &Key, Attempt A, std::uint32_t Percent) {
+bool isLong(const TaskKey &Key, Attempt A, std::uint32_t Percent,
+            std::uint64_t Seed) {
   std::uint64_t Mixed = Seed;
   for (const char C : Key.Job_.str())
     Mixed = Mixed * 31 + static_cast<unsigned char>(C);
@@ -48,12 +46,13 @@
 /// A pool of 10 workers of 16 cores under a load that bursts beyond it.
 class Replay : public ModelPool {
 public:
-  Replay(Copies C, Cause Why, double EstimateError)
-      : Copies_(C), EstimateError_(EstimateError) {
+  Replay(Copies C, Cause Why, double EstimateError, std::uint64_t Seed)
+      : Copies_(C), EstimateError_(EstimateError), Random_(Seed) {
     for (int I = 0; I < 10; ++I)
       addWorker("w" + std::to_string(I), "r1", 16'000);
-    RunTimeFactor_ = [this, Why](const TaskKey &Key, Attempt A) {
-      const double Long = isLong(Key, Why == Cause::Run ? A : 0, 3) ? 7 : 1;
+    RunTimeFactor_ = [this, Why, Seed](const TaskKey &Key, Attempt A) {
+      const double Long =
+          isLong(Key, Why == Cause::Run ? A : 0, 3, Seed) ? 7 : 1;
       return Long * TrueRatio_.at(Key.Job_);
     };
   }
@@ -130,7 +129,7 @@
 
   Copies Copies_;
   double EstimateError_;
-  Jitter Random_{Seed};
+  Jitter Random_;
   std::map<JobId, double> TrueRatio_;
   /// Until when the open jobs are in time.
   std::map<JobId, Instant> Objective_;
@@ -138,15 +137,25 @@
   Outcome Result_;
 };
 
-Outcome play(Copies C, Cause Why, double EstimateError) {
-  Replay R(C, Why, EstimateError);
-  const Outcome O = R.play();
-  std::cout << "jobs " << O.Jobs_ << ", in time " << O.InTime_ << ", may copy "
-            << O.Selected_ << ", in time " << O.SelectedInTime_ << ", copies "
-            << O.SecondRuns_ << ", worked s " << O.Worked_.count() / 1'000'000
-            << "\n";
-  CPPUNIT_ASSERT_EQUAL(PoolFaults(), O.Faults_);
-  return O;
+/// The sum of replays with several seeds and errors of the estimates.
+Outcome play(Copies C, Cause Why) {
+  Outcome Sum;
+  for (const double EstimateError : {0.5, 0.9})
+    for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+      const Outcome O = Replay(C, Why, EstimateError, Seed).play();
+      CPPUNIT_ASSERT_EQUAL(PoolFaults(), O.Faults_);
+      Sum.Jobs_ += O.Jobs_;
+      Sum.InTime_ += O.InTime_;
+      Sum.Selected_ += O.Selected_;
+      Sum.SelectedInTime_ += O.SelectedInTime_;
+      Sum.SecondRuns_ += O.SecondRuns_;
+      Sum.Worked_ += O.Worked_;
+    }
+  std::cout << "\njobs " << Sum.Jobs_ << ", in time " << Sum.InTime_
+            << ", may copy " << Sum.Selected_ << ", in time "
+            << Sum.SelectedInTime_ << ", copies " << Sum.SecondRuns_
+            << ", worked s " << Sum.Worked_.count() / 1'000'000 << "\n";
+  return Sum;
 }
 
 JobSpec sometimesSpeculative(int Argument) {
@@ -162,30 +171,30 @@
              job({schedule::test::step(3, 1500, Millis(400))}));
   P.run(Seconds(2));
   P.RunTimeFactor_ = [](const TaskKey &Key, Attempt A) {
-    return isLong(Key, A, 40) ? 7.0 : 1.0;
+    return isLong(Key, A, 40, 7) ? 7.0 : 1.0;
   };
 }
 
 } // namespace
 
-// Load: 3% of the runs take seven times as long, estimates are off by up to
-// half, a third of the jobs allow copies. Guards against copies that don't help
-// their jobs, hurt the others, or cost more than they save.
+// Load: 3% of the runs take seven times as long, estimates are off by up to 0.5
+// and 0.9, a third of the jobs allow copies. Guards against copies that don't
+// help their jobs, hurt the others, or cost more than they save.
 HEATHERCROSS_STORY(StragglerReplay, "copies bring more jobs in time") {
-  const Outcome Without = play(Copies::None, Cause::Run, 0.5);
-  const Outcome With = play(Copies::ThirdOfJobs, Cause::Run, 0.5);
-  CPPUNIT_ASSERT(With.SecondRuns_ > 0);
-  CPPUNIT_ASSERT(With.SelectedInTime_ > Without.SelectedInTime_);
-  CPPUNIT_ASSERT(With.InTime_ > Without.InTime_);
-  CPPUNIT_ASSERT(With.Worked_ * 100 <= Without.Worked_ * 103);
+  const Outcome Without = play(Copies::None, Cause::Run);
+  const Outcome With = play(Copies::ThirdOfJobs, Cause::Run);
+  CPPUNIT_ASSERT(With.SelectedInTime_ * 100 >= Without.SelectedInTime_ * 110);
+  CPPUNIT_ASSERT(With.InTime_ - With.SelectedInTime_ + 10 >=
+                 Without.InTime_ - Without.SelectedInTime_);
+  CPPUNIT_ASSERT(With.Worked_ <= Without.Worked_);
 }
 
 // Load: the same, but the work of the tasks is long, so that a second run takes
 // as long as the first. Guards against extra work without a bound.
 HEATHERCROSS_STORY(LongWorkReplay, "copies of long work cost little") {
-  const Outcome Without = play(Copies::None, Cause::Work, 0.5);
-  const Outcome With = play(Copies::ThirdOfJobs, Cause::Work, 0.5);
-  CPPUNIT_ASSERT(With.Worked_ * 100 <= Without.Worked_ * 110);
+  const Outcome Without = play(Copies::None, Cause::Work);
+  const Outcome With = play(Copies::ThirdOfJobs, Cause::Work);
+  CPPUNIT_ASSERT(With.Worked_ * 100 <= Without.Worked_ * 105);
   CPPUNIT_ASSERT(With.InTime_ * 100 >= Without.InTime_ * 98);
 }
 
