--- a/src/schedule/pool-scheduler-copies.cc
+++ b/src/schedule/pool-scheduler-copies.cc
@@ -14,7 +14,7 @@
 /// A run is a straggler after this part of the conservative estimate if its
 /// progress shows that a fresh run would end first. After twice the estimate a
 /// copy is too late for most objectives.
-constexpr int SlowProgressPercent = 125;
+constexpr int SlowProgressPercent = 110;
 /// The same for a run of which no progress is known.
 constexpr int NoProgressPercent = 200;
 /// Runs of the pool for each of which one copy may run. The 3% that take long
@@ -22,7 +22,7 @@
 constexpr std::size_t RunsPerCopy = 10;
 /// Time between two searches for stragglers: tasks take from 0.7 s, and a
 /// search visits all runs.
-constexpr Millis CopyRoundInterval{100};
+constexpr Millis CopyRoundInterval{50};
 constexpr int FullPercent = 100;
 
 } // namespace
@@ -69,12 +69,17 @@
   std::size_t Runs = 0;
   std::size_t Copies = 0;
   std::vector<Straggler> Found;
+  const Job *J = nullptr;
   for (const auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs()) {
-      const Job *J = find(Key.Job_);
+      // A worker's runs are in the order of their jobs.
+      if (!J || J->id() != Key.Job_)
+        J = find(Key.Job_);
       if (!J || !J->has(Key) || !hasOwnRunTime(J->spec().Steps_[Key.Step_]))
         continue;
       ++Runs;
+      if (!J->spec().Steps_[Key.Step_].Speculative_)
+        continue;
       const TaskState &T = J->task(Key);
       Copies += T.CopyAttempt_ != 0 && T.CopyAttempt_ == R.Attempt_ ? 1 : 0;
       if (R.Phase_ != RunPhase::Working || R.StopWanted_ || T.Copied_ ||
