--- a/src/accounts/limit-share.cc
+++ b/src/accounts/limit-share.cc
@@ -22,11 +22,16 @@
 constexpr std::int64_t MinPublishedChange = 50'000;
 
 /// What a pool takes beyond its need, so that a start rarely waits for a
-/// transaction.
-std::int64_t headroom(std::int64_t Needed) {
+/// transaction. Demand rises to five times its mean at once, and each step
+/// towards a share costs a transaction, so steps are large while much of the
+/// limit is unallocated.
+std::int64_t headroom(std::int64_t Needed, std::int64_t Unallocated) {
   constexpr std::int64_t Fraction = 4;
   constexpr std::int64_t Least = 10'000;
-  return Needed == 0 ? 0 : Needed / Fraction + Least;
+  constexpr std::int64_t UnallocatedFraction = 8;
+  return Needed == 0
+             ? 0
+             : Needed / Fraction + Least + Unallocated / UnallocatedFraction;
 }
 
 /// At most MaxWholes wholes, so that no product overflows.
@@ -167,7 +172,7 @@
 std::int64_t ShareDecision::target(const LimitShares &View, std::int64_t Used,
                                    Instant Now) {
   const PoolShare &Own = View.Pools_.at(Pool_);
-  const std::int64_t Headroom = headroom(Own.Wanted_);
+  const std::int64_t Headroom = headroom(Own.Wanted_, View.unallocated());
   const bool MissingElsewhere = missingElsewhere(View) > 0;
   std::int64_t Wants = Headroom;
   for (const auto &[Pool, S] : View.Pools_)
