--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -130,7 +130,7 @@
     const auto It = Runs_.find(Key);
     return It == Runs_.end() ? nullptr : &It->second;
   }
-  Run &add(const TaskKey &Key, const Run &R) {
+  Run &add(const TaskKey &Key, Run R) {
     remove(Key);
     Used_ += R.Reserved_;
     if (!R.Account_.empty())
