Admission counts the work ahead once for each submission

Change: one pass gives work and tasks ahead; the idle cores are counted in scheduling rounds, at most every 50 ms.

--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -47,7 +47,8 @@
   const bool OverShare = J.share() == accounts::RateShare::OverShare;
   const schedule::PoolLoad Load =
       Scheduler_.loadAhead(J, Now, Context_.Clock_.wall());
-  const Micros StartWait = startWait(J, Now);
+  const Micros StartWait =
+      StartRate_.startWait(Load.TasksAhead_ + J.waitingTasks(), Now);
   const auto Reject = [&](const char *Cause, Millis RetryAfter) {
     JobAnswer A{Kind::Rejected};
     A.RetryAfter_ = RetryAfter;
@@ -126,14 +127,6 @@
   scheduleRound();
 }
 
-Micros PoolHolder::startWait(const Job &J, Instant Now) const {
-  if (!StartRate_.tasksPerSecond(Now))
-    return Micros(0);
-  const std::uint32_t Ahead =
-      Scheduler_.tasksAhead(J, Now, Context_.Clock_.wall());
-  return StartRate_.startWait(Ahead + J.waitingTasks(), Now);
-}
-
 void PoolHolder::state(const JobId &Id, const AccountId &Account,
                        const AnswerHandler &OnAnswer) {
   using Kind = JobAnswer::Kind;
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -168,10 +168,6 @@
   std::map<std::string, std::string> takeLoaded(const std::string &Table,
                                                 schedule::RowKind Kind);
 
-  /// How long this entry takes to start the tasks ahead of a job and the job's
-  /// own; 0 unless it is limited by itself.
-  Micros startWait(const schedule::Job &J, Instant Now) const;
-
   void scheduleRound();
   void measureLag();
   void runRound();
--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -6,6 +6,15 @@
 
 namespace heathercross::schedule {
 
+namespace {
+
+/// The idle cores are counted again after this time. A holder gets up to 200
+/// submissions a second in a burst, and a count for each would take the
+/// processor time that starts need.
+constexpr Millis IdleCoresInterval{50};
+
+} // namespace
+
 std::uint32_t PoolScheduler::queuedJobs(const QueueId &Queue) const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(Open_, [&](const auto &Entry) {
@@ -73,36 +82,55 @@
   return D;
 }
 
-double PoolScheduler::workAhead(const Job &J, Instant Now,
-                                WallTime Wall) const {
+PoolScheduler::Backlog PoolScheduler::backlogAhead(const Job &J, Instant Now,
+                                                   WallTime Wall) const {
   const Rank Own =
       rankOf(J, settings(J.queue()), Micros(0), meanWork(J.queue()));
-  double Work = 0;
+  Backlog Ahead;
   for (const auto &[Id, Open] : Open_) {
     const Job &Other = *Open;
     if (Other.spec().longRunning() || Other.spec().Repeats_ > 0)
       continue;
-    const Rank R = timedRank(Other, 0, Now, Wall);
-    if (R <= Own)
-      Work += Other.remainingWork();
+    if (timedRank(Other, 0, Now, Wall) > Own)
+      continue;
+    Ahead.CoreSeconds_ += Other.remainingWork();
+    Ahead.Tasks_ += Other.waitingTasks();
   }
-  return Work;
+  return Ahead;
+}
+
+double PoolScheduler::workAhead(const Job &J, Instant Now,
+                                WallTime Wall) const {
+  return backlogAhead(J, Now, Wall).CoreSeconds_;
+}
+
+void PoolScheduler::updateIdleCores(const std::vector<ReadyStep> &Ready,
+                                    Instant Now) {
+  if (Now < NextIdleCores_)
+    return;
+  NextIdleCores_ = Now + IdleCoresInterval;
+  IdleCores_ = cores();
+  for (const auto &[Id, W] : Workers_)
+    IdleCores_ -= coresFor(W.used());
+  for (const ReadyStep &S : Ready)
+    if (S.Rank_.Urgency_ <= Urgency::InTime)
+      IdleCores_ -= S.Job_->step(S.Occurrence_, S.Step_).waitingCount() *
+                    coresFor(S.Job_->spec().Steps_[S.Step_].reserved());
 }
 
 PoolLoad PoolScheduler::loadAhead(const Job &J, Instant Now,
                                   WallTime Wall) const {
   PoolLoad L;
   L.Cores_ = cores();
-  L.WorkAhead_ = workAhead(J, Now, Wall);
+  const Backlog Ahead = backlogAhead(J, Now, Wall);
+  L.WorkAhead_ = Ahead.CoreSeconds_;
+  L.TasksAhead_ = Ahead.Tasks_;
+  L.IdleCores_ = IdleCores_;
   for (const auto &[Queue, Rate] : GuaranteedArrivals_)
     L.GuaranteedArriving_ += Rate.steadyCores(Now);
   for (const StepSpec &S : J.spec().Steps_)
     L.NeededCores_ =
         std::max(L.NeededCores_, S.Count_ * coresFor(S.reserved()));
-  if (J.share() == accounts::RateShare::Guaranteed)
-    return L;
-  const Demand D = demand(Now, Wall);
-  L.IdleCores_ = L.Cores_ - D.Running_ - D.LongRunning_ - D.WaitingInTime_;
   return L;
 }
 
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -252,9 +252,6 @@
   double coresFor(const Resources &R) const;
   /// Core-seconds of unfinished work that is ranked ahead of a job.
   double workAhead(const Job &J, Instant Now, WallTime Wall) const;
-  /// Number of tasks that haven't started, of jobs that are ranked ahead of a
-  /// job.
-  std::uint32_t tasksAhead(const Job &J, Instant Now, WallTime Wall) const;
   /// The load that a job meets if it is accepted now.
   PoolLoad loadAhead(const Job &J, Instant Now, WallTime Wall) const;
   /// Whether a task of the step fits into the maximum capacity of all workers
@@ -273,6 +270,16 @@
     std::uint32_t Step_ = 0;
   };
 
+  /// Work of open jobs.
+  struct Backlog {
+    double CoreSeconds_ = 0;
+    std::uint32_t Tasks_ = 0;
+  };
+  /// The unfinished work, and the tasks that haven't started, of jobs that are
+  /// ranked ahead of a job.
+  Backlog backlogAhead(const Job &J, Instant Now, WallTime Wall) const;
+  void updateIdleCores(const std::vector<ReadyStep> &Ready, Instant Now);
+
   void updateUnknownQueue();
   Job *findJob(const JobId &Id);
   Worker *findWorker(const InstanceId &Id);
@@ -466,6 +473,10 @@
   std::map<QueueId, ArrivalRate> GuaranteedArrivals_;
   Interference Interference_;
   std::map<InstanceId, ActivityHistory> Activity_;
+  /// Cores that neither runs nor waiting tasks of jobs in time needed when they
+  /// were last counted.
+  double IdleCores_ = 0;
+  Instant NextIdleCores_;
   std::size_t OrderLimit_ = ~std::size_t{0};
   /// Unanswered start orders at the beginning of the last step.
   std::size_t Unanswered_ = 0;
--- a/src/schedule/share-admission.h
+++ b/src/schedule/share-admission.h
@@ -14,11 +14,13 @@
   double WorkAhead_ = 0;
   /// Cores that keep up with the arriving guaranteed work.
   double GuaranteedArriving_ = 0;
-  /// Cores that neither runs nor waiting tasks of jobs in time need; only known
-  /// for a job beyond the guaranteed rate.
+  /// Cores that neither runs nor waiting tasks of jobs in time needed in one of
+  /// the last scheduling rounds.
   double IdleCores_ = 0;
   /// Cores that the largest step of the job needs.
   double NeededCores_ = 0;
+  /// Number of tasks that haven't started, of jobs that are ranked ahead of it.
+  std::uint32_t TasksAhead_ = 0;
 };
 
 /// Whether a job can complete within its objective behind the guaranteed work,
