A test copies the key of a run before it erases the run

Cause: the tests of copies passed a reference into the map node that they erase; AddressSanitizer ended schedule-test with a heap-use-after-free.

--- a/test/schedule/copies-test.cc
+++ b/test/schedule/copies-test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 
 using namespace heathercross;
 using namespace heathercross::schedule;
@@ -87,10 +88,12 @@
     carryOut(P_.step());
   }
 
-  void end(const std::string &Worker, const TaskKey &Key, RunEnd How) {
+  /// The key is copied, since it may belong to the run that is erased.
+  void end(const std::string &Worker, TaskKey Key, RunEnd How) {
     const Attempt A = Running_[Worker].at(Key).Attempt_;
     Running_[Worker].erase(Key);
-    Ended_[Worker].push_back({Ended_[Worker].size() + 1, Key, A, How, ""});
+    Ended_[Worker].push_back(
+        {Ended_[Worker].size() + 1, std::move(Key), A, How, ""});
   }
 
   /// The worker of the task's run with this attempt, or nothing.
