--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -6,15 +6,6 @@
 
 namespace heathercross::schedule {
 
-namespace {
-
-/// The idle cores are counted again after this time. A holder gets up to 200
-/// submissions a second in a burst, and a count for each would take the
-/// processor time that starts need.
-constexpr Millis IdleCoresInterval{50};
-
-} // namespace
-
 std::uint32_t PoolScheduler::queuedJobs(const QueueId &Queue) const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(Open_, [&](const auto &Entry) {
@@ -104,11 +95,7 @@
   return backlogAhead(J, Now, Wall).CoreSeconds_;
 }
 
-void PoolScheduler::updateIdleCores(const std::vector<ReadyStep> &Ready,
-                                    Instant Now) {
-  if (Now < NextIdleCores_)
-    return;
-  NextIdleCores_ = Now + IdleCoresInterval;
+void PoolScheduler::updateIdleCores(const std::vector<ReadyStep> &Ready) {
   IdleCores_ = cores();
   for (const auto &[Id, W] : Workers_)
     IdleCores_ -= coresFor(W.used());
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -356,7 +356,7 @@
   HeldBack_ = false;
   const std::vector<ReadyStep> Ready = readySteps(Now, Wall);
   countAccounts(Ready, Now, Wall);
-  updateIdleCores(Ready, Now);
+  updateIdleCores(Ready);
   const std::vector<Worker *> Available = workersWithRoom(Ready, Now);
   if (Available.empty())
     return;
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -278,7 +278,10 @@
   /// The unfinished work, and the tasks that haven't started, of jobs that are
   /// ranked ahead of a job.
   Backlog backlogAhead(const Job &J, Instant Now, WallTime Wall) const;
-  void updateIdleCores(const std::vector<ReadyStep> &Ready, Instant Now);
+  /// Counts the idle cores once a round: a burst brings up to 200 submissions a
+  /// second, and a count for each would take the processor time that starts
+  /// need.
+  void updateIdleCores(const std::vector<ReadyStep> &Ready);
 
   void updateUnknownQueue();
   Job *findJob(const JobId &Id);
@@ -476,7 +479,6 @@
   /// Cores that neither runs nor waiting tasks of jobs in time needed when they
   /// were last counted.
   double IdleCores_ = 0;
-  Instant NextIdleCores_;
   std::size_t OrderLimit_ = ~std::size_t{0};
   /// Unanswered start orders at the beginning of the last step.
   std::size_t Unanswered_ = 0;
