Drop review case 12 and number the later cases by gravity

The handover that the store refuses becomes case 12, the deletion of ended jobs 13, the advice for a large pool 14.

--- a/review/standin-3/advice-for-few.cc
+++ b/review/standin-3/advice-for-few.cc
@@ -1,12 +1,9 @@
 // Empty workers are added beside those that the policy of a queue allows.
+#include "policy.h"
 #include "world.h"
 
-#include <QCryptographicHash>
-#include <QJsonDocument>
 #include <QRandomGenerator>
 
-#include <algorithm>
-
 namespace heathercross::review {
 
 namespace {
@@ -14,10 +11,7 @@
 constexpr int Workers = 30;
 /// 0.3 of them.
 constexpr int Added = 9;
-constexpr std::size_t AllowedPerStep = 1;
-constexpr int DecideMs = 20;
-constexpr int EachMs = 1;
-constexpr int ValidMs = 3000;
+constexpr qsizetype AllowedPerStep = 1;
 constexpr int Jobs = 100;
 constexpr int JobEveryMs = 100;
 constexpr int FinishMs = 14'000;
@@ -32,65 +26,11 @@
                              QChar('0'));
 }
 
-/// The placement service. Its policy allows one of the first workers for each
-/// step, always the same.
-class Policy : public QObject {
-public:
-  explicit Policy(World &W)
-      : World_(W),
-        Server_([this](const standin::HttpRequest &R,
-                       const standin::Responder &To) { serve(R, To); }) {
-    Server_.listen(0);
-  }
-  QString address() const {
-    return QString("127.0.0.1:%1").arg(Server_.port());
-  }
-  void add(const QString &Worker) { Known_.push_back(Worker); }
-
-private:
-  /// The workers that may run a step.
-  QStringList allowed(const QString &Step) const {
-    QStringList Ranked = Known_;
-    std::ranges::sort(Ranked, {}, [&](const QString &Id) {
-      return QCryptographicHash::hash((Step + Id).toUtf8(),
-                                      QCryptographicHash::Md5);
-    });
-    return Ranked.mid(0, AllowedPerStep);
-  }
-
-  void serve(const standin::HttpRequest &R, const standin::Responder &To) {
-    const QJsonObject O = QJsonDocument::fromJson(R.Body_).object();
-    const QString Step = O["phase"].toString();
-    const QJsonArray Asked = O["workers"].toArray();
-    const QStringList May = allowed(Step);
-    QJsonArray Allowed;
-    for (const QJsonValue V : Asked)
-      if (May.contains(V.toString()))
-        Allowed.append(QJsonArray{V.toString(), "t-" + V.toString()});
-    World_.record(QString("advise phase=%1 workers=%2 allowed=%3 of %4")
-                      .arg(Step)
-                      .arg(Asked.size())
-                      .arg(Allowed.size())
-                      .arg(May.join(',')));
-    QTimer::singleShot(DecideMs + EachMs * static_cast<int>(Asked.size()), this,
-                       [To, Allowed] {
-                         To(standin::jsonResponse(
-                             QJsonDocument(QJsonObject{{"allowed", Allowed},
-                                                       {"valid_ms", ValidMs}})
-                                 .toJson(QJsonDocument::Compact)));
-                       });
-  }
-
-  World &World_;
-  QStringList Known_;
-  standin::HttpServer Server_;
-};
-
 } // namespace
 
 Verdict adviceForFew(const QString &RecordFile) {
   World W(RecordFile, {});
-  Policy P(W);
+  Policy P(W, AllowedPerStep);
   W.setAdvice(P.address());
   for (int I = 0; I < Workers; ++I)
     P.add(W.addWorker(randomId(), "reconcile").id());
--- a/review/standin-3/model-workers.cc
+++ b/review/standin-3/model-workers.cc
@@ -116,7 +116,8 @@
     return To(answer({{"reason", "old"}}, Refused));
   if (clockMs() >= LeaseUntil_)
     return To(answer({{"reason", "late"}}, Refused));
-  QString Spec = O["spec"].toString();
+  const QString Spec = O["spec"].toString();
+  Specs_[Task] = Spec;
   const bool Fails = Spec.startsWith("fail ");
   const milliseconds Duration(Spec.section(' ', -1).toInt());
   const std::uint64_t Number = ++LastRun_;
--- a/review/standin-3/model-workers.h
+++ b/review/standin-3/model-workers.h
@@ -28,6 +28,8 @@
   /// The row by which the worker registers itself.
   QByteArray registration(bool Draining = false) const;
   std::size_t runs() const { return Runs_.size(); }
+  /// The spec of each task that was started, by its name.
+  const std::map<QString, QString> &specs() const { return Specs_; }
   /// Tasks that run now.
   std::vector<QString> running() const;
   /// Ends the process: nothing listens at its address any more.
@@ -70,6 +72,7 @@
   std::int64_t LeaseUntil_ = 0;
   std::map<std::uint64_t, Run> Runs_;
   std::uint64_t LastRun_ = 0;
+  std::map<QString, QString> Specs_;
   /// The highest attempt that was stopped or ended, by task.
   std::map<QString, std::int64_t> Closed_;
   std::deque<End> Ends_;
--- a/review/standin-3/run-case.cc
+++ b/review/standin-3/run-case.cc
@@ -1,4 +1,4 @@
-// Runs one case: review-3 NUMBER RECORD, in the repository.
+// Runs one case: review-3 CASE RECORD, in the repository.
 #include "world.h"
 
 #include <QCoreApplication>
@@ -12,11 +12,10 @@
   const QCoreApplication Application(Argc, Argv);
   const QStringList Arguments = QCoreApplication::arguments();
   const std::map<QString, Verdict (*)(const QString &)> Cases{
-      {"11", movedRoute},
-      {"12", staleHolder},
-      {"13", refusedHandover},
-      {"14", purgedJobs},
-      {"15", adviceForFew}};
+      {"11", movedRoute},    {"12", refusedHandover},
+      {"13", purgedJobs},    {"14", adviceForFew},
+      {"15", movedHint},     {"stale-holder", staleHolder},
+      {"odd-spec", oddSpec}, {"slow-advice", slowAdvice}};
   const auto It =
       Arguments.size() == 3 ? Cases.find(Arguments[1]) : Cases.end();
   if (It == Cases.end())
--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -214,10 +214,7 @@
 bool World::startEntry(std::size_t I) {
   Entry &E = Entries_[I];
   const QString Name = Folder_.filePath(QString("entry-%1").arg(I));
-  QFile Settings(Name + ".ini");
-  Settings.open(QIODevice::WriteOnly | QIODevice::Truncate);
-  Settings.write(settings(I));
-  Settings.close();
+  writeSettings(I);
   E.Process_ = std::make_unique<QProcess>();
   E.Process_->setStandardOutputFile(Name + ".out", QIODevice::Append);
   E.Process_->setStandardErrorFile(Name + ".err", QIODevice::Append);
@@ -244,6 +241,12 @@
       ReadyTimeoutMs);
 }
 
+void World::writeSettings(std::size_t I) {
+  QFile File(Folder_.filePath(QString("entry-%1.ini").arg(I)));
+  File.open(QIODevice::WriteOnly | QIODevice::Truncate);
+  File.write(settings(I));
+}
+
 void World::signal(std::size_t I, int Number) {
   const auto Pid = static_cast<pid_t>(Entries_[I].Process_->processId());
   if (Pid > 0)
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -91,6 +91,9 @@
   /// Starts an entry process with the command of the deploy file and the
   /// rendered template, and waits until it is ready.
   bool startEntry(std::size_t I);
+  /// Writes the settings file of an entry anew, as the platform does when
+  /// settings change.
+  void writeSettings(std::size_t I);
   void signal(std::size_t I, int Number);
   void waitForEnd(std::size_t I);
   /// Lets the process run only for a part of each 100 ms, as its processor
@@ -161,6 +164,9 @@
 Verdict movedRoute(const QString &RecordFile);
 Verdict refusedHandover(const QString &RecordFile);
 Verdict adviceForFew(const QString &RecordFile);
+Verdict oddSpec(const QString &RecordFile);
+Verdict movedHint(const QString &RecordFile);
+Verdict slowAdvice(const QString &RecordFile);
 Verdict staleHolder(const QString &RecordFile);
 
 } // namespace heathercross::review
