--- a/review/standin-3/refused-handover.cc
+++ b/review/standin-3/refused-handover.cc
@@ -111,6 +111,8 @@
   for (const int I : Accepted)
     Open += W.shows(Large, jobPath(I), "complete") ? 0 : 1;
   W.record(QString("accepted=%1 open=%2").arg(Accepted.size()).arg(Open));
+  W.record(QString("the small entry took the duty %1 times")
+               .arg(W.log(Small).count("\"event\":\"duty-loaded\",\"jobs\"")));
   if (Open > 0 && Idle())
     W.record("LOST: accepted jobs don't run though all workers are idle");
   return Open > 0 ? Verdict::Broken : Verdict::Held;
