--- a/review/standin-3/advice-for-few.cc
+++ b/review/standin-3/advice-for-few.cc
@@ -9,10 +9,11 @@
 namespace {
 
 constexpr int Workers = 30;
-/// 0.3 of them.
-constexpr int Added = 9;
+/// 0.25 of them, and the time over which they come.
+constexpr int Added = 7;
+constexpr int AddedOverMs = 2000;
 constexpr qsizetype AllowedPerStep = 1;
-constexpr int Jobs = 100;
+constexpr int Jobs = 200;
 constexpr int JobEveryMs = 100;
 constexpr int FinishMs = 14'000;
 constexpr int IdleMs = 3000;
@@ -40,8 +41,10 @@
       return Verdict::NotRun;
   World::runFor(4000);
   if (World::trouble())
-    for (int I = 0; I < Added; ++I)
+    for (int I = 0; I < Added; ++I) {
       W.record("added " + W.addWorker(randomId(), "reconcile").id());
+      World::runFor(AddedOverMs / Added);
+    }
   World::runFor(4000);
   std::set<int> Accepted;
   for (int I = 0; I < Jobs; ++I) {
