A step is asked about until an allowed worker is found

Cause: a query to the placement service named the 30 workers with the most free cores, and nothing was kept of the workers that were refused; an idle pool named the same 30 each time. A service that takes 150 ms a worker never answered in time at all.

Change: PlacementAdvice keeps refusals and tickets for one life of a worker. A query names workers that weren't asked about, or whose ticket has expired, that have the step's label and room; its size follows from the service's times and from how long answers take. Every second query is for the step that has waited longest. Lasting tasks to be moved, copies and starts that must go to one worker get their tickets, too. An entry has one call to the service under way.

--- a/src/entry/context.h
+++ b/src/entry/context.h
@@ -1,9 +1,9 @@
 // Dependencies shared by the services of an entry instance.
 #pragma once
 
+#include "entry/advice-calls.h"
 #include "entry/entry-settings.h"
 #include "http/http-client.h"
-#include "platform/advice.h"
 #include "platform/machines.h"
 #include "platform/store.h"
 #include "platform/workers.h"
@@ -28,7 +28,7 @@
   platform_api::Store &Store_;
   platform_api::Workers &Workers_;
   platform_api::Machines &Machines_;
-  platform_api::Advice &Advice_;
+  AdviceCalls &Advice_;
   /// For calls to other entries.
   http::Client &Peers_;
 };
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -57,7 +57,8 @@
   auto &Workers = Kernel_.add<platform_api::Workers>("workers", WorkerHttp);
   auto &Machines = Kernel_.add<platform_api::Machines>(
       "machines", StoreHttp, Settings_.Machines_.str());
-  auto &Advice = Kernel_.add<platform_api::Advice>("advice", StoreHttp);
+  auto &AdviceService = Kernel_.add<platform_api::Advice>("advice", StoreHttp);
+  auto &Advice = Kernel_.add<AdviceCalls>("advice-calls", AdviceService, Clock);
   Context_ = std::make_unique<Context>(
       Context{Settings_, makeIncarnation(Settings_, Clock), Clock, Log, Metrics,
               Store, Workers, Machines, Advice, PeerHttp});
--- a/src/entry/pool-holder-workers.cc
+++ b/src/entry/pool-holder-workers.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -23,8 +25,6 @@
 
 /// Workers usually answer within a few milliseconds.
 constexpr Millis OrderTimeout{700};
-/// The placement service needs time for each worker in the request.
-constexpr Millis AdviceTimeout{3000};
 /// Long poll: how long a worker may delay its answer until a run ends.
 constexpr Millis RenewWait{700};
 constexpr Millis RenewTimeout{800};
@@ -274,27 +274,46 @@
   if (!Request)
     return;
   AskingAdvice_ = true;
+  std::vector<InstanceId> Workers;
+  std::ranges::transform(Request->Workers_, std::back_inserter(Workers),
+                         &schedule::AdvisedWorker::Id_);
+  const Millis Timeout =
+      schedule::AdviceBatch::timeout(Request->Times_, Workers.size());
   Context_.Advice_.ask(
-      Address->str(), Request->Step_, Request->Workers_, AdviceTimeout,
-      guarded(this, [this, Step = Request->Step_,
-                     Now](std::optional<platform_api::AdviceReply> R) {
+      Address->str(), Request->Step_, std::move(Workers), Timeout,
+      guarded(this, [this, R = *Request](const AdviceAnswer &A) {
         AskingAdvice_ = false;
-        QJsonObject F = jobFields(Step.Job_);
-        F["step"] = static_cast<qint64>(Step.Step_);
-        F["allowed"] = R ? static_cast<qint64>(R->Tickets_.size()) : -1;
-        Context_.Log_.write("advice", F, LineClass::Routine);
-        const Instant AnsweredAt = Context_.Clock_.now();
-        if (!R)
-          NextAdvice_ = AnsweredAt + RetryPause;
-        else
-          // The tickets are valid from the service's answer on. Counting from
-          // the time of the request makes them expire too early, never too
-          // late.
-          Scheduler_.setAdvice(Step, std::move(R->Tickets_), Now + R->Valid_);
+        logAdvice(R, A);
+        if (!A.Reply_)
+          NextAdvice_ = A.AnsweredAt_ + RetryPause;
+        Scheduler_.adviceAnswered(R, A.AnsweredAt_ - A.SentAt_,
+                                  A.Reply_ ? std::optional(A.Reply_->Tickets_)
+                                           : std::nullopt,
+                                  A.validUntil());
         scheduleRound();
       }));
 }
 
+void PoolHolder::logAdvice(const schedule::AdviceRequest &R,
+                           const AdviceAnswer &A) {
+  Context_.Log_.writeRoutine("advice", [&] {
+    QJsonObject F = jobFields(R.Step_.Job_);
+    F["step"] = static_cast<qint64>(R.Step_.Step_);
+    F["asked"] = static_cast<qint64>(R.Workers_.size());
+    F["allowed"] =
+        A.Reply_ ? static_cast<qint64>(A.Reply_->Tickets_.size()) : -1;
+    F["took_ms"] =
+        static_cast<qint64>(toMillis(A.AnsweredAt_ - A.SentAt_).count());
+    return F;
+  });
+  Context_.Metrics_.add("heathercross_advice_queries_total",
+                        "Queries to the placement service.");
+  if (!A.Reply_)
+    Context_.Metrics_.add("heathercross_advice_failures_total",
+                          "Queries to the placement service that were refused "
+                          "or not answered.");
+}
+
 void PoolHolder::sendOrders(const schedule::Orders &Orders) {
   for (const schedule::StopOrder &O : Orders.Stops_)
     sendStop(O);
@@ -417,7 +436,7 @@
       return F;
     };
     const std::string_view Kind = D.Kind_;
-    if (Kind == "run-ended" || Kind == "run-adopted")
+    if (Kind == "run-ended" || Kind == "run-adopted" || Kind == "advice-state")
       Context_.Log_.writeRoutine(D.Kind_, MakeFields);
     else
       Context_.Log_.write(D.Kind_, MakeFields());
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -212,6 +212,7 @@
   /// and not because this holder has raised the fence since.
   bool lostTo(const InstanceId &Id, schedule::FenceGeneration Fence) const;
   void askAdvice();
+  void logAdvice(const schedule::AdviceRequest &R, const AdviceAnswer &A);
   void sendOrders(const schedule::Orders &Orders);
   void sendStart(const schedule::StartOrder &O);
   void sendStop(const schedule::StopOrder &O);
@@ -298,7 +299,7 @@
   bool GivingBack_ = false;
   /// When the handover stops waiting for changes to be stored.
   Instant FlushUntil_;
-  /// The placement service accepts one call of an entry at a time.
+  /// The next query depends on the answer to the last one.
   bool AskingAdvice_ = false;
   Instant NextAdvice_;
   /// Called once the duty is lost, if it is being handed over.
--- a/src/entry/rows.cc
+++ b/src/entry/rows.cc
@@ -57,6 +57,12 @@
   Q.ObjectiveFactor_ = O["objective_factor"].toDouble();
   Q.ObjectiveSlack_ = Millis(*SlackMs);
   Q.NeedsAdvice_ = O["needs_advice"].toBool();
+  // Rows of earlier versions lack the times.
+  const auto Time = [&O](const char *Name) {
+    return Millis(optionalCount(O[Name]).value_or(0));
+  };
+  Q.AdviceTimes_ = {Time("advice_decide_ms"), Time("advice_each_ms"),
+                    Time("advice_valid_ms")};
   return Q;
 }
 
@@ -139,7 +145,12 @@
         {"max_failures", static_cast<qint64>(Q.MaxFailures_)},
         {"objective_factor", Q.ObjectiveFactor_},
         {"objective_slack_ms", static_cast<qint64>(Q.ObjectiveSlack_.count())},
-        {"needs_advice", Q.NeedsAdvice_}};
+        {"needs_advice", Q.NeedsAdvice_},
+        {"advice_decide_ms",
+         static_cast<qint64>(Q.AdviceTimes_.Decide_.count())},
+        {"advice_each_ms", static_cast<qint64>(Q.AdviceTimes_.Each_.count())},
+        {"advice_valid_ms",
+         static_cast<qint64>(Q.AdviceTimes_.Valid_.count())}};
   return encodeObject(O);
 }
 
--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -103,6 +103,16 @@
 /// Number of a start of a task; increases with each start.
 using Attempt = std::uint32_t;
 
+/// What the placement service takes and gives for a queue: a query takes
+/// Decide_ and Each_ for each worker that it names, and tickets are valid for
+/// Valid_. Zero if that isn't known.
+struct AdviceTimes {
+  Millis Decide_{0};
+  Millis Each_{0};
+  Millis Valid_{0};
+  bool operator==(const AdviceTimes &) const = default;
+};
+
 /// The configured settings of a queue.
 struct QueueSettings {
   PoolId Pool_;
@@ -116,6 +126,7 @@
   Millis ObjectiveSlack_{0};
   /// Only workers named by the placement service may run a step.
   bool NeedsAdvice_ = false;
+  AdviceTimes AdviceTimes_;
   bool operator==(const QueueSettings &) const = default;
 };
 
@@ -133,6 +144,10 @@
   auto operator<=>(const StepKey &) const = default;
 };
 
+inline StepKey stepOf(const TaskKey &T) {
+  return {T.Job_, T.Occurrence_, T.Step_};
+}
+
 /// A worker as registered by itself.
 struct WorkerInfo {
   InstanceId Id_;
--- a/src/schedule/pool-scheduler-copies.cc
+++ b/src/schedule/pool-scheduler-copies.cc
@@ -117,8 +117,10 @@
       return C.Slow_ || C.Worker_->find(S.Task_) != nullptr;
     });
     Worker *W = choose(Places, request(J, Step, J.task(S.Task_), Now));
-    if (!W)
+    if (!W) {
+      NeedAdvice_.insert(S.Task_);
       continue;
+    }
     orderCopy(J, S.Task_, *W, Now, Out);
     logDecision("copy-started", S.Task_, J.task(S.Task_).CopyAttempt_,
                 W->info().Id_,
--- a/src/schedule/pool-scheduler-reports.cc
+++ b/src/schedule/pool-scheduler-reports.cc
@@ -86,7 +86,7 @@
   Changed_.insert(J.id());
   if (J.state() == JobState::Complete) {
     Open_.erase(J.id());
-    dropAdvice(J.id());
+    Advice_.forget(J.id());
     logDecision("job-complete", Key, 0, {}, "");
   }
 }
--- a/src/schedule/pool-scheduler-starts.cc
+++ b/src/schedule/pool-scheduler-starts.cc
@@ -1,9 +1,7 @@
-// Which tasks a pool's scheduler starts, in which order and where, and what it
-// asks the placement service.
+// Which tasks a pool's scheduler starts, in which order and where.
 #include "schedule/pool-scheduler.h"
 
 #include <algorithm>
-#include <functional>
 #include <limits>
 #include <optional>
 #include <ranges>
@@ -14,10 +12,6 @@
 
 /// A worker gets new tasks only if its leases last at least this long.
 constexpr Millis MinLease{500};
-/// Maximum number of workers in a query to the placement service. Each one adds
-/// to the cost of the query, and the objective allows for advice on 30 per
-/// step.
-constexpr std::size_t MaxAdvisedWorkers = 30;
 /// Maximum number of occurrences of a job with ready steps that one round looks
 /// at, the earliest ones. A round orders fewer starts than that.
 constexpr std::uint32_t MaxReadyOccurrences = 256;
@@ -120,24 +114,20 @@
                           Instant Now) const {
   std::vector<Candidate> Found;
   const bool NeedsAdvice = settings(J.queue()).NeedsAdvice_;
-  const Advice *ValidAdvice = NeedsAdvice ? adviceFor(J, S, Now) : nullptr;
-  if (NeedsAdvice && !ValidAdvice)
+  const StepKey Key{J.id(), S.Occurrence_, S.Step_};
+  if (NeedsAdvice && !Advice_.anyAllowed(Key))
     return Found;
   const StepSpec &Spec = J.spec().Steps_[S.Step_];
   const Resources Needed = Spec.reserved();
   for (Worker *W : Available) {
     if (!Needed.fits(W->free()) ||
-        (ValidAdvice && !ValidAdvice->Tickets_.contains(W->info().Id_)))
+        (NeedsAdvice && Advice_.answer(Key, W->Number_, Now) !=
+                            PlacementAdvice::Answer::Valid))
       continue;
     Candidate C{W, 0, Spec.LongRunning_ ? W->longRunningRuns() : 0,
                 interferenceOn(*W, Spec), W->Speed_.isSlow(Now)};
-    if (Spec.MaxPerWorker_ > 0) {
-      const auto First =
-          W->runs().lower_bound({J.id(), S.Occurrence_, S.Step_, 0});
-      const auto Last =
-          W->runs().lower_bound({J.id(), S.Occurrence_, S.Step_ + 1, 0});
-      C.SameStep_ = static_cast<std::uint32_t>(std::distance(First, Last));
-    }
+    if (Spec.MaxPerWorker_ > 0)
+      C.SameStep_ = W->runsOf(Key);
     Found.push_back(C);
   }
   return Found;
@@ -190,15 +180,13 @@
 
 StartOrder PoolScheduler::startOrder(const Job &J, const TaskKey &Key,
                                      const Worker &W, Attempt A) const {
-  StartOrder O{
-      W.info().Id_, Key,     A, J.spec().Payload_, J.task(Key).Checkpoint_,
-      "",           W.Fence_};
-  if (const auto It = Advice_.find({Key.Job_, Key.Occurrence_, Key.Step_});
-      It != Advice_.end())
-    if (const auto Ticket = It->second.Tickets_.find(W.info().Id_);
-        Ticket != It->second.Tickets_.end())
-      O.Ticket_ = Ticket->second;
-  return O;
+  return {W.info().Id_,
+          Key,
+          A,
+          J.spec().Payload_,
+          J.task(Key).Checkpoint_,
+          Advice_.ticket(stepOf(Key), W.Number_),
+          W.Fence_};
 }
 
 bool PoolScheduler::isRepeatable(const TaskKey &Key, const Run &R) const {
@@ -380,52 +368,4 @@
       startTasks(*S, Available, StallingPlaces::Use, Now, Out);
 }
 
-const PoolScheduler::Advice *
-PoolScheduler::adviceFor(const Job &J, const ReadyStep &S, Instant Now) const {
-  const auto It = Advice_.find({J.id(), S.Occurrence_, S.Step_});
-  const bool Valid = It != Advice_.end() && Now < It->second.ValidUntil_;
-  return Valid ? &It->second : nullptr;
-}
-
-void PoolScheduler::setAdvice(const StepKey &Key,
-                              std::vector<PlacementTicket> Tickets,
-                              Instant ValidUntil) {
-  Advice A;
-  A.ValidUntil_ = ValidUntil;
-  for (PlacementTicket &T : Tickets)
-    A.Tickets_[T.Worker_] = std::move(T.Ticket_);
-  Advice_[Key] = std::move(A);
-}
-
-void PoolScheduler::dropAdvice(const JobId &Id) {
-  Advice_.erase(Advice_.lower_bound({Id, 0, 0}),
-                Advice_.upper_bound({Id, ~0U, ~0U}));
-}
-
-std::optional<PoolScheduler::AdviceRequest>
-PoolScheduler::nextAdviceRequest(Instant Now, WallTime Wall) {
-  if (std::ranges::none_of(
-          Queues_, [](const auto &Entry) { return Entry.second.NeedsAdvice_; }))
-    return std::nullopt;
-  for (const ReadyStep &S : readySteps(Now, Wall)) {
-    const Job &J = *S.Job_;
-    if (!settings(J.queue()).NeedsAdvice_ || adviceFor(J, S, Now) ||
-        !accountPermits(J, J.spec().Steps_[S.Step_]))
-      continue;
-    // Workers with the most free cores first: only MaxAdvisedWorkers fit into a
-    // query.
-    std::vector<Worker *> LeastLoaded = availableWorkers(Now);
-    std::ranges::stable_sort(LeastLoaded, std::greater(), [](const Worker *W) {
-      return W->free().CpuMilli_;
-    });
-    AdviceRequest Request{{J.id(), S.Occurrence_, S.Step_}, {}};
-    for (const Worker *W : LeastLoaded)
-      if (Request.Workers_.size() < MaxAdvisedWorkers)
-        Request.Workers_.push_back(W->info().Id_);
-    if (!Request.Workers_.empty())
-      return Request;
-  }
-  return std::nullopt;
-}
-
 } // namespace heathercross::schedule
--- a/src/schedule/pool-scheduler-step.cc
+++ b/src/schedule/pool-scheduler-step.cc
@@ -32,6 +32,7 @@
 
 Orders PoolScheduler::step(Instant Now, WallTime Wall) {
   Orders Out;
+  NeedAdvice_.clear();
   refreshWorkers(Now);
   moveLongRunning(Now);
   orderStops(Now, Out);
@@ -157,8 +158,10 @@
         continue;
       const ReadyStep Step{{}, J, Key.Occurrence_, Key.Step_};
       if (!choose(candidates(*J, Step, *Available, Now),
-                  request(*J, Step, J->task(Key), Now)))
+                  request(*J, Step, J->task(Key), Now))) {
+        NeedAdvice_.insert(Key);
         continue;
+      }
       stopRun(W, R);
       R.StopForMove_ = true;
       logDecision("run-moved", Key, R.Attempt_, Id,
--- a/src/schedule/pool-scheduler.cc
+++ b/src/schedule/pool-scheduler.cc
@@ -55,6 +55,8 @@
 
 void PoolScheduler::setWorker(const WorkerInfo &Info) {
   const auto [It, New] = Workers_.try_emplace(Info.Id_, Info, Fence_);
+  if (New)
+    It->second.Number_ = Advice_.addWorker();
   It->second.setInfo(Info);
   It->second.Registered_ = true;
   MaxCapacity_.CpuMilli_ =
@@ -91,6 +93,7 @@
 
 void PoolScheduler::eraseWorker(const InstanceId &Id, const char *Cause) {
   logDecision("worker-gone", {}, 0, Id, Cause);
+  Advice_.removeWorker(Workers_.at(Id).Number_);
   Workers_.erase(Id);
   // Calls to the instance may be in flight if it registers again.
   Fence_ = Fence_.next();
@@ -178,7 +181,7 @@
 void PoolScheduler::endJob(Job &J, JobState State) {
   J.setState(State);
   Open_.erase(J.id());
-  dropAdvice(J.id());
+  Advice_.forget(J.id());
   Changed_.insert(J.id());
   for (auto &[Id, W] : Workers_)
     for (const auto &[Key, R] : W.runs())
@@ -230,6 +233,7 @@
                     " unanswered=" + std::to_string(Unanswered) +
                     " born=" + std::to_string(Incarnation));
     restarted(W);
+    Advice_.workerRestarted(W.Number_);
   }
   if (W.Incarnation_ == Incarnation)
     return;
@@ -369,7 +373,7 @@
   case StartAnswer::NoTicket:
     // The ticket belongs to an earlier incarnation of the worker or has
     // expired.
-    Advice_.erase({Key.Job_, Key.Occurrence_, Key.Step_});
+    Advice_.ticketRejected(stepOf(Key), W->Number_);
     release(*W, Key, "no-ticket");
     return;
   case StartAnswer::Fenced:
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -5,6 +5,8 @@
 #include "schedule/arrival-rate.h"
 #include "schedule/interference.h"
 #include "schedule/job.h"
+#include "schedule/orders.h"
+#include "schedule/placement-advice.h"
 #include "schedule/ranking.h"
 #include "schedule/run-times.h"
 #include "schedule/share-admission.h"
@@ -19,92 +21,6 @@
 
 namespace heathercross::schedule {
 
-struct StartOrder {
-  InstanceId Worker_;
-  TaskKey Task_;
-  Attempt Attempt_ = 0;
-  std::string Payload_;
-  std::string Checkpoint_;
-  /// The placement ticket; empty for queues that need no placement advice.
-  std::string Ticket_;
-  FenceGeneration Fence_;
-};
-
-struct StopOrder {
-  InstanceId Worker_;
-  TaskKey Task_;
-  Attempt Attempt_ = 0;
-  FenceGeneration Fence_;
-};
-
-/// Limits a best-effort task to a percentage of its work.
-struct ThrottleOrder {
-  InstanceId Worker_;
-  TaskKey Task_;
-  Attempt Attempt_ = 0;
-  std::uint32_t Percent_ = 100;
-  FenceGeneration Fence_;
-};
-
-struct Orders {
-  std::vector<StartOrder> Starts_;
-  std::vector<StopOrder> Stops_;
-  std::vector<ThrottleOrder> Throttles_;
-};
-
-/// A worker's answer to an order to start a task.
-enum class StartAnswer : std::uint8_t {
-  Started,
-  NoRoom,
-  /// The worker already ended a run of this task with the same or a higher
-  /// attempt.
-  Outdated,
-  /// The run's lease had expired when the order arrived.
-  LeaseExpired,
-  /// The worker has seen a higher fencing epoch.
-  Fenced,
-  NoTicket,
-  Unhealthy,
-  /// Another instance now uses the address.
-  WrongInstance,
-  Malformed,
-  /// No answer; the worker may still carry out the order.
-  Unknown,
-};
-
-enum class StopAnswer : std::uint8_t {
-  Accepted,
-  Fenced,
-  WrongInstance,
-  Malformed,
-  Unknown,
-};
-
-/// A decision about a task or a worker, for the log.
-struct Decision {
-  const char *Kind_ = "";
-  TaskKey Task_;
-  Attempt Attempt_ = 0;
-  InstanceId Worker_;
-  std::string Cause_;
-};
-
-/// The current demand of a pool, in cores.
-struct Demand {
-  double Running_ = 0;
-  /// Ready tasks whose job can still meet its objective.
-  double WaitingInTime_ = 0;
-  /// Ready tasks of jobs that already miss their objective.
-  double WaitingLate_ = 0;
-  /// Reserved by long-running tasks.
-  double LongRunning_ = 0;
-  /// The minimum number of workers on which the long-running tasks can be
-  /// placed.
-  std::uint32_t MinWorkers_ = 0;
-  /// Cores needed to keep up with the rate of arriving work.
-  double Arriving_ = 0;
-};
-
 /// The scheduler of one pool, a state machine without I/O: it takes in events
 /// with their times and returns orders, which the caller delivers and whose
 /// answers it reports. One entry instance at a time runs it, under a fencing
@@ -200,16 +116,14 @@
   void started(const StartOrder &O, StartAnswer Answer, Instant Now);
   void stopped(const StopOrder &O, StopAnswer Answer, Instant Now);
 
-  /// Stores which workers may run a step according to the placement service.
-  void setAdvice(const StepKey &Key, std::vector<PlacementTicket> Tickets,
-                 Instant ValidUntil);
-  /// The most urgent step without valid placement advice, and the workers to
-  /// ask the placement service about.
-  struct AdviceRequest {
-    StepKey Step_;
-    std::vector<InstanceId> Workers_;
-  };
+  /// The next query to the placement service, and none while no answer would
+  /// help a step. The caller has one query answered at a time.
   std::optional<AdviceRequest> nextAdviceRequest(Instant Now, WallTime Wall);
+  /// Takes in the answer to a query, or with no value that there was none.
+  void
+  adviceAnswered(const AdviceRequest &R, Micros Took,
+                 const std::optional<std::vector<PlacementTicket>> &Allowed,
+                 Instant ValidUntil);
 
   /// Evacuates these workers until the given time: no task starts on them, and
   /// long-running tasks move to other workers.
@@ -259,10 +173,6 @@
   bool fitsKnownCapacity(const StepSpec &S) const;
 
 private:
-  struct Advice {
-    std::map<InstanceId, std::string> Tickets_;
-    Instant ValidUntil_;
-  };
   struct ReadyStep {
     Rank Rank_;
     const Job *Job_ = nullptr;
@@ -429,9 +339,30 @@
   void countStart(const std::vector<Candidate> &Places, const Candidate &Chosen,
                   const StepSpec &S, bool StallingLeftOut);
   bool acceptsTasks(const Worker &W, Instant Now) const;
-  /// The valid placement advice for a step, or null.
-  const Advice *adviceFor(const Job &J, const ReadyStep &S, Instant Now) const;
-  void dropAdvice(const JobId &Id);
+  /// What an answer of the placement service would do for a step.
+  enum class AdviceNeed : std::uint8_t {
+    None,
+    /// Tickets of workers without room have expired.
+    Renew,
+    /// No allowed worker is known, and none that may be has room.
+    Learn,
+    /// Workers with room may be allowed.
+    Place
+  };
+  struct AdviceDemand {
+    AdviceNeed Need_ = AdviceNeed::None;
+    /// Whom to ask about, the best ones first.
+    std::vector<const Worker *> Workers_;
+  };
+  /// Copied is a task of the step that may get a second run, or null.
+  AdviceDemand adviceDemand(const ReadyStep &S, const TaskKey *Copied,
+                            const std::vector<Worker *> &LeastLoaded,
+                            Instant Now);
+  /// Workers without a valid ticket on which a task of the step must start.
+  std::vector<const Worker *> requiredWithoutTicket(const ReadyStep &S,
+                                                    Instant Now) const;
+  AdviceRequest adviceRequest(const ReadyStep &S, const AdviceDemand &D,
+                              Instant Now);
   PlacementRequest request(const Job &J, const ReadyStep &S, const TaskState &T,
                            Instant Now) const;
   std::uint32_t unavailableTasks(const Job &J, std::uint32_t OccurrenceIndex,
@@ -460,7 +391,14 @@
   /// have ended in any case.
   std::map<InstanceId, Instant> Awaited_;
   std::map<InstanceId, Worker> Workers_;
-  std::map<StepKey, Advice> Advice_;
+  PlacementAdvice Advice_;
+  AdviceBatch AdviceBatch_;
+  /// Tasks that should run on another worker, too, or instead, and that no
+  /// worker with a valid ticket has room for.
+  std::set<TaskKey> NeedAdvice_;
+  /// Whether the next query is for the step that has waited longest for one,
+  /// and not for the most urgent step.
+  bool AskForLongest_ = false;
   std::set<JobId> Changed_;
   std::vector<Decision> Log_;
   Resources MaxCapacity_;
--- a/src/schedule/worker.h
+++ b/src/schedule/worker.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "schedule/model.h"
+#include "schedule/placement-advice.h"
 #include "schedule/worker-speed.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <utility>
@@ -156,6 +158,14 @@
     Runs_.erase(It);
   }
 
+  /// The number of runs of a step's tasks.
+  std::uint32_t runsOf(const StepKey &S) const {
+    const auto First = Runs_.lower_bound({S.Job_, S.Occurrence_, S.Step_, 0});
+    const auto Last =
+        Runs_.lower_bound({S.Job_, S.Occurrence_, S.Step_ + 1, 0});
+    return static_cast<std::uint32_t>(std::distance(First, Last));
+  }
+
   /// Whether the worker has reported at least once.
   bool hasReported() const { return Incarnation_.has_value(); }
 
@@ -246,6 +256,8 @@
             EvacuateUntil_ <= Now);
   }
 
+  /// The worker's number in PlacementAdvice.
+  WorkerNumber Number_ = 0;
   std::optional<std::int64_t> Incarnation_;
   /// The fence of the next call, and the highest one that a report confirmed.
   FenceGeneration Fence_;
--- a/test/entry/duties-test.cc
+++ b/test/entry/duties-test.cc
@@ -147,7 +147,8 @@
   platform_api::Store Client_{Http_, {Store_.address(), {}, false}};
   platform_api::Workers Workers_{Http_};
   platform_api::Machines Machines_{Http_, "127.0.0.1:1"};
-  platform_api::Advice Advice_{Http_};
+  platform_api::Advice AdviceService_{Http_};
+  AdviceCalls Advice_{AdviceService_, Clock_};
   Context Context_{Settings_, EntryId("self/1"), Clock_,    Log_,    Metrics_,
                    Client_,   Workers_,          Machines_, Advice_, Http_};
   ClusterState State_{Context_,
--- a/test/entry/rows-test.cc
+++ b/test/entry/rows-test.cc
@@ -136,6 +136,7 @@
   Q.ObjectiveFactor_ = 1.6;
   Q.ObjectiveSlack_ = Millis(600);
   Q.NeedsAdvice_ = true;
+  Q.AdviceTimes_ = {Millis(20), Millis(1), Millis(3000)};
   const StoredQueues Queues{{schedule::QueueId("r-old"), Q},
                             {schedule::QueueId("r/\"odd\""), Q}};
   section("all of them are read back", [&] {
--- a/test/platform/documents-test.cc
+++ b/test/platform/documents-test.cc
@@ -38,6 +38,8 @@
     CPPUNIT_ASSERT_EQUAL(2U, C->Routes_[0].Settings_.MaxFailures_);
     CPPUNIT_ASSERT(!C->Routes_[0].Settings_.NeedsAdvice_);
     CPPUNIT_ASSERT(C->Routes_[1].Settings_.NeedsAdvice_);
+    CPPUNIT_ASSERT((C->Routes_[1].Settings_.AdviceTimes_ ==
+                    schedule::AdviceTimes{Millis(5), Millis(1), Millis(3000)}));
     CPPUNIT_ASSERT(C->Pools_[1].Standby_);
   });
   section("the longest matching prefix decides", [&] {
--- a/test/schedule/model-pool.h
+++ b/test/schedule/model-pool.h
@@ -9,9 +9,11 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <ostream>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace heathercross::schedule::test {
@@ -72,6 +74,9 @@
   std::uint64_t HolderChanges_ = 0;
   std::vector<LateCall> LateCalls_;
 
+  /// The placement service that the queue needs; none if it is absent.
+  std::optional<ModelPlacement> Placement_;
+
   ModelPool() { configure(); }
   virtual ~ModelPool() = default;
 
@@ -81,6 +86,9 @@
     Q.MaxFailures_ = 2;
     Q.ObjectiveFactor_ = 1.6;
     Q.ObjectiveSlack_ = Millis(600);
+    Q.NeedsAdvice_ = Placement_.has_value();
+    if (Placement_)
+      Q.AdviceTimes_ = Placement_->Times_;
     Scheduler_.setQueues({{Queue_, Q}});
   }
 
@@ -118,6 +126,7 @@
     ++HolderChanges_;
     // Acknowledgements that were not sent are lost.
     Acked_.clear();
+    Query_.reset();
     configure();
     for (auto &[Id, W] : Workers_) {
       Scheduler_.setWorker(W.Info_);
@@ -169,6 +178,14 @@
   }
 
 protected:
+  /// A query that the placement service is handling.
+  struct Query {
+    AdviceRequest Request_;
+    Instant SentAt_;
+    std::vector<PlacementTicket> Tickets_;
+  };
+  std::optional<Query> Query_;
+
   virtual void tick() {
     for (auto &[Id, W] : Workers_)
       advance(W);
@@ -180,9 +197,34 @@
       deliver(S);
     for (const StartOrder &S : O.Starts_)
       deliver(S);
+    askPlacement();
     store();
   }
 
+  /// Lets the holder ask the placement service, and answers it in time.
+  void askPlacement() {
+    if (!Placement_)
+      return;
+    if (Query_ && Now_ - Query_->SentAt_ >=
+                      Placement_->duration(Query_->Request_.Workers_.size())) {
+      const Query Q = *std::exchange(Query_, std::nullopt);
+      Scheduler_.adviceAnswered(Q.Request_, Now_ - Q.SentAt_, Q.Tickets_,
+                                Q.SentAt_ + Placement_->Times_.Valid_);
+    }
+    if (Query_)
+      return;
+    const auto Request = Scheduler_.nextAdviceRequest(Now_, wall());
+    if (!Request)
+      return;
+    ++Placement_->Queries_;
+    Query_ = Query{*Request, Now_, {}};
+    for (const AdvisedWorker &A : Request->Workers_)
+      if (Placement_->allows(Request->Step_, A.Id_))
+        Query_->Tickets_.push_back(
+            {A.Id_, ModelPlacement::ticket(Workers_.at(A.Id_).Incarnation_,
+                                           Now_ + Placement_->Times_.Valid_)});
+  }
+
   /// Gives the current holder's scheduler the jobs as they are stored.
   void restoreJobs() {
     for (const auto &[Id, Spec] : Specs_) {
@@ -338,6 +380,11 @@
       return StartAnswer::LeaseExpired;
     if (O.Attempt_ <= W.Highest_[O.Task_])
       return StartAnswer::Outdated;
+    if (Placement_ &&
+        !ModelPlacement::isValid(O.Ticket_, W.Incarnation_, Now_)) {
+      ++Placement_->TicketsRefused_;
+      return StartAnswer::NoTicket;
+    }
     check(W, O);
     const StepSpec &S = Specs_.at(O.Task_.Job_).Steps_[O.Task_.Step_];
     const bool Fails = W.FailsAll_ || FailingJobs_.contains(O.Task_.Job_);
--- a/test/schedule/model-worker.h
+++ b/test/schedule/model-worker.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,43 @@
   std::function<void(ModelWorker &)> CarryOut_;
 };
 
+/// A placement service, and the policy that it knows. It handles one query at
+/// a time.
+struct ModelPlacement {
+  AdviceTimes Times_;
+  /// Of so many workers a step may use one; it may use the ones in Always_ in
+  /// any case.
+  std::uint64_t OneOf_ = 1;
+  std::set<InstanceId> Always_;
+  /// Start orders that a worker refused for want of a valid ticket.
+  std::uint32_t TicketsRefused_ = 0;
+  std::uint32_t Queries_ = 0;
+
+  bool allows(const StepKey &Step, const InstanceId &Worker) const {
+    const std::string Name = Step.Job_.str() + "." +
+                             std::to_string(Step.Occurrence_) + "." +
+                             std::to_string(Step.Step_) + "/" + Worker.str();
+    return Always_.contains(Worker) ||
+           std::hash<std::string>()(Name) % OneOf_ == 0;
+  }
+  Millis duration(std::size_t Workers) const {
+    return Times_.Decide_ + Times_.Each_ * static_cast<std::int64_t>(Workers);
+  }
+  /// A ticket names the life of the worker and when the ticket expires.
+  static std::string ticket(std::int64_t Life, Instant ValidUntil) {
+    return std::to_string(Life) + "/" +
+           std::to_string(ValidUntil.time_since_epoch().count());
+  }
+  static bool isValid(const std::string &Ticket, std::int64_t Life,
+                      Instant Now) {
+    const auto Slash = Ticket.find('/');
+    return Slash != std::string::npos &&
+           Ticket.substr(0, Slash) == std::to_string(Life) &&
+           Now.time_since_epoch().count() <
+               std::stoll(Ticket.substr(Slash + 1));
+  }
+};
+
 /// The true state of one worker.
 class ModelWorker {
 public:
--- a/test/schedule/pool-scheduler-test.cc
+++ b/test/schedule/pool-scheduler-test.cc
@@ -431,8 +431,11 @@
     CPPUNIT_ASSERT(Request->Step_ == (StepKey{JobId("j1"), 0, 0}));
   });
   section("then it runs on the workers that were named", [&] {
-    P.Scheduler_.setAdvice({JobId("j1"), 0, 0}, {{InstanceId("w2"), "t"}},
-                           P.Now_ + Seconds(3));
+    const auto Request = P.Scheduler_.nextAdviceRequest(P.Now_, P.wall());
+    P.Scheduler_.adviceAnswered(
+        *Request, Millis(10),
+        std::vector<PlacementTicket>{{InstanceId("w2"), "t"}},
+        P.Now_ + Seconds(3));
     CPPUNIT_ASSERT(!P.Scheduler_.nextAdviceRequest(P.Now_, P.wall()));
     P.run(Millis(100));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2},
