A route that moves to another pool keeps its jobs

Cause: a front takes the pool of a call from the route in force, and a holder knows the jobs of its own pool. Nothing said which pools an ingress (host and path prefix) had led to before.

Change: a pool claims an ingress in one conditional row before it accepts jobs under it, with the version of the configuration; a later claim wins. For an unknown id the front asks the pools that had claimed it before. Those store first that they are sealed, so that no id is accepted by two pools whatever configurations entries and holders know. A pool that isn't open answers neither 410 nor 200. Queued jobs are added up over the pools.

--- a/src/entry/context.h
+++ b/src/entry/context.h
@@ -51,7 +51,10 @@
 inline constexpr const char *RosterTable = "rosters";
 inline constexpr const char *RosterKey = "roster";
 inline constexpr const char *QueuesKey = "queues";
+inline constexpr const char *IngressesKey = "ingresses";
 inline constexpr const char *WaveTable = "waves";
+/// The pools that have claimed an ingress, in the partition "" by its id.
+inline constexpr const char *IngressTable = "ingresses";
 
 /// Partition and duty of the fleet controller. It can't clash with a pool, as
 /// pool names contain no asterisk.
--- a/src/entry/front.cc
+++ b/src/entry/front.cc
@@ -69,7 +69,8 @@
 /// Whether an attempt that got this answer changed nothing and never will.
 bool hadNoEffect(const JobAnswer &A) {
   return !A.Uncertain_ &&
-         (A.Kind_ == AnswerKind::Rejected || A.Kind_ == AnswerKind::NotHolder);
+         (A.Kind_ == AnswerKind::Rejected || A.Kind_ == AnswerKind::NotHolder ||
+          A.Kind_ == AnswerKind::AskFormer);
 }
 
 bool hadNoEffect(const PeerReply &R) {
@@ -105,7 +106,8 @@
       return answer(C, Unauthorized, {}, "unknown-key");
     C->Request_.Account_ = Account->Id_;
   }
-  C->Request_.Pool_ = Parsed.Route_->Settings_.Pool_;
+  C->RoutedPool_ = C->Request_.Pool_ = Parsed.Route_->Settings_.Pool_;
+  C->Request_.Ingress_.Ingress_ = Parsed.Route_->Settings_.Ingress_;
   C->Request_.Queue_ = Parsed.Route_->Queue_;
   C->Request_.Job_ = Parsed.Job_;
   switch (Parsed.Verb_) {
@@ -147,11 +149,10 @@
   PoolHolder *Local = Duties_.holder(C->Request_.Pool_);
   C->Holder_ = Known ? Known->Row_.Holder_.str() : std::string();
   if (Local) {
-    const Epoch E = Local->self().Epoch_;
-    C->Open_.begin(E);
+    const Attempt T = beginAttempt(C, Local->self().Epoch_);
     return callLocalHolder(*Local, C->Request_,
-                           guarded(this, [this, C, E](const JobAnswer &A) {
-                             handleAnswer(C, A, E);
+                           guarded(this, [this, C, T](const JobAnswer &A) {
+                             handleAnswer(C, A, T);
                            }));
   }
   // While the store doesn't answer, no holder is expected to become known.
@@ -166,14 +167,14 @@
                             PoolHolder::AnswerHandler OnAnswer) {
   switch (Job.Kind_) {
   case Kind::Submit:
-    return H.submit(Job.Job_, Job.Queue_, Job.Account_, Job.Body_,
+    return H.submit(Job.Job_, Job.Queue_, Job.Account_, Job.Body_, Job.Ingress_,
                     std::move(OnAnswer));
   case Kind::State:
-    return H.state(Job.Job_, Job.Account_, OnAnswer);
+    return H.state(Job.Job_, Job.Account_, Job.Ingress_, OnAnswer);
   case Kind::Cancel:
-    return H.cancel(Job.Job_, Job.Account_, std::move(OnAnswer));
+    return H.cancel(Job.Job_, Job.Account_, Job.Ingress_, std::move(OnAnswer));
   case Kind::Queued:
-    return H.queued(Job.Queue_, OnAnswer);
+    return H.queued(Job.Queue_, Job.Ingress_, OnAnswer);
   }
 }
 
@@ -271,31 +272,32 @@
   const Epoch E = Holder.Row_.Epoch_;
   C->AskedEpoch_ = E;
   C->Request_.Epoch_ = E;
-  C->Open_.begin(E);
+  const Attempt T = beginAttempt(C, E);
   if (!std::exchange(C->Listed_, true))
     AwaitingReply_.push_back(C);
-  QTimer::singleShot(PingAfter, this, [this, C, E, Holder] {
-    if (!C->Answered_ && C->AskedEpoch_ == E)
+  QTimer::singleShot(PingAfter, this, [this, C, E, T, Holder] {
+    if (!C->Answered_ && C->AskedEpoch_ == E && C->Stage_ == T.Stage_)
       pingHolder(C->Request_.Pool_, Holder);
   });
   const Millis Left = toMillis(C->Deadline_ - Context_.Clock_.now());
   const Millis Timeout =
       std::max(AnswerMargin, std::min(PeerTimeout, Left - AnswerMargin));
   sendJobCall(Context_, Holder.Row_.Address_, C->Request_, Timeout,
-              guarded(this, [this, C, E, Address = Holder.Row_.Address_](
+              guarded(this, [this, C, T, Address = Holder.Row_.Address_](
                                 const PeerReply &R) {
                 if (R.Kind_ == PeerReply::Kind::Answered)
                   Contacts_[Address].AnsweredAt_ = Context_.Clock_.now();
-                handlePeerReply(C, R, E);
+                handlePeerReply(C, R, T);
               }));
 }
 
-void Front::handlePeerReply(const CallPtr &C, const PeerReply &R, Epoch E) {
+void Front::handlePeerReply(const CallPtr &C, const PeerReply &R,
+                            const Attempt &T) {
   // The request may have been sent to another holder since. Then the reply
   // only counts if it says that this attempt had no effect.
-  if (C->AskedEpoch_ != E) {
+  if (C->Stage_ != T.Stage_ || C->AskedEpoch_ != T.Epoch_) {
     if (hadNoEffect(R))
-      C->Open_.ruleOut(E);
+      ruleOut(C, T);
     return;
   }
   C->AskedEpoch_.reset();
@@ -303,24 +305,27 @@
   case PeerReply::Kind::Answered:
     if (R.Answer_.Kind_ == AnswerKind::NotHolder)
       Duties_.notHeld();
-    return handleAnswer(C, R.Answer_, E);
+    return handleAnswer(C, R.Answer_, T);
   case PeerReply::Kind::Unknown:
     return retryLater(C);
   case PeerReply::Kind::Unreachable:
-    C->Open_.ruleOut(E);
+    ruleOut(C, T);
     Duties_.unreachable(C->Request_.Pool_);
     return retryLater(C);
   }
 }
 
-void Front::handleAnswer(const CallPtr &C, const JobAnswer &A, Epoch E) {
+void Front::handleAnswer(const CallPtr &C, const JobAnswer &A,
+                         const Attempt &T) {
   if (hadNoEffect(A))
-    C->Open_.ruleOut(E);
+    ruleOut(C, T);
+  if (C->Stage_ != T.Stage_ || C->Answered_)
+    return;
   switch (A.Kind_) {
   case AnswerKind::Accepted:
     return answer(C, Ok, {}, "stored");
   case AnswerKind::Rejected:
-    if (!C->Open_.excludedBy(E))
+    if (!C->Open_.excludedBy(T.Epoch_))
       return giveUp(C);
     return answer(C, A.Cause_ == "store-away" ? Unavailable : TooManyRequests,
                   {}, A.Cause_, A.RetryAfter_);
@@ -328,10 +333,14 @@
     return retryLater(C);
   case AnswerKind::Known:
     if (C->Request_.Kind_ == Kind::Queued)
-      return answer(C, Ok, platform_api::queuedBody(A.Queued_), "");
+      return handleQueued(C, A);
     return answer(C, Ok, platform_api::stateBody(A.State_), "");
   case AnswerKind::NoSuchJob:
+    if (asksFormer(*C))
+      return nextStage(C);
     return answer(C, Gone, {}, "no-such-job");
+  case AnswerKind::AskFormer:
+    return askFormer(C, A);
   case AnswerKind::Malformed:
     return answer(C, BadRequest, {}, "malformed");
   case AnswerKind::Forbidden:
--- a/src/entry/front.h
+++ b/src/entry/front.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,15 @@
     /// it would be sent twice at a time.
     bool Listed_ = false;
     std::uint64_t ConfigurationVersion_ = 0;
+    /// The pool to which the configuration sends the request. While former
+    /// pools of its ingress are asked, Request_ names one of them.
+    PoolId RoutedPool_;
+    std::set<PoolId> ToAsk_;
+    /// Counts the changes of pool: answers to attempts at another one don't
+    /// count any more. Epochs of different pools can't be compared.
+    std::uint32_t Stage_ = 0;
+    /// Queued jobs in the pools that have answered.
+    std::uint32_t Queued_ = 0;
     std::string Holder_;
     bool Answered_ = false;
   };
@@ -76,10 +86,27 @@
   void pingHolder(const PoolId &Pool, const schedule::StoredHolder &Holder);
   void handlePingReply(const PoolId &Pool, const schedule::StoredHolder &Holder,
                        bool Answered);
-  /// Handles the answer of the holder of an epoch to an attempt.
-  void handleAnswer(const CallPtr &C, const JobAnswer &A, Epoch E);
+  /// An attempt at the holder of an epoch, in one stage of the call.
+  struct Attempt {
+    std::uint32_t Stage_ = 0;
+    Epoch Epoch_;
+  };
+  /// Starts an attempt: it may take effect at the routed pool only.
+  static Attempt beginAttempt(const CallPtr &C, Epoch E);
+  /// Rules out that an attempt takes effect.
+  static void ruleOut(const CallPtr &C, const Attempt &T);
+  static bool asksFormer(const Call &C) {
+    return C.Request_.Ingress_.FormerFor_ > 0;
+  }
+  /// Handles the answer of a holder to an attempt.
+  void handleAnswer(const CallPtr &C, const JobAnswer &A, const Attempt &T);
   /// Handles the end of an attempt at a remote holder.
-  void handlePeerReply(const CallPtr &C, const PeerReply &R, Epoch E);
+  void handlePeerReply(const CallPtr &C, const PeerReply &R, const Attempt &T);
+  /// Begins to ask the former pools of the ingress.
+  void askFormer(const CallPtr &C, const JobAnswer &A);
+  /// Sends the request to the next former pool, or back to the routed one.
+  void nextStage(const CallPtr &C);
+  void handleQueued(const CallPtr &C, const JobAnswer &A);
   /// Repeats a request after a pause if the caller's deadline allows it.
   void retryLater(const CallPtr &C);
   /// Answers that the request failed, or that its outcome is unknown.
--- a/src/entry/peer-calls.cc
+++ b/src/entry/peer-calls.cc
@@ -26,9 +26,9 @@
 constexpr const char *RatesField = "account_rates";
 constexpr std::array<const char *, 4> KindNames{"submit", "state", "cancel",
                                                 "queued"};
-constexpr std::array<const char *, 7> AnswerNames{
+constexpr std::array<const char *, 8> AnswerNames{
     "accepted",    "rejected",  "not-holder", "known",
-    "no-such-job", "malformed", "forbidden"};
+    "no-such-job", "malformed", "forbidden",  "ask-former"};
 
 QString toQString(const std::string &T) { return QString::fromStdString(T); }
 std::string toStdString(const QJsonValue &V) {
@@ -62,6 +62,20 @@
   return D.object();
 }
 
+QJsonArray poolNames(const std::set<PoolId> &Pools) {
+  QJsonArray Names;
+  for (const PoolId &P : Pools)
+    Names.append(toQString(P.str()));
+  return Names;
+}
+
+std::set<PoolId> parsePools(const QJsonValue &V) {
+  std::set<PoolId> Pools;
+  for (const auto Name : V.toArray())
+    Pools.insert(PoolId(toStdString(Name)));
+  return Pools;
+}
+
 std::optional<JobAnswer> parseAnswer(const QByteArray &Body) {
   const auto O = parseObject(Body);
   const auto Kind =
@@ -75,6 +89,8 @@
   A.Uncertain_ = O->value("uncertain").toBool();
   A.RetryAfter_ = Millis(O->value("retry_after_ms").toInt());
   A.Cause_ = toStdString(O->value("cause"));
+  A.Former_ = parsePools(O->value("former"));
+  A.ClaimedFor_ = optionalCount(O->value("claimed_for")).value_or(0);
   return A;
 }
 
@@ -151,6 +167,15 @@
                    {"body", QString::fromUtf8(Call.Body_)}};
   if (!Call.Account_.empty())
     Body["account"] = toQString(Call.Account_.str());
+  if (!Call.Ingress_.Ingress_.empty())
+    Body["ingress"] = toQString(Call.Ingress_.Ingress_.str());
+  // Absent for an ingress that has never moved.
+  if (!Call.Ingress_.Asked_.empty()) {
+    Body["asked"] = poolNames(Call.Ingress_.Asked_);
+    Body["asked_for"] = static_cast<qint64>(Call.Ingress_.AskedFor_);
+  }
+  if (Call.Ingress_.FormerFor_ > 0)
+    Body["former_for"] = static_cast<qint64>(Call.Ingress_.FormerFor_);
   C.Peers_.send(makePost(Address, CallPath, Body, Timeout),
                 [OnDone = std::move(OnDone)](const http::Reply &R) {
                   PeerReply Reply;
@@ -185,17 +210,25 @@
       Epoch(*HolderEpoch),
       AccountId(toStdString(O->value("account"))),
       EntryId(toStdString(O->value("entry"))),
-      static_cast<std::uint32_t>(std::max(0, O->value("cpu_milli").toInt()))};
+      static_cast<std::uint32_t>(std::max(0, O->value("cpu_milli").toInt())),
+      {schedule::IngressId(toStdString(O->value("ingress"))),
+       parsePools(O->value("asked")),
+       optionalCount(O->value("asked_for")).value_or(0),
+       optionalCount(O->value("former_for")).value_or(0)}};
 }
 
 http::Response jobAnswerResponse(const JobAnswer &A) {
-  return jsonResponse(
-      {{"answer", AnswerNames[static_cast<std::size_t>(A.Kind_)]},
-       {"state", static_cast<int>(A.State_)},
-       {"queued", static_cast<int>(A.Queued_)},
-       {"uncertain", A.Uncertain_},
-       {"retry_after_ms", static_cast<int>(A.RetryAfter_.count())},
-       {"cause", toQString(A.Cause_)}});
+  QJsonObject Body{{"answer", AnswerNames[static_cast<std::size_t>(A.Kind_)]},
+                   {"state", static_cast<int>(A.State_)},
+                   {"queued", static_cast<int>(A.Queued_)},
+                   {"uncertain", A.Uncertain_},
+                   {"retry_after_ms", static_cast<int>(A.RetryAfter_.count())},
+                   {"cause", toQString(A.Cause_)}};
+  if (!A.Former_.empty()) {
+    Body["former"] = poolNames(A.Former_);
+    Body["claimed_for"] = static_cast<qint64>(A.ClaimedFor_);
+  }
+  return jsonResponse(Body);
 }
 
 QJsonObject evacuateBody(const EvacuateCall &Call) {
--- a/src/entry/peer-calls.h
+++ b/src/entry/peer-calls.h
@@ -33,6 +33,7 @@
   /// passes the call on; earlier versions send neither.
   EntryId Entry_ = {};
   std::uint32_t CpuMilli_ = 0;
+  IngressCall Ingress_ = {};
 };
 
 /// The outcome of a call to another entry.
--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -119,6 +119,7 @@
   std::map<InstanceId, Instant> Awaited;
   auto PoolRows = takeLoaded(RosterTable, RowKind::Roster);
   restoreQueues(PoolRows[QueuesKey]);
+  Ingresses_.restore(decodeIngresses(PoolRows[IngressesKey]));
   for (const auto &[Id, Listed] : decodeRoster(PoolRows[RosterKey])) {
     const auto EndBy = Listed.RunsEndBy_
                            ? Writer_.storeClock().reachedBy(*Listed.RunsEndBy_)
--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -25,7 +25,7 @@
 
 void PoolHolder::submit(const JobId &Id, const schedule::QueueId &Queue,
                         const AccountId &Account, const QByteArray &Body,
-                        AnswerHandler OnAnswer) {
+                        const IngressCall &Ingress, AnswerHandler OnAnswer) {
   using Kind = JobAnswer::Kind;
   if (!Ready_ || Lost_ || HandingOver_)
     return OnAnswer(Kind::NotHolder);
@@ -38,6 +38,8 @@
     It->second.Handlers_.push_back(std::move(OnAnswer));
     return;
   }
+  if (answerUnknown(Ingress, true, OnAnswer))
+    return;
   auto Spec = platform_api::parseJob(Body);
   if (!Spec)
     return OnAnswer(Kind::Malformed);
@@ -128,6 +130,7 @@
 }
 
 void PoolHolder::state(const JobId &Id, const AccountId &Account,
+                       const IngressCall &Ingress,
                        const AnswerHandler &OnAnswer) {
   using Kind = JobAnswer::Kind;
   if (!Ready_ || Lost_)
@@ -135,8 +138,10 @@
   const Job *J = Scheduler_.find(Id);
   if (!J) {
     const auto It = Submissions_.find(Id);
-    if (It == Submissions_.end())
-      return OnAnswer(Kind::NoSuchJob);
+    if (It == Submissions_.end()) {
+      answerUnknown(Ingress, false, OnAnswer);
+      return;
+    }
     return OnAnswer(mayAccess(Account, It->second.Row_.Account_)
                         ? Kind::Known
                         : Kind::Forbidden);
@@ -154,7 +159,7 @@
 }
 
 void PoolHolder::cancel(const JobId &Id, const AccountId &Account,
-                        AnswerHandler OnAnswer) {
+                        const IngressCall &Ingress, AnswerHandler OnAnswer) {
   using Kind = JobAnswer::Kind;
   if (!Ready_ || Lost_ || HandingOver_)
     return OnAnswer(Kind::NotHolder);
@@ -163,8 +168,10 @@
   if (Submissions_.contains(Id))
     return OnAnswer(Kind::NotHolder);
   const Job *J = Scheduler_.find(Id);
-  if (!J)
-    return OnAnswer(Kind::NoSuchJob);
+  if (!J) {
+    answerUnknown(Ingress, false, OnAnswer);
+    return;
+  }
   if (!mayAccess(Account, J->account()))
     return OnAnswer(Kind::Forbidden);
   if (Scheduler_.cancel(Id))
@@ -178,11 +185,17 @@
 }
 
 void PoolHolder::queued(const schedule::QueueId &Queue,
+                        const IngressCall &Ingress,
                         const AnswerHandler &OnAnswer) {
   if (!Ready_ || Lost_)
     return OnAnswer(JobAnswer::Kind::NotHolder);
   JobAnswer A{JobAnswer::Kind::Known};
-  A.Queued_ = Scheduler_.queuedJobs(Queue);
+  A.Queued_ = Scheduler_.queuedJobs(Queue, Ingress.Ingress_);
+  const schedule::IngressState *S = Ingresses_.find(Ingress.Ingress_);
+  if (S && Ingress.FormerFor_ == 0) {
+    A.Former_ = S->Former_;
+    A.ClaimedFor_ = S->Claimed_;
+  }
   OnAnswer(A);
 }
 
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -68,7 +68,8 @@
                                        },
                                        [this] { loseDuty("row-taken"); }}),
       Journal_(Writer_.journal()),
-      Shares_(C, Pool_, Duty_.Self_.Epoch_, [this] { scheduleRound(); }) {
+      Shares_(C, Pool_, Duty_.Self_.Epoch_, [this] { scheduleRound(); }),
+      Ingresses_(Pool_) {
   NextRound_.setSingleShot(true);
   NextRound_.setTimerType(Qt::PreciseTimer);
   connect(&NextRound_, &QTimer::timeout, this, [this] { runRound(); });
@@ -91,6 +92,8 @@
 void PoolHolder::setConfiguration(const schedule::Configuration &C) {
   Configuration_ = C;
   Scheduler_.setQueues(C.queuesOf(Pool_));
+  Ingresses_.configure(C.Version_, C.ingressesOf(Pool_));
+  NextClaim_ = Instant();
   Shares_.setConfiguration(C);
   JobMemory_.setLimit(jobMemoryBase(), C.Pools_.size());
   AccountRates_.setAccounts(C.Accounts_.value_or(accounts::AccountDirectory()),
@@ -207,6 +210,7 @@
     if (!HandingOver_)
       Shares_.update(Scheduler_.accountNeeds());
     askAdvice();
+    claimIngress();
     storeChanges();
     logDecisions();
     logAccountShares();
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -43,6 +43,8 @@
     Malformed,
     /// The job belongs to another account.
     Forbidden,
+    /// The id is unknown, and the pools in Former_ have to be asked first.
+    AskFormer,
   };
   JobAnswer() = default;
   // NOLINTNEXTLINE(google-explicit-constructor): most answers are only a kind.
@@ -57,6 +59,22 @@
   Millis RetryAfter_{0};
   /// Reason for a rejection, written to the log.
   std::string Cause_;
+  /// With AskFormer, and with the number of queued jobs: the pools that had the
+  /// ingress before, and the version for which this one claimed it.
+  std::set<PoolId> Former_ = {};
+  std::uint64_t ClaimedFor_ = 0;
+};
+
+/// By which ingress a request came, and what other pools were asked.
+struct IngressCall {
+  schedule::IngressId Ingress_ = {};
+  /// Pools that have answered that they don't know the job, and for which claim
+  /// they were asked.
+  std::set<PoolId> Asked_ = {};
+  std::uint64_t AskedFor_ = 0;
+  /// Set if the pool is asked as a former one, for a pool that claimed the
+  /// ingress for this version: it accepts nothing new.
+  std::uint64_t FormerFor_ = 0;
 };
 
 /// Demand and load of a pool, as reported to the holder of the fleet duty.
@@ -93,13 +111,14 @@
   /// Accepts or rejects a job. Idempotent: a repeated id means the same job.
   void submit(const JobId &Id, const schedule::QueueId &Queue,
               const AccountId &Account, const QByteArray &Body,
-              AnswerHandler OnAnswer);
+              const IngressCall &Ingress, AnswerHandler OnAnswer);
   /// The account is that of the caller; empty where no key is needed.
   void state(const JobId &Id, const AccountId &Account,
-             const AnswerHandler &OnAnswer);
+             const IngressCall &Ingress, const AnswerHandler &OnAnswer);
   void cancel(const JobId &Id, const AccountId &Account,
-              AnswerHandler OnAnswer);
-  void queued(const schedule::QueueId &Queue, const AnswerHandler &OnAnswer);
+              const IngressCall &Ingress, AnswerHandler OnAnswer);
+  void queued(const schedule::QueueId &Queue, const IngressCall &Ingress,
+              const AnswerHandler &OnAnswer);
 
   /// Evacuates workers: starts no run on them for a time. The caller repeats
   /// the call for as long as it needs them empty.
@@ -194,6 +213,17 @@
   void restoreQueues(const std::string &Row);
   void putQueues(bool Urgent);
 
+  /// Answers a request for an id that this pool doesn't know, unless the
+  /// request is a submission that may be accepted; returns whether it did.
+  bool answerUnknown(const IngressCall &Ingress, bool IsSubmission,
+                     const AnswerHandler &OnAnswer);
+  /// Claims the next ingress that is routed to this pool.
+  void claimIngress();
+  void writeClaim(const schedule::IngressId &Id,
+                  const platform_api::StoreReply &Read);
+  void claimEnded(const schedule::IngressId &Id, const char *Outcome);
+  void putIngresses();
+
   /// A renewal that has been sent.
   struct Renewal {
     InstanceId Worker_;
@@ -265,6 +295,10 @@
   std::map<InstanceId, std::string> EndedInstances_;
   /// The stored settings of the queues that have jobs.
   StoredQueues Queues_;
+  schedule::PoolIngresses Ingresses_;
+  /// A call for the row of an ingress is under way.
+  bool ClaimingIngress_ = false;
+  Instant NextClaim_;
   Roster Roster_;
   schedule::PoolJournal::Ticket RosterTicket_ = 0;
   /// Whether the scheduler knows the durable roster.
--- a/src/entry/rows.cc
+++ b/src/entry/rows.cc
@@ -57,6 +57,7 @@
   Q.ObjectiveFactor_ = O["objective_factor"].toDouble();
   Q.ObjectiveSlack_ = Millis(*SlackMs);
   Q.NeedsAdvice_ = O["needs_advice"].toBool();
+  Q.Ingress_ = schedule::IngressId(O["ingress"].toString().toStdString());
   // Rows of earlier versions lack the times.
   const auto Time = [&O](const char *Name) {
     return Millis(optionalCount(O[Name]).value_or(0));
@@ -146,6 +147,7 @@
         {"objective_factor", Q.ObjectiveFactor_},
         {"objective_slack_ms", static_cast<qint64>(Q.ObjectiveSlack_.count())},
         {"needs_advice", Q.NeedsAdvice_},
+        {"ingress", toQString(Q.Ingress_.str())},
         {"advice_decide_ms",
          static_cast<qint64>(Q.AdviceTimes_.Decide_.count())},
         {"advice_each_ms", static_cast<qint64>(Q.AdviceTimes_.Each_.count())},
@@ -179,4 +181,51 @@
   return Ids;
 }
 
+std::string encodeOwners(const schedule::IngressOwners &Owners) {
+  QJsonObject O;
+  for (const auto &[Pool, Version] : Owners)
+    O[toQString(Pool.str())] = static_cast<qint64>(Version);
+  return encodeObject(O);
+}
+
+schedule::IngressOwners decodeOwners(const std::string &Text) {
+  schedule::IngressOwners Owners;
+  if (const auto O = parseObject(Text))
+    for (auto It = O->begin(); It != O->end(); ++It)
+      if (const auto Version = optionalCount(It.value()))
+        Owners[PoolId(It.key().toStdString())] = *Version;
+  return Owners;
+}
+
+std::string encodeIngresses(const schedule::IngressStates &States) {
+  QJsonObject O;
+  for (const auto &[Id, S] : States) {
+    QJsonArray Former;
+    for (const PoolId &P : S.Former_)
+      Former.append(toQString(P.str()));
+    O[toQString(Id.str())] =
+        QJsonObject{{"claimed", static_cast<qint64>(S.Claimed_)},
+                    {"sealed", static_cast<qint64>(S.Sealed_)},
+                    {"former", Former}};
+  }
+  return encodeObject(O);
+}
+
+schedule::IngressStates decodeIngresses(const std::string &Text) {
+  schedule::IngressStates States;
+  if (const auto O = parseObject(Text))
+    for (auto It = O->begin(); It != O->end(); ++It) {
+      const QJsonObject Fields = It.value().toObject();
+      const auto Claimed = optionalCount(Fields["claimed"]);
+      const auto Sealed = optionalCount(Fields["sealed"]);
+      if (!It.value().isObject() || !Claimed || !Sealed)
+        continue;
+      schedule::IngressState S{*Claimed, *Sealed, {}};
+      for (const auto V : Fields["former"].toArray())
+        S.Former_.insert(PoolId(V.toString().toStdString()));
+      States[schedule::IngressId(It.key().toStdString())] = std::move(S);
+    }
+  return States;
+}
+
 } // namespace heathercross::entry
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -60,6 +60,15 @@
 /// Skips invalid entries.
 StoredQueues decodeQueues(const std::string &Text, const PoolId &Pool);
 
+/// The pools that have claimed an ingress. Decoding skips invalid entries.
+std::string encodeOwners(const schedule::IngressOwners &Owners);
+schedule::IngressOwners decodeOwners(const std::string &Text);
+
+/// What a pool stores of its ingresses. Decoding skips invalid entries: the
+/// pool claims such an ingress again.
+std::string encodeIngresses(const schedule::IngressStates &States);
+schedule::IngressStates decodeIngresses(const std::string &Text);
+
 /// A list of machines in a row of the fleet duty. Decoding invalid text returns
 /// no machines.
 std::string encodeMachines(const std::set<schedule::MachineId> &Machines);
--- a/src/schedule/configuration.cc
+++ b/src/schedule/configuration.cc
@@ -22,4 +22,13 @@
   return Found;
 }
 
+std::set<IngressId> Configuration::ingressesOf(const PoolId &Pool) const {
+  std::set<IngressId> Seen;
+  std::set<IngressId> Found;
+  for (const Route &R : Routes_)
+    if (Seen.insert(R.Settings_.Ingress_).second && R.Settings_.Pool_ == Pool)
+      Found.insert(R.Settings_.Ingress_);
+  return Found;
+}
+
 } // namespace heathercross::schedule
--- a/src/schedule/configuration.h
+++ b/src/schedule/configuration.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,9 @@
   const Route *route(std::string_view Host, std::string_view Path) const;
   /// Returns the settings of each queue of a pool.
   std::map<QueueId, QueueSettings> queuesOf(const PoolId &Pool) const;
+  /// Returns the ingresses that lead to a pool. Of several routes with the same
+  /// host and prefix, the first one applies.
+  std::set<IngressId> ingressesOf(const PoolId &Pool) const;
 };
 
 /// A maintenance wave: the listed machines are to have their upkeep within a
--- a/src/schedule/model.h
+++ b/src/schedule/model.h
@@ -4,6 +4,7 @@
 #include "heathercross/ids.h"
 #include "heathercross/resources.h"
 #include "heathercross/units.h"
+#include "schedule/ingress.h"
 
 #include <chrono>
 #include <cstdint>
@@ -116,6 +117,9 @@
 /// The configured settings of a queue.
 struct QueueSettings {
   PoolId Pool_;
+  /// Where clients address the queue's jobs; empty for a queue that an earlier
+  /// version stored.
+  IngressId Ingress_;
   /// 0 is the highest priority.
   std::uint32_t Priority_ = 0;
   /// Number of failed runs of a task after which the job fails.
--- a/src/schedule/pool-scheduler-load.cc
+++ b/src/schedule/pool-scheduler-load.cc
@@ -6,11 +6,16 @@
 
 namespace heathercross::schedule {
 
-std::uint32_t PoolScheduler::queuedJobs(const QueueId &Queue) const {
+std::uint32_t PoolScheduler::queuedJobs(const QueueId &Queue,
+                                        const IngressId &Ingress) const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(Open_, [&](const auto &Entry) {
         const Job &J = *Entry.second;
-        return J.state() == JobState::Queued && J.queue() == Queue;
+        if (J.state() != JobState::Queued)
+          return false;
+        const IngressId &Of = settings(J.queue()).Ingress_;
+        return Of.empty() || Ingress.empty() ? J.queue() == Queue
+                                             : Of == Ingress;
       }));
 }
 
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -156,8 +156,10 @@
     return std::exchange(Interference_.Starts_, {});
   }
   std::vector<Decision> takeDecisions() { return std::exchange(Log_, {}); }
-  /// The number of accepted jobs of a queue of which no task has started.
-  std::uint32_t queuedJobs(const QueueId &Queue) const;
+  /// The number of accepted jobs of which no task has started, of all queues
+  /// that have had this ingress; of one queue if its ingress isn't known.
+  std::uint32_t queuedJobs(const QueueId &Queue,
+                           const IngressId &Ingress = {}) const;
   Demand demand(Instant Now, WallTime Wall) const;
   /// Total cores of the registered, responsive workers that are not draining.
   double cores() const;
--- a/test/entry/peer-calls-test.cc
+++ b/test/entry/peer-calls-test.cc
@@ -2,9 +2,13 @@
 #include "entry/peer-calls.h"
 #include "support/story.h"
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <cstdint>
+#include <set>
+
 using namespace heathercross;
 using namespace heathercross::entry;
 using heathercross::test::section;
@@ -105,3 +109,36 @@
     CPPUNIT_ASSERT(Negative->OtherPools_.empty());
   });
 }
+
+// Guards against an id that is accepted by two pools: what a former pool was
+// asked for has to reach the holder that relies on it.
+HEATHERCROSS_STORY(CallForAnIngress,
+                   "a call tells its ingress and which pools were asked") {
+  QJsonObject Body{{"kind", "submit"},
+                   {"pool", "quotes"},
+                   {"queue", "q"},
+                   {"job", "5c0e7a21d94b36f8"},
+                   {"epoch", 7}};
+  const auto Parsed = [&Body] {
+    http::Request R;
+    R.Path_ = "/call";
+    R.Body_ = QJsonDocument(Body).toJson();
+    return parseJobCall(R).value();
+  };
+  section("an entry of an earlier version tells nothing", [&] {
+    CPPUNIT_ASSERT(Parsed().Ingress_.Ingress_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Parsed().Ingress_.FormerFor_);
+  });
+  section("all of it is read", [&] {
+    Body["ingress"] = "1234";
+    Body["asked"] = QJsonArray{"portal", "dispatch"};
+    Body["asked_for"] = 8;
+    Body["former_for"] = 9;
+    const IngressCall I = Parsed().Ingress_;
+    CPPUNIT_ASSERT(I.Ingress_ == schedule::IngressId("1234"));
+    CPPUNIT_ASSERT(
+        (I.Asked_ == std::set<PoolId>{PoolId("dispatch"), PoolId("portal")}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, I.AskedFor_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, I.FormerFor_);
+  });
+}
--- a/test/entry/rows-test.cc
+++ b/test/entry/rows-test.cc
@@ -136,6 +136,7 @@
   Q.ObjectiveFactor_ = 1.6;
   Q.ObjectiveSlack_ = Millis(600);
   Q.NeedsAdvice_ = true;
+  Q.Ingress_ = schedule::IngressId("0123");
   Q.AdviceTimes_ = {Millis(20), Millis(1), Millis(3000)};
   const StoredQueues Queues{{schedule::QueueId("r-old"), Q},
                             {schedule::QueueId("r/\"odd\""), Q}};
@@ -157,3 +158,25 @@
   section("an older version takes the row for a roster without workers",
           [&] { CPPUNIT_ASSERT(decodeRoster(encodeQueues(Queues)).empty()); });
 }
+
+// Guards against a holder that forgets which pools had its ingresses before, or
+// that one is sealed.
+HEATHERCROSS_STORY(IngressRows, "the claims of ingresses survive their rows") {
+  const schedule::IngressId Id("0123");
+  const schedule::IngressStates States{
+      {Id, {8, 5, {PoolId("dispatch"), PoolId("common")}}},
+      {schedule::IngressId("4567"), {0, 9, {}}}};
+  const schedule::IngressOwners Owners{{PoolId("dispatch"), 5},
+                                       {PoolId("common"), 8}};
+  section("all of them are read back", [&] {
+    CPPUNIT_ASSERT(decodeIngresses(encodeIngresses(States)) == States);
+    CPPUNIT_ASSERT(decodeOwners(encodeOwners(Owners)) == Owners);
+  });
+  section("an odd entry leaves the others", [&] {
+    std::string Text = encodeIngresses(States);
+    Text.insert(1, R"("x":7,"y":{"claimed":-1,"sealed":0},)");
+    CPPUNIT_ASSERT(decodeIngresses(Text) == States);
+    CPPUNIT_ASSERT(decodeIngresses("").empty());
+    CPPUNIT_ASSERT(decodeOwners("[]").empty());
+  });
+}
