A process begins each epoch of a duty at most once

Cause: the answer to the write that gives a duty back was dropped. The row still named the process, which took it for a claim whose answer was lost and began the same epoch again. Its fences were below those that workers had seen in that epoch, so it lost the duty at once, 20 times a second, and kept renewing the row.

Change: DutyWatch knows which epoch was begun here and whether it has ended; a duty that has ended is taken again only by a claim of the next epoch. A refused write that gives a duty back is repeated for 1.5 s, and its outcome is logged and counted.

The assertions on justHandedOver, which let the row begin a duty again after a second, are replaced by stricter ones.

--- a/src/entry/duties.cc
+++ b/src/entry/duties.cc
@@ -49,13 +49,13 @@
     return;
   // A holder row may name this entry because of a claim whose answer was lost.
   // When it was written isn't known, so the duty is held only once the first
-  // batch is stored: another entry may have taken it since.
+  // batch is stored: another entry may have taken it since. A row of an epoch
+  // that has ended here is no such claim.
   for (const PoolId &P : ClusterState_.duties().pools()) {
     const auto Known = ClusterState_.duties().holder(P);
     const bool Running =
         P == FleetDuty ? Fleet_ != nullptr : Holders_.contains(P);
-    if (Known && Known->Row_.Holder_ == Context_.Incarnation_ && !Running &&
-        !ClusterState_.duties().justHandedOver(P, Context_.Clock_.now()))
+    if (Known && !Running && ClusterState_.duties().mayBegin(P))
       beginDuty(P, {Known->Row_, Known->Version_, schedule::NeverRenewed},
                 schedule::ClaimCause::Unresponsive);
   }
@@ -135,6 +135,7 @@
                        schedule::ClaimCause Cause) {
   if (Stopping_)
     return;
+  ClusterState_.duties().begun(Pool, Duty.Self_.Epoch_);
   ClusterState_.followWorkers(true);
   Context_.Metrics_.add("heathercross_duties_taken_total",
                         "Duties that this entry took.");
@@ -162,6 +163,7 @@
     Fleet_.reset();
   else
     Holders_.erase(Pool);
+  ClusterState_.duties().ended(Pool, Context_.Clock_.now());
   ClusterState_.pollDutiesNow();
 }
 
--- a/src/entry/journal-writer.cc
+++ b/src/entry/journal-writer.cc
@@ -3,6 +3,8 @@
 
 #include "entry/rows.h"
 
+#include <QTimer>
+
 #include <utility>
 
 namespace heathercross::entry {
@@ -14,6 +16,10 @@
 
 /// The store usually answers in 10 ms, and in 60 times that when it is slow.
 constexpr Millis CommitTimeout{1500};
+/// How long a refused write that gives a duty back is repeated, and the pause
+/// between two tries. A planned stop has to end in time.
+constexpr Millis MaxGiveBack{1500};
+constexpr Millis GiveBackPause{100};
 
 QString toQString(const std::string &T) { return QString::fromStdString(T); }
 
@@ -100,7 +106,12 @@
     Context_.Log_.write("commit-working", {{"pool", toQString(Pool_.str())}});
 }
 
-void JournalWriter::giveBack(std::function<void()> OnDone) {
+void JournalWriter::giveBack(const std::function<void()> &OnDone) {
+  writeVacant(Context_.Clock_.now() + MaxGiveBack, OnDone);
+}
+
+void JournalWriter::writeVacant(Instant Until,
+                                const std::function<void()> &OnDone) {
   schedule::HolderRow Vacant = Journal_.self();
   Vacant.Holder_ = EntryId();
   Vacant.Address_.clear();
@@ -108,9 +119,27 @@
   const platform_api::RowPlace Place{HolderTable, Pool_.str(), HolderKey};
   Context_.Store_.transact(
       {{{Place, Journal_.guard()}}, {{Place, encodeHolder(Vacant)}}},
-      CommitTimeout,
-      guarded(this,
-              [OnDone = std::move(OnDone)](const StoreReply &) { OnDone(); }));
+      CommitTimeout, guarded(this, [this, Until, OnDone](const StoreReply &R) {
+        if (R.Outcome_ == StoreOutcome::Refused &&
+            Context_.Clock_.now() < Until) {
+          QTimer::singleShot(GiveBackPause, this, [this, Until, OnDone] {
+            writeVacant(Until, OnDone);
+          });
+          return;
+        }
+        // The same write isn't tried again if it may have been carried out: a
+        // successor may already rely on it.
+        Context_.Log_.write(
+            "duty-given-back",
+            {{"pool", toQString(Pool_.str())},
+             {"epoch", static_cast<qint64>(Journal_.self().Epoch_.value())},
+             {"outcome", platform_api::outcomeName(R.Outcome_)}});
+        if (R.Outcome_ != StoreOutcome::Ok)
+          Context_.Metrics_.add("heathercross_duties_not_given_back_total",
+                                "Duties that ended here without a write that "
+                                "gives them back; others claim them later.");
+        OnDone();
+      }));
 }
 
 } // namespace heathercross::entry
--- a/src/entry/journal-writer.h
+++ b/src/entry/journal-writer.h
@@ -31,12 +31,14 @@
   schedule::StoreClock &storeClock() { return StoreClock_; }
   /// Sends the next batch if it is due.
   void sendNextBatch();
-  /// Marks the duty as vacant; the journal must be idle. Calls OnDone even if
-  /// that fails: others claim the duty anyway once its row isn't renewed.
-  void giveBack(std::function<void()> OnDone);
+  /// Marks the duty as vacant; the journal must be idle. A refused write is
+  /// repeated for a while. Calls OnDone also if the duty isn't given back:
+  /// others claim it once its row isn't renewed.
+  void giveBack(const std::function<void()> &OnDone);
 
 private:
   void committed(const platform_api::StoreReply &R, Instant SentAt);
+  void writeVacant(Instant Until, const std::function<void()> &OnDone);
   void logOutage(bool WasFailing, const platform_api::StoreReply &R);
 
   Context &Context_;
--- a/src/schedule/duty-watch.cc
+++ b/src/schedule/duty-watch.cc
@@ -10,6 +10,8 @@
 
 /// Three renewal intervals of a holder, which are about 0.6 s each.
 constexpr Millis UnresponsiveAfter{1800};
+/// Time for another entry's row to show, if the duty ended because of it.
+constexpr Millis OwnEndAfter{300};
 /// More than one renewal interval, but shorter than UnresponsiveAfter because a
 /// closed port shows that the process has ended.
 constexpr Millis UnreachableAfter{800};
@@ -28,8 +30,6 @@
 constexpr Millis HandoverDelay{3000};
 /// That delay applies to claims within this time.
 constexpr Micros HandoverMemory{Seconds(10)};
-/// Time for the store to show that the duty was given back.
-constexpr Micros HandoverShown{Seconds(1)};
 
 /// The entry's name without the id of its process start.
 std::string entryName(const EntryId &Id) {
@@ -44,6 +44,8 @@
     return "vacant";
   case ClaimCause::OwnRestart:
     return "own-restart";
+  case ClaimCause::OwnEnd:
+    return "own-end";
   case ClaimCause::Unreachable:
     return "unreachable";
   case ClaimCause::Unresponsive:
@@ -88,6 +90,8 @@
 std::pair<Millis, ClaimCause> DutyWatch::unchangedLimit(const Watch &W) const {
   if (!W.Stored_ || W.Stored_->Row_.Holder_.empty())
     return {Millis(0), ClaimCause::Vacant};
+  if (hasEndedHere(W))
+    return {OwnEndAfter, ClaimCause::OwnEnd};
   if (entryName(W.Stored_->Row_.Holder_) == entryName(Self_))
     return {Millis(0), ClaimCause::OwnRestart};
   if (W.Unreachable_)
@@ -100,6 +104,7 @@
   case ClaimCause::Vacant:
     return std::max(W.UnchangedSince_, W.EarlierActUntil_);
   case ClaimCause::OwnRestart:
+  case ClaimCause::OwnEnd:
     return std::max(Now, W.EarlierActUntil_);
   case ClaimCause::Unreachable:
   case ClaimCause::Unresponsive:
@@ -144,7 +149,7 @@
 }
 
 template <class Predicate>
-std::optional<Claim> DutyWatch::mostOverdue(std::size_t Held, Instant Now,
+std::optional<Claim> DutyWatch::mostOverdue(std::size_t Duties, Instant Now,
                                             Predicate Selected) {
   if (LastPoll_ == Instant() || Now - LastPoll_ > MaxPollGap)
     return std::nullopt;
@@ -152,14 +157,15 @@
   Micros BestOverdue{0};
   for (const PoolId &P : Pools_) {
     const Watch &W = Watches_[P];
-    if ((W.Stored_ && W.Stored_->Row_.Holder_ == Self_) || mustRelease(P, W) ||
-        !Selected(W))
+    const bool Held =
+        W.Stored_ && W.Stored_->Row_.Holder_ == Self_ && !hasEndedHere(W);
+    if (Held || mustRelease(P, W) || !Selected(W))
       continue;
     const auto [Timeout, Cause] = unchangedLimit(W);
     const bool OwnRestart = Cause == ClaimCause::OwnRestart;
     const Micros Limit =
         OwnRestart ? Millis(0)
-                   : Timeout + claimDelay(P, Held) + handoverDelay(W, Now);
+                   : Timeout + claimDelay(P, Duties) + handoverDelay(W, Now);
     const Micros Overdue = Now - W.UnchangedSince_ - Limit;
     if (Overdue < Micros(0) || (Best && Overdue <= BestOverdue))
       continue;
@@ -196,14 +202,33 @@
   return std::nullopt;
 }
 
-void DutyWatch::handedOver(const PoolId &Pool, Instant Now) {
-  Watches_[Pool].HandedOverAt_ = Now;
+bool DutyWatch::mayBegin(const PoolId &Pool) const {
+  const auto It = Watches_.find(Pool);
+  return It != Watches_.end() && It->second.Stored_ &&
+         It->second.Stored_->Row_.Holder_ == Self_ &&
+         It->second.Begun_ < It->second.Stored_->Row_.Epoch_;
 }
 
-bool DutyWatch::justHandedOver(const PoolId &Pool, Instant Now) const {
-  const auto It = Watches_.find(Pool);
-  return It != Watches_.end() && It->second.HandedOverAt_ &&
-         Now - *It->second.HandedOverAt_ < HandoverShown;
+void DutyWatch::begun(const PoolId &Pool, Epoch E) {
+  Watch &W = Watches_[Pool];
+  W.Begun_ = E;
+  W.Ended_ = false;
+}
+
+void DutyWatch::ended(const PoolId &Pool, Instant Now) {
+  Watch &W = Watches_[Pool];
+  W.Ended_ = true;
+  if (hasEndedHere(W))
+    W.UnchangedSince_ = Now;
+}
+
+bool DutyWatch::hasEndedHere(const Watch &W) const {
+  return W.Ended_ && W.Stored_ && W.Stored_->Row_.Holder_ == Self_ &&
+         W.Stored_->Row_.Epoch_ <= W.Begun_;
+}
+
+void DutyWatch::handedOver(const PoolId &Pool, Instant Now) {
+  Watches_[Pool].HandedOverAt_ = Now;
 }
 
 std::optional<StoredHolder> DutyWatch::holder(const PoolId &Pool) const {
--- a/src/schedule/duty-watch.h
+++ b/src/schedule/duty-watch.h
@@ -23,6 +23,9 @@
   Vacant,
   /// This entry held the duty before it restarted.
   OwnRestart,
+  /// The row names this process, and its duty has ended: it lost the duty, or
+  /// couldn't give it back.
+  OwnEnd,
   /// Nothing listens at the holder's address.
   Unreachable,
   /// The holder's row no longer changes.
@@ -84,12 +87,20 @@
   /// entry with more processor time than usual, also between polls.
   std::optional<Claim> nextReleasedClaim(std::size_t Held, Instant Now);
 
+  /// Whether a row names this process as the holder of an epoch that it hasn't
+  /// begun, as the answer to its claim was lost. A process begins each epoch
+  /// at most once: fences and attempts are numbered within an epoch, and
+  /// workers have seen those of the first time.
+  bool mayBegin(const PoolId &Pool) const;
+  /// Records that this process begins an epoch of a duty.
+  void begun(const PoolId &Pool, Epoch E);
+  /// Records that the duty ended here. It is taken again only by a claim of the
+  /// next epoch.
+  void ended(const PoolId &Pool, Instant Now);
+
   /// Records that this entry handed a duty over because of its load. It claims
   /// the duty again only if nobody else does for a while.
   void handedOver(const PoolId &Pool, Instant Now);
-  /// Whether this entry handed the duty over less than a second ago. The row
-  /// may still name this entry meanwhile.
-  bool justHandedOver(const PoolId &Pool, Instant Now) const;
 
   /// Returns the holder of a duty, or nothing if it is vacant or unknown.
   std::optional<StoredHolder> holder(const PoolId &Pool) const;
@@ -109,7 +120,12 @@
     /// When this entry handed the duty over, unless another entry has held it
     /// since.
     std::optional<Instant> HandedOverAt_;
+    /// The last epoch that this process began, and whether it has ended.
+    Epoch Begun_;
+    bool Ended_ = false;
   };
+  /// Whether the row names this process though its duty has ended.
+  bool hasEndedHere(const Watch &W) const;
 
   /// The claim that is most overdue, of those that Selected admits.
   template <class Predicate>
--- a/test/entry/duties-test.cc
+++ b/test/entry/duties-test.cc
@@ -9,6 +9,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <algorithm>
 #include <fcntl.h>
 #include <optional>
 #include <vector>
@@ -73,6 +74,9 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(Server_.port());
   }
+  /// Refuses the writes that give a duty back.
+  bool RefusesVacant_ = false;
+  int vacantRefused() const { return VacantRefused_; }
   std::size_t heldWrites() const { return Held_.size(); }
   void answerWrites() {
     AnswersWrites_ = true;
@@ -98,6 +102,13 @@
   void serve(const http::Request &R, http::Responder &&To) {
     if (R.Path_ == "/-/rows-tx" && !AnswersWrites_)
       return Held_.push_back(std::move(To));
+    if (R.Path_ == "/-/rows-tx" && RefusesVacant_ && givesBack(R.Body_)) {
+      ++VacantRefused_;
+      http::Response Busy;
+      Busy.Status_ = 503;
+      To.respond(Busy);
+      return;
+    }
     const QByteArray Table = R.parameter("table");
     QJsonArray Rows;
     if (R.Path_ != "/-/rows-get")
@@ -118,8 +129,21 @@
     respond(To, Rows);
   }
 
+  /// Whether a transaction writes a holder row without a holder.
+  static bool givesBack(const QByteArray &Body) {
+    const auto Rows =
+        QJsonDocument::fromJson(Body).object()["set_keys"].toArray();
+    return std::ranges::any_of(Rows, [](const QJsonValue &Row) {
+      const auto H = decodeHolder(
+          QByteArray::fromBase64(Row["value"].toString().toLatin1())
+              .toStdString());
+      return Row["table"].toString() == HolderTable && H && H->Holder_.empty();
+    });
+  }
+
   std::string WorkerAddress_;
   bool AnswersWrites_ = false;
+  int VacantRefused_ = 0;
   qint64 Version_ = 4;
   std::vector<http::Responder> Held_;
   http::Server Server_{{}, [this](http::Request &&R, http::Responder &&To) {
@@ -135,6 +159,7 @@
   FakeWorker &worker() { return Worker_; }
   FakeStore &store() { return Store_; }
   bool holdsPool() const { return Duties_.holder(PoolId("s1")) != nullptr; }
+  PoolHolder *holder() const { return Duties_.holder(PoolId("s1")); }
 
 private:
   FakeWorker Worker_;
@@ -177,3 +202,46 @@
     waitFor([&] { return E.worker().leases() > 0; });
   });
 }
+
+// Guards against LOST: after a refused write that gives the duty back, the
+// entry began the same epoch again with fences below those that its workers had
+// seen, lost the duty to them, and kept others from claiming it.
+HEATHERCROSS_STORY(RefusedGiveBack, "a duty that couldn't be given back is "
+                                    "taken again only in the next epoch") {
+  startQt();
+  EntryWithDuty E;
+  E.store().answerWrites();
+  waitFor([&] { return E.worker().leases() > 0; });
+  bool Ended = false;
+  section("the store refuses the write", [&] {
+    E.store().RefusesVacant_ = true;
+    E.holder()->handOver([&] { Ended = true; });
+    waitFor([&] { return Ended; });
+    CPPUNIT_ASSERT(E.store().vacantRefused() >= 1);
+  });
+  section("its epoch isn't begun again", [&] {
+    bool Again = false;
+    waitFor([&] {
+      const PoolHolder *H = E.holder();
+      Again = Again || (H && !H->handingOver() && H->self().Epoch_ == Epoch(5));
+      return H && H->self().Epoch_ == Epoch(6);
+    });
+    CPPUNIT_ASSERT(!Again);
+  });
+}
+
+// Guards against a handover that fails because of a moment's refusal.
+HEATHERCROSS_STORY(RepeatedGiveBack,
+                   "a refused write that gives a duty back is repeated") {
+  startQt();
+  EntryWithDuty E;
+  E.store().answerWrites();
+  waitFor([&] { return E.worker().leases() > 0; });
+  bool Ended = false;
+  E.store().RefusesVacant_ = true;
+  E.holder()->handOver([&] { Ended = true; });
+  waitFor([&] { return E.store().vacantRefused() > 1; });
+  CPPUNIT_ASSERT(!Ended);
+  E.store().RefusesVacant_ = false;
+  waitFor([&] { return Ended; });
+}
--- a/test/schedule/duty-watch-test.cc
+++ b/test/schedule/duty-watch-test.cc
@@ -119,8 +119,16 @@
   });
   section("a holder doesn't claim its own duty", [&] {
     W.holderRead(Quotes, holder("e1", 30), Now);
+    W.begun(Quotes, Epoch(1));
     CPPUNIT_ASSERT(!poll(W, Now, Seconds(5)));
   });
+  section("but the next epoch, once it has ended there", [&] {
+    W.ended(Quotes, Now);
+    const auto Claimed = poll(W, Now, Seconds(2));
+    CPPUNIT_ASSERT(Claimed && Claimed->Cause_ == ClaimCause::OwnEnd &&
+                   Claimed->Epoch_ == Epoch(2) &&
+                   Claimed->Version_ == RowVersion(30));
+  });
 }
 
 // Guards against a task that runs twice: a successor counted on leases as the
@@ -270,9 +278,12 @@
   DutyWatch W(EntryId("e1/1"), 1);
   W.holderRead(Quotes, {{EntryId("e1/1"), "", Epoch(3), 7}, RowVersion(9)},
                Now);
+  CPPUNIT_ASSERT(W.mayBegin(Quotes));
+  W.begun(Quotes, Epoch(3));
   W.handedOver(Quotes, Now);
-  CPPUNIT_ASSERT(W.justHandedOver(Quotes, Now + Millis(900)));
-  CPPUNIT_ASSERT(!W.justHandedOver(Quotes, Now + Millis(1100)));
+  W.ended(Quotes, Now);
+  section("it doesn't begin the epoch again, however long the row names it",
+          [&] { CPPUNIT_ASSERT(!W.mayBegin(Quotes)); });
   W.holderRead(Quotes, Vacant, Now);
   section("it leaves it to the others for 3 s",
           [&] { CPPUNIT_ASSERT(!poll(W, Now, Millis(2900))); });
