The demand for advice is decided in three smaller steps

Cause: adviceDemand sorted the workers of a step, named the state of the step and chose whom to ask about in one function of 65 lines. Change: adviceGroups, adviceState and adviceDemand; nothing that they decide has changed. Result: placement-advice-test 7 of 7, schedule-test 126 of 126.

--- a/src/schedule/pool-scheduler-advice.cc
+++ b/src/schedule/pool-scheduler-advice.cc
@@ -59,69 +59,80 @@
   return Found;
 }
 
-PoolScheduler::AdviceDemand
-PoolScheduler::adviceDemand(const ReadyStep &S, const TaskKey *Copied,
+PoolScheduler::AdviceGroups
+PoolScheduler::adviceGroups(const ReadyStep &S, const TaskKey *Copied,
                             const std::vector<Worker *> &LeastLoaded,
-                            Instant Now) {
+                            Instant Now) const {
   using Answer = PlacementAdvice::Answer;
-  const Job &J = *S.Job_;
-  const StepSpec &Spec = J.spec().Steps_[S.Step_];
-  const StepKey Key{J.id(), S.Occurrence_, S.Step_};
+  const StepSpec &Spec = S.Job_->spec().Steps_[S.Step_];
+  const StepKey Key{S.Job_->id(), S.Occurrence_, S.Step_};
+  AdviceGroups G;
   const std::uint32_t Wanted = Spec.Gang_ ? Spec.Count_ : 1;
+  G.Wanted_ = Wanted;
   const Millis Margin =
       Spec.Gang_ ? std::min(GangTicketMargin,
-                            settings(J.queue()).AdviceTimes_.Valid_ / 4)
+                            settings(S.Job_->queue()).AdviceTimes_.Valid_ / 4)
                  : Millis(0);
-  std::uint64_t Places = 0;
-  std::uint64_t Allowed = 0;
-  bool AnyValid = false;
-  std::vector<const Worker *> ExpiredWithRoom;
-  std::vector<const Worker *> ExpiredFull;
-  std::vector<const Worker *> UnknownWithRoom;
-  std::vector<const Worker *> UnknownFull;
   for (const Worker *W : LeastLoaded) {
-    if (!hasLabel(*W, Spec.Label_) ||
-        !Spec.reserved().fits(W->info().Capacity_) ||
-        (Copied && (W->runs().contains(*Copied) || W->Speed_.isSlow(Now))))
-      continue;
+    const bool Suits =
+        hasLabel(*W, Spec.Label_) && Spec.reserved().fits(W->info().Capacity_);
+    const bool UnfitForCopy =
+        Copied && (W->runs().contains(*Copied) || W->Speed_.isSlow(Now));
     const Answer A = Advice_.answer(Key, W->Number_, Now + Margin);
-    if (A == Answer::Refused)
+    if (!Suits || UnfitForCopy || A == Answer::Refused)
       continue;
     const std::uint32_t Fit = placesOn(*W, Key, Spec, Wanted);
-    Allowed += A == Answer::None ? 0 : 1;
-    AnyValid = AnyValid || A == Answer::Valid;
-    if (A == Answer::Valid)
-      Places += Fit;
-    else if (A == Answer::Expired)
-      (Fit > 0 ? ExpiredWithRoom : ExpiredFull).push_back(W);
-    else
-      (Fit > 0 ? UnknownWithRoom : UnknownFull).push_back(W);
+    if (A == Answer::None) {
+      (Fit > 0 ? G.UnknownWithRoom_ : G.UnknownFull_).push_back(W);
+      continue;
+    }
+    ++G.Allowed_;
+    if (A == Answer::Valid) {
+      G.AnyValid_ = true;
+      G.Places_ += Fit;
+    } else {
+      (Fit > 0 ? G.ExpiredWithRoom_ : G.ExpiredFull_).push_back(W);
+    }
   }
-  AdviceState State = AdviceState::Unknown;
-  if (Places > 0 || !ExpiredWithRoom.empty())
-    State = AdviceState::Placeable;
-  else if (Allowed > 0)
-    State = AdviceState::NoRoom;
-  else if (Advice_.queries(Key) > 0)
-    State = UnknownWithRoom.empty() && UnknownFull.empty()
-                ? AdviceState::NoneAllowed
-                : AdviceState::NoneAllowedSoFar;
+  return G;
+}
+
+AdviceState PoolScheduler::adviceState(const StepKey &Key,
+                                       const AdviceGroups &G) const {
+  if (G.Places_ > 0 || !G.ExpiredWithRoom_.empty())
+    return AdviceState::Placeable;
+  if (G.Allowed_ > 0)
+    return AdviceState::NoRoom;
+  if (Advice_.queries(Key) == 0)
+    return AdviceState::Unknown;
+  return G.UnknownWithRoom_.empty() && G.UnknownFull_.empty()
+             ? AdviceState::NoneAllowed
+             : AdviceState::NoneAllowedSoFar;
+}
+
+PoolScheduler::AdviceDemand
+PoolScheduler::adviceDemand(const ReadyStep &S, const TaskKey *Copied,
+                            const std::vector<Worker *> &LeastLoaded,
+                            Instant Now) {
+  const StepKey Key{S.Job_->id(), S.Occurrence_, S.Step_};
+  AdviceGroups G = adviceGroups(S, Copied, LeastLoaded, Now);
+  const AdviceState State = adviceState(Key, G);
   if (Advice_.setState(Key, State))
     logDecision("advice-state", {Key.Job_, Key.Occurrence_, Key.Step_, 0}, 0,
                 {}, adviceStateName(State));
   AdviceDemand D;
   D.Workers_ = requiredWithoutTicket(S, Now);
-  if (Places < Wanted || !D.Workers_.empty()) {
-    std::ranges::copy(ExpiredWithRoom, std::back_inserter(D.Workers_));
-    std::ranges::copy(UnknownWithRoom, std::back_inserter(D.Workers_));
+  const bool Lacks = G.Places_ < G.Wanted_;
+  if (Lacks || !D.Workers_.empty()) {
+    std::ranges::copy(G.ExpiredWithRoom_, std::back_inserter(D.Workers_));
+    std::ranges::copy(G.UnknownWithRoom_, std::back_inserter(D.Workers_));
   }
-  if (!D.Workers_.empty()) {
+  if (!D.Workers_.empty())
     D.Need_ = AdviceNeed::Place;
-  } else if (Places < Wanted && Allowed < Wanted && !UnknownFull.empty()) {
-    D = {AdviceNeed::Learn, std::move(UnknownFull)};
-  } else if (Places < Wanted && !AnyValid && !ExpiredFull.empty()) {
-    D = {AdviceNeed::Renew, std::move(ExpiredFull)};
-  }
+  else if (Lacks && G.Allowed_ < G.Wanted_ && !G.UnknownFull_.empty())
+    D = {AdviceNeed::Learn, std::move(G.UnknownFull_)};
+  else if (Lacks && !G.AnyValid_ && !G.ExpiredFull_.empty())
+    D = {AdviceNeed::Renew, std::move(G.ExpiredFull_)};
   return D;
 }
 
--- a/src/schedule/pool-scheduler.h
+++ b/src/schedule/pool-scheduler.h
@@ -356,6 +356,23 @@
     /// Whom to ask about, the best ones first.
     std::vector<const Worker *> Workers_;
   };
+  /// The workers that suit a step, by what the placement service said of them.
+  struct AdviceGroups {
+    /// How many tasks have to find room at once.
+    std::uint64_t Wanted_ = 1;
+    /// Tasks for which there is room on workers with a valid ticket.
+    std::uint64_t Places_ = 0;
+    std::uint64_t Allowed_ = 0;
+    bool AnyValid_ = false;
+    std::vector<const Worker *> ExpiredWithRoom_;
+    std::vector<const Worker *> ExpiredFull_;
+    std::vector<const Worker *> UnknownWithRoom_;
+    std::vector<const Worker *> UnknownFull_;
+  };
+  AdviceGroups adviceGroups(const ReadyStep &S, const TaskKey *Copied,
+                            const std::vector<Worker *> &LeastLoaded,
+                            Instant Now) const;
+  AdviceState adviceState(const StepKey &Key, const AdviceGroups &G) const;
   /// Copied is a task of the step that may get a second run, or null.
   AdviceDemand adviceDemand(const ReadyStep &S, const TaskKey *Copied,
                             const std::vector<Worker *> &LeastLoaded,
