Programs of tests get ports that no other program has

"a loaded small entry hands its duty to a larger one" had failed there before, with no row taken by the stand-in of the store.

Cause: freePort() listened on a port that the system chose, closed it and returned it. Until its program listens, the system gives that port out again: to the next freePort() of the same test, to a test beside it, or to an outgoing connection. The program then ends at its start, and the test waits in vain. The entries' own ports are chosen before the first of them is started.

Change: PortRange, taken from the stand-ins' cluster, which had a range of ports for each process, chosen by its id alone. A range is now locked by a listener on its first port, lies below the ports of outgoing connections, and hands each port out once a round. Deployment, the cluster and the starts of the bench share it.

--- a/test/proof-deployment/deployment.h
+++ b/test/proof-deployment/deployment.h
@@ -4,10 +4,10 @@
 #include "http/http-client.h"
 #include "platform/store.h"
 #include "support/event-loop.h"
+#include "support/free-port.h"
 
 #include <QElapsedTimer>
 #include <QProcess>
-#include <QTcpServer>
 #include <QTemporaryDir>
 
 #include <csignal>
@@ -23,12 +23,6 @@
 
 inline constexpr int StartTimeoutMs = 10'000;
 
-inline quint16 freePort() {
-  QTcpServer Probe;
-  Probe.listen(QHostAddress::LocalHost, 0);
-  return Probe.serverPort();
-}
-
 inline std::string programPath(const char *Name) {
   const char *Folder = std::getenv("HEATHERCROSS_BIN");
   return std::string(Folder ? Folder : ".") + "/" + Name;
--- a/test/standin/bench/starts.cc
+++ b/test/standin/bench/starts.cc
@@ -5,13 +5,13 @@
 #include "platform/store.h"
 #include "process-usage.h"
 #include "standin/common/task-workers.h"
+#include "support/free-port.h"
 #include "table.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <QEventLoop>
 #include <QProcess>
-#include <QTcpServer>
 #include <QTemporaryDir>
 #include <QTimer>
 
@@ -30,6 +30,7 @@
 
 using standin::TaskWorkers;
 using standin::WorkerCalls;
+using test::freePort;
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
@@ -39,12 +40,6 @@
 /// Rows of the workers' table that one transaction writes.
 constexpr std::size_t RowsPerTransaction = 50;
 
-quint16 freePort() {
-  QTcpServer Probe;
-  Probe.listen(QHostAddress::LocalHost, 0);
-  return Probe.serverPort();
-}
-
 std::string loopback(quint16 Port) {
   return "127.0.0.1:" + std::to_string(Port);
 }
--- a/test/standin/common/cluster.cc
+++ b/test/standin/common/cluster.cc
@@ -3,15 +3,14 @@
 #include "standin/common/cluster.h"
 
 #include "standin/common/http.h"
+#include "support/free-port.h"
 
 #include <QCryptographicHash>
 #include <QDir>
 #include <QFile>
 #include <QJsonDocument>
-#include <QTcpServer>
 #include <QTcpSocket>
 #include <QThread>
-#include <QUdpSocket>
 
 #include <csignal>
 #include <fstream>
@@ -22,6 +21,8 @@
 namespace heathercross::standin {
 namespace {
 
+using test::freePort;
+
 constexpr int StartTimeoutMs = 10000;
 constexpr int CallTimeoutMs = 3000;
 constexpr int PollMs = 50;
@@ -32,27 +33,6 @@
   return std::string(Folder ? Folder : ".") + '/' + Name;
 }
 
-/// Each test process uses a port range of its own below the ephemeral ports, so
-/// that tests running in parallel don't take each other's ports.
-constexpr int FirstPort = 10000;
-constexpr int PortsPerProcess = 40;
-constexpr int PortRanges = 250;
-
-/// Returns a port of this process's range that is free for both TCP and UDP.
-quint16 freePort() {
-  static int Next = 0;
-  const int Base = FirstPort + ::getpid() % PortRanges * PortsPerProcess;
-  for (int I = 0; I < PortsPerProcess; ++I) {
-    const auto Port = static_cast<quint16>(Base + Next++ % PortsPerProcess);
-    QTcpServer Tcp;
-    QUdpSocket Udp;
-    if (Tcp.listen(QHostAddress::LocalHost, Port) &&
-        Udp.bind(QHostAddress::LocalHost, Port))
-      return Port;
-  }
-  return 0;
-}
-
 std::string readFile(const std::string &Name) {
   std::ifstream In(Name);
   std::ostringstream Text;
