A job is deleted before its progress

The next holder takes a job without progress for one that hasn't begun. The class: whatever changes are missing at the end, the rows have to restore to a state that each job was in.

Change: schedule/job-rows decides on the changes of jobs and on what a later holder makes of them. The job goes first; progress without a job is deleted at load, ahead of any new job under that id. Related: a job whose progress lacks a row or can't be read was begun anew or accepted again, and requests for it now fail; progress carries the time of the end, so that a takeover doesn't keep ended jobs for status_s anew; a change after the end doesn't make a job look active.

Why it works: in each prefix of the changes a job has the progress that was stored last, or is gone.

--- a/src/entry/pool-holder-load.cc
+++ b/src/entry/pool-holder-load.cc
@@ -28,7 +28,7 @@
   LoadedRows_.clear();
   readRows(RosterTable, "", [this] {
     readRows(JobTable, "", [this] {
-      readRows(ProgressTable, "", [this] { restoreJobs(); });
+      readRows(ProgressTable, "", [this] { restoreRows(); });
     });
   });
 }
@@ -63,61 +63,75 @@
       }));
 }
 
-std::map<std::string, std::string>
-PoolHolder::takeLoaded(const std::string &Table, schedule::RowKind Kind) {
+std::map<std::string, std::string> PoolHolder::takeRosterRows() {
   schedule::JoinedValues Joined =
-      schedule::joinValues(std::exchange(LoadedRows_[Table], {}));
+      schedule::joinValues(std::exchange(LoadedRows_[RosterTable], {}));
   for (const std::string &Key : Joined.Incomplete_)
-    Context_.Log_.write("value-incomplete", {{"pool", toQString(Pool_.str())},
-                                             {"table", toQString(Table)},
-                                             {"key", toQString(Key)}});
+    logIncomplete(RosterTable, Key);
   std::map<std::string, std::string> Values;
   for (auto &[Key, Stored] : Joined.Values_) {
-    Journal_.restoreParts(Kind, Key, Stored.Parts_);
+    Journal_.restoreParts(schedule::RowKind::Roster, Key, Stored.Parts_);
     Values[Key] = std::move(Stored.Value_);
   }
   return Values;
 }
 
-void PoolHolder::restoreJobs() {
-  using schedule::RowKind;
-  const Instant Now = Context_.Clock_.now();
-  const schedule::WallTime Wall = Context_.Clock_.wall();
-  const auto Progress = takeLoaded(ProgressTable, RowKind::Progress);
-  const auto Jobs = takeLoaded(JobTable, RowKind::Job);
-  std::size_t OpenJobs = 0;
-  for (const auto &[Key, Value] : Jobs) {
-    const JobId Id(Key);
-    const auto Stored = decodeJob(Value);
-    const auto Spec =
-        Stored ? platform_api::parseJob(Stored->Body_) : std::nullopt;
-    if (!Spec) {
-      Context_.Log_.write("job-unreadable", jobFields(Id));
-      continue;
-    }
-    Job J(Id, Stored->Queue_, *Spec, Now - (Wall - Stored->Accepted_),
-          Stored->Account_);
-    const auto Saved = Progress.find(Key);
-    try {
-      if (Saved != Progress.end())
-        J.decodeProgress(Saved->second);
-    } catch (const FormatError &E) {
-      QJsonObject F = jobFields(Id);
-      F["error"] = E.what();
-      Context_.Log_.write("progress-unreadable", F);
-      continue;
-    }
-    if (isFinal(J.state()))
-      JobEnds_[Id] = {0, Now};
-    else
-      ++OpenJobs;
-    JobMemory_.add(Id, schedule::memoryOf(*Spec, Value.size()));
-    Scheduler_.restore(std::move(J),
-                       schedule::attemptFloor(self().Epoch_, Stored->Epoch_));
+void PoolHolder::logIncomplete(const char *Table, const std::string &Key) {
+  Context_.Log_.write("value-incomplete", {{"pool", toQString(Pool_.str())},
+                                           {"table", Table},
+                                           {"key", toQString(Key)}});
+}
+
+bool PoolHolder::restoreJob(const JobId &Id,
+                            const schedule::StoredJob &Stored) {
+  const auto Row = decodeJob(Stored.Row_);
+  const auto Spec = Row ? platform_api::parseJob(Row->Body_) : std::nullopt;
+  if (!Spec) {
+    Context_.Log_.write("job-unreadable", jobFields(Id));
+    return false;
   }
+  Job J(Id, Row->Queue_, *Spec,
+        Context_.Clock_.now() - (Context_.Clock_.wall() - Row->Accepted_),
+        Row->Account_);
+  try {
+    if (Stored.Progress_)
+      J.decodeProgress(*Stored.Progress_);
+  } catch (const FormatError &E) {
+    QJsonObject F = jobFields(Id);
+    F["error"] = E.what();
+    Context_.Log_.write("progress-unreadable", F);
+    return false;
+  }
+  if (isFinal(J.state()))
+    JobRows_.restoreEnd(Id, Stored.EndedAt_);
+  JobMemory_.add(Id, schedule::memoryOf(*Spec, Stored.Row_.size()));
+  Scheduler_.restore(std::move(J),
+                     schedule::attemptFloor(self().Epoch_, Row->Epoch_));
+  return true;
+}
+
+schedule::StoredJobs PoolHolder::restoreJobs() {
+  schedule::StoredJobs Stored = JobRows_.restore(
+      LoadedRows_[JobTable], LoadedRows_[ProgressTable], Context_.Clock_.now());
+  UnreadableJobs_ = Stored.Incomplete_;
+  for (const JobId &Id : Stored.Incomplete_)
+    logIncomplete(JobTable, Id.str());
+  for (const auto &[Id, J] : Stored.Jobs_)
+    if (!restoreJob(Id, J))
+      UnreadableJobs_.insert(Id);
+  return Stored;
+}
+
+void PoolHolder::restoreRows() {
+  const Instant Now = Context_.Clock_.now();
+  const schedule::StoredJobs Stored = restoreJobs();
+  const auto OpenJobs =
+      std::ranges::count_if(Scheduler_.jobs(), [](const auto &E) {
+        return !isFinal(E.second.state());
+      });
   const Instant LastLeaseEnd = Duty_.formerLeasesEnd(Now, maxLease());
   std::map<InstanceId, Instant> Awaited;
-  auto PoolRows = takeLoaded(RosterTable, RowKind::Roster);
+  auto PoolRows = takeRosterRows();
   restoreQueues(PoolRows[QueuesKey]);
   Ingresses_.restore(decodeIngresses(PoolRows[IngressesKey]));
   for (const auto &[Id, Listed] : decodeRoster(PoolRows[RosterKey])) {
@@ -149,7 +163,8 @@
                       {{"pool", toQString(Pool_.str())},
                        {"epoch", static_cast<qint64>(self().Epoch_.value())},
                        {"cpu_share", Context_.Settings_.CpuShare_},
-                       {"jobs", static_cast<qint64>(Jobs.size())},
+                       {"jobs", static_cast<qint64>(Stored.Jobs_.size())},
+                       {"leftovers", static_cast<qint64>(Stored.Leftovers_)},
                        {"open", static_cast<qint64>(OpenJobs)},
                        {"awaited", static_cast<qint64>(Awaited.size())},
                        {"awaited_silent", static_cast<qint64>(AwaitedSilent)}});
--- a/src/entry/pool-holder-requests.cc
+++ b/src/entry/pool-holder-requests.cc
@@ -38,6 +38,8 @@
     It->second.Handlers_.push_back(std::move(OnAnswer));
     return;
   }
+  if (UnreadableJobs_.contains(Id))
+    return OnAnswer(Kind::NotHolder);
   if (answerUnknown(Ingress, true, OnAnswer))
     return;
   auto Spec = platform_api::parseJob(Body);
@@ -123,8 +125,7 @@
   // Batches are applied in order, so that the settings are stored with the job
   // or before it.
   storeQueue(Queue);
-  S.Ticket_ = Journal_.put({schedule::RowKind::Job, Id.str(), std::move(Row)},
-                           true, Now);
+  S.Ticket_ = JobRows_.add(Id, std::move(Row), Now);
   Submissions_.emplace(Id, std::move(S));
   scheduleRound();
 }
@@ -139,6 +140,8 @@
   if (!J) {
     const auto It = Submissions_.find(Id);
     if (It == Submissions_.end()) {
+      if (UnreadableJobs_.contains(Id))
+        return OnAnswer(Kind::NotHolder);
       answerUnknown(Ingress, false, OnAnswer);
       return;
     }
@@ -150,10 +153,8 @@
     return OnAnswer(Kind::Forbidden);
   JobAnswer A{Kind::Known};
   A.State_ = J->state();
-  const auto End = JobEnds_.find(Id);
   // An end that isn't durable yet would be lost if this holder failed now.
-  if (isFinal(A.State_) &&
-      (End == JobEnds_.end() || End->second.Ticket_ > Journal_.durable()))
+  if (isFinal(A.State_) && !JobRows_.isEndStored(Id))
     A.State_ = schedule::JobState::Active;
   OnAnswer(A);
 }
@@ -169,6 +170,8 @@
     return OnAnswer(Kind::NotHolder);
   const Job *J = Scheduler_.find(Id);
   if (!J) {
+    if (UnreadableJobs_.contains(Id))
+      return OnAnswer(Kind::NotHolder);
     answerUnknown(Ingress, false, OnAnswer);
     return;
   }
@@ -176,8 +179,7 @@
     return OnAnswer(Kind::Forbidden);
   if (Scheduler_.cancel(Id))
     storeChanges();
-  const auto End = JobEnds_.find(Id);
-  const auto Ticket = End == JobEnds_.end() ? 0 : End->second.Ticket_;
+  const auto Ticket = JobRows_.endTicket(Id);
   if (Ticket <= Journal_.durable())
     return OnAnswer(Kind::Accepted);
   Waiters_.push_back({Ticket, std::move(OnAnswer), {Kind::Accepted}});
--- a/src/entry/pool-holder.cc
+++ b/src/entry/pool-holder.cc
@@ -46,7 +46,6 @@
 /// workers report them to the next holder; submissions are repeated by callers'
 /// entries.
 constexpr Millis MaxFlush{600};
-constexpr Millis PurgeInterval{5000};
 /// Ended jobs are kept this much longer than their state must be available.
 constexpr Millis PurgeMargin{5000};
 
@@ -69,7 +68,7 @@
                                        [this] { loseDuty("row-taken"); }}),
       Journal_(Writer_.journal()),
       Shares_(C, Pool_, Duty_.Self_.Epoch_, [this] { scheduleRound(); }),
-      Ingresses_(Pool_) {
+      Ingresses_(Pool_), JobRows_(Journal_, Writer_.storeClock()) {
   NextRound_.setSingleShot(true);
   NextRound_.setTimerType(Qt::PreciseTimer);
   connect(&NextRound_, &QTimer::timeout, this, [this] { runRound(); });
@@ -246,9 +245,9 @@
 
 void PoolHolder::storeChanges() {
   for (const JobId &Id : Scheduler_.takeChanged()) {
-    const Job *J = Scheduler_.find(Id);
-    if (J)
-      putProgress(Id, isFinal(J->state()));
+    if (const Job *J = Scheduler_.find(Id))
+      JobRows_.putProgress(Id, J->encodeProgress(), isFinal(J->state()),
+                           Context_.Clock_.now());
   }
   // All run ends reported so far are durable once the journal's last change is.
   UnstoredEnds N;
@@ -266,34 +265,14 @@
   afterCommit();
 }
 
-void PoolHolder::putProgress(const JobId &Id, bool Urgent) {
-  const Instant Now = Context_.Clock_.now();
-  const Job *J = Scheduler_.find(Id);
-  const auto Ticket =
-      Journal_.put({schedule::RowKind::Progress, Id.str(), J->encodeProgress()},
-                   Urgent, Now);
-  if (isFinal(J->state()))
-    JobEnds_[Id] = {Ticket, Now};
-}
-
 void PoolHolder::purgeEndedJobs() {
-  const Instant Now = Context_.Clock_.now();
-  if (Now - LastPurge_ < PurgeInterval)
-    return;
-  LastPurge_ = Now;
-  const std::size_t Purged = std::erase_if(JobEnds_, [&](const auto &Entry) {
-    const auto &[Id, End] = Entry;
-    if (Now - End.AddedAt_ < Context_.Settings_.StatusKept_ + PurgeMargin ||
-        End.Ticket_ > Journal_.durable())
-      return false;
-    Journal_.put({schedule::RowKind::Progress, Id.str(), std::nullopt}, false,
-                 Now);
-    Journal_.put({schedule::RowKind::Job, Id.str(), std::nullopt}, false, Now);
+  const auto Purged = JobRows_.purge(
+      Context_.Clock_.now(), Context_.Settings_.StatusKept_ + PurgeMargin);
+  for (const JobId &Id : Purged) {
     Scheduler_.forget(Id);
     JobMemory_.remove(Id);
-    return true;
-  });
-  if (Purged > 0)
+  }
+  if (!Purged.empty())
     updateQueues();
 }
 
--- a/src/entry/pool-holder.h
+++ b/src/entry/pool-holder.h
@@ -8,6 +8,7 @@
 #include "entry/rows.h"
 #include "schedule/configuration.h"
 #include "schedule/job-memory.h"
+#include "schedule/job-rows.h"
 #include "schedule/pool-scheduler.h"
 #include "schedule/start-rate.h"
 #include "schedule/worker-clock.h"
@@ -182,10 +183,13 @@
   void load();
   void readRows(const std::string &Table, const std::string &From,
                 std::function<void()> OnDone);
-  void restoreJobs();
-  /// Returns the values of a loaded table by key.
-  std::map<std::string, std::string> takeLoaded(const std::string &Table,
-                                                schedule::RowKind Kind);
+  void restoreRows();
+  schedule::StoredJobs restoreJobs();
+  /// Takes in one job; false, after a log line, if it can't be read.
+  bool restoreJob(const JobId &Id, const schedule::StoredJob &Stored);
+  void logIncomplete(const char *Table, const std::string &Key);
+  /// Returns the values of the rosters' table by key.
+  std::map<std::string, std::string> takeRosterRows();
 
   void scheduleRound();
   void measureLag();
@@ -193,7 +197,6 @@
   void afterCommit();
   void loseDuty(const char *Cause);
   void giveBack();
-  void putProgress(const JobId &Id, bool Urgent);
   void storeChanges();
   void updateRoster();
   /// Records in the roster when the runs of an unresponsive worker have ended,
@@ -307,13 +310,10 @@
   std::set<InstanceId> RecordedSilent_;
   std::map<JobId, Submission> Submissions_;
   std::vector<Waiter> Waiters_;
-  /// An ended job: the change that makes the end durable, and when it was
-  /// added to the journal.
-  struct JobEnd {
-    schedule::PoolJournal::Ticket Ticket_ = 0;
-    Instant AddedAt_;
-  };
-  std::map<JobId, JobEnd> JobEnds_;
+  schedule::JobRows JobRows_;
+  /// Jobs whose rows can't be read. Nothing is known of them, so requests for
+  /// them fail.
+  std::set<JobId> UnreadableJobs_;
   /// For each worker, its incarnation and the last run end that is durable
   /// once the changes up to Ticket_ are.
   struct UnstoredEnds {
@@ -347,7 +347,6 @@
   int RoundPauseMs_ = 0;
   QTimer NextRound_;
   QTimer RoundTimer_;
-  Instant LastPurge_;
 };
 
 } // namespace heathercross::entry
--- a/test/schedule/pool-journal-test.cc
+++ b/test/schedule/pool-journal-test.cc
@@ -1,5 +1,6 @@
 // Tests of group commit: batches, uncertain outcomes, lost duties.
 #include "schedule/long-value.h"
+#include "schedule/model-partition.h"
 #include "schedule/pool-journal.h"
 #include "support/story.h"
 
@@ -9,6 +10,7 @@
 
 using namespace heathercross;
 using namespace heathercross::schedule;
+using heathercross::schedule::test::ModelPartition;
 using heathercross::test::section;
 
 namespace {
@@ -40,32 +42,7 @@
          Size < StoreTransactionBytes;
 }
 
-/// A model of one partition of the store: the holder row and the written rows.
-struct ModelPartition {
-  HolderRow Holder_ = Self;
-  RowVersion Version_{10};
-  std::map<std::string, std::string> Rows_;
-
-  bool apply(const Batch &B) {
-    if (B.Guard_ != Version_)
-      return false;
-    Version_ = Version_.next();
-    Holder_ = B.Holder_;
-    for (const RowWrite &W : B.Writes_)
-      if (W.Value_)
-        Rows_[W.Key_] = *W.Value_;
-      else
-        Rows_.erase(W.Key_);
-    return true;
-  }
-
-  /// The stored value; empty if there is none.
-  std::string value(const std::string &Key) const {
-    const JoinedValues Joined = joinValues(Rows_);
-    const auto It = Joined.Values_.find(Key);
-    return It == Joined.Values_.end() ? std::string() : It->second.Value_;
-  }
-};
+constexpr RowKind Kind = RowKind::Progress;
 
 /// Writes everything that waits and checks the store's limits.
 void commitAll(PoolJournal &J, ModelPartition &Partition, Instant &Now) {
@@ -122,7 +99,7 @@
                    "a batch without an answer is followed up") {
   Instant Now{Seconds(10)};
   PoolJournal J({Self, RowVersion(10), Now});
-  ModelPartition Partition;
+  ModelPartition Partition{Self};
   const auto T = J.put(write("a"), true, Now);
   const auto First = J.next(Now);
   section("the same batch is repeated", [&] {
@@ -158,32 +135,32 @@
 HEATHERCROSS_STORY(LongValues, "a value longer than a row takes several rows") {
   Instant Now{Seconds(10)};
   PoolJournal J({Self, RowVersion(10), Now});
-  ModelPartition Partition;
+  ModelPartition Partition{Self};
   const std::string Long(200'000, 'x');
   section("they are written together", [&] {
     J.put(write("a", "short"), false, Now);
     J.put(write("b", Long), true, Now);
     J.put(write("c", "short"), false, Now);
     commitAll(J, Partition, Now);
-    CPPUNIT_ASSERT(Partition.value("b") == Long);
-    CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value("c"));
+    CPPUNIT_ASSERT(Partition.value(Kind, "b") == Long);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value(Kind, "c"));
   });
   section("another holder that shortens the value deletes the others", [&] {
     PoolJournal Next({Self, Partition.Version_, Now});
     Next.restoreParts(RowKind::Progress, "b",
-                      joinValues(Partition.Rows_).Values_.at("b").Parts_);
+                      Partition.values(Kind).Values_.at("b").Parts_);
     Next.put(write("b", "short"), true, Now);
     commitAll(Next, Partition, Now);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Partition.Rows_.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value("b"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Partition.rowCount(Kind));
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Partition.value(Kind, "b"));
   });
   section("the newest of several values in a batch counts", [&] {
     PoolJournal Next({Self, Partition.Version_, Now});
     Next.put(write("b", Long), true, Now);
     Next.put(write("b", "last"), true, Now);
     commitAll(Next, Partition, Now);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Partition.Rows_.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("last"), Partition.value("b"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Partition.rowCount(Kind));
+    CPPUNIT_ASSERT_EQUAL(std::string("last"), Partition.value(Kind, "b"));
   });
   section("a deleted value leaves no row", [&] {
     PoolJournal Next({Self, Partition.Version_, Now});
@@ -191,7 +168,7 @@
     commitAll(Next, Partition, Now);
     Next.put({RowKind::Progress, "b", std::nullopt}, true, Now);
     commitAll(Next, Partition, Now);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Partition.Rows_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Partition.rowCount(Kind));
   });
   section("many of them take several transactions", [&] {
     PoolJournal Next({Self, Partition.Version_, Now});
@@ -201,8 +178,8 @@
     for (int I = 0; I < 200; ++I)
       Next.put(write("s" + std::to_string(I)), true, Now);
     commitAll(Next, Partition, Now);
-    CPPUNIT_ASSERT(Partition.value("k19").size() == MaxValueBytes);
-    CPPUNIT_ASSERT_EQUAL(std::string("v"), Partition.value("s199"));
+    CPPUNIT_ASSERT(Partition.value(Kind, "k19").size() == MaxValueBytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), Partition.value(Kind, "s199"));
   });
 }
 
@@ -244,7 +221,7 @@
       *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 8));
   Instant Now{Seconds(10)};
   PoolJournal J({Self, RowVersion(10), Now});
-  ModelPartition Partition;
+  ModelPartition Partition{Self};
   std::map<std::string, std::string> Expected;
   for (const int Step : Steps) {
     const std::string Key(1, static_cast<char>('p' + Step % 3));
@@ -274,7 +251,7 @@
     }
   }
   commitAll(J, Partition, Now);
-  const JoinedValues Joined = joinValues(Partition.Rows_);
+  const JoinedValues Joined = Partition.values(Kind);
   RC_ASSERT(Joined.Incomplete_.empty());
   RC_ASSERT(Joined.Values_.size() == Expected.size());
   std::size_t Rows = 0;
@@ -282,7 +259,7 @@
     RC_ASSERT(Joined.Values_.at(Key).Value_ == Value);
     Rows += partCount(Value.size());
   }
-  RC_ASSERT(Partition.Rows_.size() == Rows);
+  RC_ASSERT(Partition.rowCount(Kind) == Rows);
 }
 
 } // namespace
@@ -299,7 +276,7 @@
       *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 6));
   Instant Now{Seconds(10)};
   PoolJournal J({Self, RowVersion(10), Now});
-  ModelPartition Partition;
+  ModelPartition Partition{Self};
   std::map<PoolJournal::Ticket, std::string> KeysByTicket;
   std::vector<Batch> Delayed;
   for (const int Outcome : Outcomes) {
@@ -329,7 +306,7 @@
     }
     RC_ASSERT(!J.lost());
     for (const auto &[Ticket, Name] : KeysByTicket)
-      RC_ASSERT(Ticket > J.durable() || Partition.Rows_.contains(Name));
+      RC_ASSERT(Ticket > J.durable() || !Partition.value(Kind, Name).empty());
   }
 }
 
@@ -347,7 +324,7 @@
                    "sending") {
   Instant Now{Seconds(50)};
   PoolJournal J({Self, RowVersion(10), Now});
-  ModelPartition Partition;
+  ModelPartition Partition{Self};
   J.put(write("a"), true, Now);
   const auto First = J.next(Now);
   CPPUNIT_ASSERT(First && Partition.apply(*First));
