The fleet duty isn't given back with a refused batch waiting

What callers could see: machines ordered again too early after a planned stop.

Cause: FleetController::tick gave the duty back when no batch was in flight and no change waited. A batch that the store has refused, and that is to be sent again, is neither. A successor that finds the duty vacant takes the recent orders in the store for complete.

Evidence: RefusedRecentOrders, with a store that refuses the rows of waves, fails on the code before: the vacant row is written between two tries.

If the store doesn't take it before the process ends, others claim the duty as that of an entry that is gone, and wait for all machines.

--- a/src/entry/fleet-controller.cc
+++ b/src/entry/fleet-controller.cc
@@ -137,7 +137,9 @@
     return;
   Writer_.sendNextBatch();
   auto &J = Writer_.journal();
-  if (HandingOver_ && OnHandedOver_ && !J.inFlight() && J.waiting() == 0)
+  // Its successor relies on what is stored before the duty is given back.
+  if (HandingOver_ && OnHandedOver_ && !J.hasUnsettledBatch() &&
+      J.waiting() == 0)
     return std::exchange(OnHandedOver_, nullptr)();
   if (!Loaded_ || HandingOver_)
     return;
--- a/test/entry/duties-test.cc
+++ b/test/entry/duties-test.cc
@@ -77,6 +77,13 @@
   /// Refuses the writes that give a duty back.
   bool RefusesVacant_ = false;
   int vacantRefused() const { return VacantRefused_; }
+  int vacantTaken() const { return VacantTaken_; }
+  /// Refuses the writes of the fleet controller's rows.
+  bool RefusesWaves_ = false;
+  int wavesRefused() const { return WavesRefused_; }
+  int fleetRenewals() const { return FleetRenewals_; }
+  /// The row of the fleet duty names this entry, too.
+  bool HoldsFleet_ = false;
   std::size_t heldWrites() const { return Held_.size(); }
   void answerWrites() {
     AnswersWrites_ = true;
@@ -109,6 +116,17 @@
       To.respond(Busy);
       return;
     }
+    if (R.Path_ == "/-/rows-tx" && RefusesWaves_ && hasWaveRows(R.Body_)) {
+      ++WavesRefused_;
+      http::Response Busy;
+      Busy.Status_ = 503;
+      To.respond(Busy);
+      return;
+    }
+    if (R.Path_ == "/-/rows-tx") {
+      VacantTaken_ += givesBack(R.Body_) ? 1 : 0;
+      FleetRenewals_ += R.Body_.contains(FleetDuty.str().c_str()) ? 1 : 0;
+    }
     const QByteArray Table = R.parameter("table");
     QJsonArray Rows;
     if (R.Path_ != "/-/rows-get")
@@ -122,9 +140,11 @@
                           "capacity":{"cpu":4000,"mem_mb":8000},"labels":["r1"],
                           "addr":")" +
                           WorkerAddress_ + R"("})"));
-    if (Table == HolderTable && R.parameter("part") == "s1")
+    const QByteArray Part = R.parameter("part");
+    if (Table == HolderTable &&
+        (Part == "s1" || (HoldsFleet_ && Part == FleetDuty.str().c_str())))
       Rows.append(
-          row(Table, "s1", HolderKey,
+          row(Table, Part, HolderKey,
               encodeHolder({EntryId("self/1"), "127.0.0.1:1", Epoch(5), 1})));
     respond(To, Rows);
   }
@@ -141,9 +161,20 @@
     });
   }
 
+  static bool hasWaveRows(const QByteArray &Body) {
+    const auto Rows =
+        QJsonDocument::fromJson(Body).object()["set_keys"].toArray();
+    return std::ranges::any_of(Rows, [](const QJsonValue &Row) {
+      return Row["table"].toString() == WaveTable;
+    });
+  }
+
   std::string WorkerAddress_;
   bool AnswersWrites_ = false;
   int VacantRefused_ = 0;
+  int VacantTaken_ = 0;
+  int WavesRefused_ = 0;
+  int FleetRenewals_ = 0;
   qint64 Version_ = 4;
   std::vector<http::Responder> Held_;
   http::Server Server_{{}, [this](http::Request &&R, http::Responder &&To) {
@@ -154,10 +185,14 @@
 /// An entry that begins the duties which holder rows say it has.
 class EntryWithDuty {
 public:
-  EntryWithDuty() { State_.start(); }
+  explicit EntryWithDuty(bool HoldsFleet = false) {
+    Store_.HoldsFleet_ = HoldsFleet;
+    State_.start();
+  }
 
   FakeWorker &worker() { return Worker_; }
   FakeStore &store() { return Store_; }
+  void stop(std::function<void()> OnDone) { Duties_.stop(std::move(OnDone)); }
   bool holdsPool() const { return Duties_.holder(PoolId("s1")) != nullptr; }
   PoolHolder *holder() const { return Duties_.holder(PoolId("s1")); }
 
@@ -245,3 +280,30 @@
   E.store().RefusesVacant_ = false;
   waitFor([&] { return Ended; });
 }
+
+// Guards against machines that are ordered twice: a fleet controller gave its
+// duty back though the rows that its successor relies on had been refused.
+HEATHERCROSS_STORY(RefusedRecentOrders,
+                   "the fleet duty is given back once the recent orders are "
+                   "stored") {
+  startQt();
+  EntryWithDuty E(true);
+  E.store().answerWrites();
+  waitFor([&] { return E.holdsPool() && E.store().fleetRenewals() > 1; });
+  E.store().RefusesWaves_ = true;
+  bool Ended = false;
+  E.stop([&] { Ended = true; });
+  section("it isn't while the store refuses them", [&] {
+    constexpr int PoolOnly = 1;
+    // Long enough for the longest pause between two tries.
+    runFor(3000);
+    CPPUNIT_ASSERT(E.store().wavesRefused() >= 3);
+    CPPUNIT_ASSERT(E.store().vacantTaken() <= PoolOnly);
+    CPPUNIT_ASSERT(!Ended);
+  });
+  section("it is when they have been taken", [&] {
+    E.store().RefusesWaves_ = false;
+    waitFor([&] { return Ended; });
+    CPPUNIT_ASSERT_EQUAL(2, E.store().vacantTaken());
+  });
+}
